--- /dev/null
+++ b/crates/azurestand/src/main.rs
@@ -0,0 +1,2 @@
+//! The azurestand command.
+fn main() {}
--- /dev/null
+++ b/crates/azurestand_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the coordination parts.
--- /dev/null
+++ b/crates/azurestand_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' document: sections, checks, edits, audit records.
--- /dev/null
+++ b/crates/azurestand_dev/src/main.rs
@@ -0,0 +1,2 @@
+//! Generates reference pages.
+fn main() {}
--- /dev/null
+++ b/crates/azurestand_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live view, failure detection and dissemination decisions.
--- /dev/null
+++ b/crates/azurestand_route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Target choice, account limits and retry budgets.
--- /dev/null
+++ b/crates/azurestand_server/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry and agent daemons.
--- /dev/null
+++ b/crates/azurestand_spread/src/lib.rs
@@ -0,0 +1,1 @@
+//! Transfer decisions that spread weights.
--- /dev/null
+++ b/crates/azurestand_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and services.
--- /dev/null
+++ b/crates/azurestand_store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/crates/azurestand_target/src/lib.rs
@@ -0,0 +1,1 @@
+//! A target's life, admission, duplicate detection and orders.
--- /dev/null
+++ b/crates/azurestand_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed, authenticated messages between processes.
