Add authenticated links between processes

Cause: entries and agents need one connection each that carries requests, reports and gossip, proves the fleet's key and finds silent peers. Change: azurestand_wire with prost messages, sessions that seal each frame with its place, and links with heartbeats on separate control and bulk connections. Before: no link. Conclusion: the daemons can be built on it.

--- a/crates/azurestand_wire/src/lib.rs
+++ b/crates/azurestand_wire/src/lib.rs
@@ -1,1 +1,33 @@
-//! Framed, authenticated messages between processes.
+//! Framed, authenticated messages between the system's own processes.
+//!
+//! Two processes hold one [`Link`] for requests and gossip and, while weights
+//! move, a second one for bulk, so that a chunk never delays a token. Each
+//! frame is a length-delimited prost message behind a code that proves the
+//! fleet's key, the session and the frame's place in it; a forged or replayed
+//! frame ends the link. Heartbeats find links that went silent for good. See
+//! [docs/WIRE.md](../../../docs/WIRE.md).
+//!
+//! ```
+//! use azurestand_wire::{Body, FleetKey, Ping, Session};
+//!
+//! let key = FleetKey::try_from("00".repeat(32).as_str()).unwrap();
+//! let (mut ours, mut theirs) = Session::pair(&key, b"nonce a", b"nonce b");
+//! let frame = ours.seal(Body::Ping(Ping {}));
+//! assert_eq!(theirs.open(&frame).unwrap(), Body::Ping(Ping {}));
+//! assert!(theirs.open(&frame).is_err(), "a replay is refused");
+//! ```
+
+mod handshake;
+mod key;
+mod link;
+mod message;
+mod session;
+
+pub use handshake::{Identity, Purpose, Role};
+pub use key::{FleetKey, FleetKeyError};
+pub use link::{Inbox, Link, LinkError, Outbox, accept, connect};
+pub use message::{
+    Ask, Begin, Body, Cancel, End, Envelope, Failed, Fetch, Gossip, Header, Hello, Missing, Part,
+    Piece, Ping, Refused, Release, Report, Resume, Revoke, Revoked, TargetLoad, Transfer,
+};
+pub use session::{MAX_FRAME_BYTES, SealError, Session};
--- /dev/null
+++ b/crates/azurestand_wire/src/message.rs
@@ -0,0 +1,380 @@
+//! The messages between processes, as prost structs written by hand so that
+//! the build needs no generator. Numbers of fields are never reused.
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+/// What travels in one frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// The message itself; a newer kind that this process doesn't know is empty.
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+    )]
+    pub body: Option<Body>,
+}
+
+/// The kinds of message.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Shows that the sender is alive.
+    #[prost(message, tag = "1")]
+    Ping(Ping),
+    /// An entry asks a target to run a request.
+    #[prost(message, boxed, tag = "2")]
+    Ask(Box<Ask>),
+    /// The head of an answer.
+    #[prost(message, tag = "3")]
+    Begin(Begin),
+    /// A piece of an answer's body.
+    #[prost(message, tag = "4")]
+    Part(Part),
+    /// The answer is whole.
+    #[prost(message, tag = "5")]
+    End(End),
+    /// The request did not run and never will.
+    #[prost(message, tag = "6")]
+    Refused(Refused),
+    /// The request may have run, but has no whole answer.
+    #[prost(message, tag = "7")]
+    Failed(Failed),
+    /// An entry takes up an answer again on a new link.
+    #[prost(message, tag = "8")]
+    Resume(Resume),
+    /// An entry asks that a request never starts.
+    #[prost(message, tag = "9")]
+    Revoke(Revoke),
+    /// The answer to a revoke.
+    #[prost(message, tag = "10")]
+    Revoked(Revoked),
+    /// The caller left; the work can stop.
+    #[prost(message, tag = "11")]
+    Cancel(Cancel),
+    /// The entry has the whole answer; the agent may forget it.
+    #[prost(message, tag = "12")]
+    Release(Release),
+    /// An agent tells what its targets can take.
+    #[prost(message, tag = "13")]
+    Report(Report),
+    /// Membership and configuration.
+    #[prost(message, tag = "14")]
+    Gossip(Gossip),
+    /// Which weights a host has and wants.
+    #[prost(message, tag = "15")]
+    Transfer(Transfer),
+    /// Asks for a chunk of weights over a bulk link.
+    #[prost(message, tag = "16")]
+    Fetch(Fetch),
+    /// A piece of a chunk.
+    #[prost(message, tag = "17")]
+    Piece(Piece),
+    /// The chunk can't be had here.
+    #[prost(message, tag = "18")]
+    Missing(Missing),
+}
+
+/// Who speaks, sent once in the clear at the start of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Version of these messages.
+    #[prost(uint32, tag = "1")]
+    pub protocol: u32,
+    /// Fresh random bytes, so that no session's key comes twice.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub nonce: Bytes,
+    /// The speaker's host name.
+    #[prost(string, tag = "3")]
+    pub host: String,
+    /// The speaker's incarnation.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// 1 for an entry, 2 for an agent.
+    #[prost(uint32, tag = "5")]
+    pub role: u32,
+    /// 1 for requests and gossip, 2 for bulk.
+    #[prost(uint32, tag = "6")]
+    pub purpose: u32,
+    /// The speaker's data centre.
+    #[prost(string, tag = "7")]
+    pub centre: String,
+    /// Where others can reach the speaker.
+    #[prost(string, tag = "8")]
+    pub address: String,
+}
+
+/// Shows that the sender is alive.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Ping {}
+
+/// One header of a request or an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Header {
+    /// The header's name in lower case.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The header's value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+}
+
+/// An entry asks a target to run a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// The target on the receiving host; empty when an entry passes the request on.
+    #[prost(string, tag = "2")]
+    pub target: String,
+    /// The account that pays.
+    #[prost(string, tag = "3")]
+    pub account: String,
+    /// The account's priority; 0 goes first.
+    #[prost(uint32, tag = "4")]
+    pub priority: u32,
+    /// Milliseconds until the caller no longer wants the answer.
+    #[prost(uint64, tag = "5")]
+    pub patience: u64,
+    /// The HTTP method.
+    #[prost(string, tag = "6")]
+    pub method: String,
+    /// The path and query as the target sees them.
+    #[prost(string, tag = "7")]
+    pub path: String,
+    /// Headers to pass on.
+    #[prost(message, repeated, tag = "8")]
+    pub headers: Vec<Header>,
+    /// The whole body.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub body: Bytes,
+    /// The caller's idempotency key, or empty.
+    #[prost(string, tag = "10")]
+    pub key: String,
+    /// Whether a second run does no harm.
+    #[prost(bool, tag = "11")]
+    pub idempotent: bool,
+    /// Manifest digest of the weights that must answer, or empty for a service.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub weights: Bytes,
+    /// How many entries have passed the request on.
+    #[prost(uint32, tag = "13")]
+    pub hops: u32,
+    /// The model or service, for an entry that still has to choose a target.
+    #[prost(string, tag = "14")]
+    pub subject: String,
+    /// Whether this is the entry's first send of the id on any link.
+    #[prost(bool, tag = "15")]
+    pub first: bool,
+}
+
+/// The head of an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Begin {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// The HTTP status.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// Headers to pass on.
+    #[prost(message, repeated, tag = "3")]
+    pub headers: Vec<Header>,
+}
+
+/// A piece of an answer's body.
+#[derive(Clone, PartialEq, Message)]
+pub struct Part {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// Where the piece belongs, in bytes from the body's start.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// The piece.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub bytes: Bytes,
+}
+
+/// The answer is whole.
+#[derive(Clone, PartialEq, Message)]
+pub struct End {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// Length of the whole body in bytes.
+    #[prost(uint64, tag = "2")]
+    pub length: u64,
+}
+
+/// The request did not run and never will.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refused {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// The reason, numbered in `azurestand_server`'s codes.
+    #[prost(uint32, tag = "2")]
+    pub reason: u32,
+    /// Milliseconds after which another try may fare better.
+    #[prost(uint64, tag = "3")]
+    pub after: u64,
+}
+
+/// The request may have run, but has no whole answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Failed {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// The reason, numbered in `azurestand_server`'s codes.
+    #[prost(uint32, tag = "2")]
+    pub reason: u32,
+}
+
+/// An entry takes up an answer again on a new link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Resume {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// Bytes of the body that the entry already has.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// The account that sent the request; nobody else may take up its answer.
+    #[prost(string, tag = "3")]
+    pub account: String,
+}
+
+/// An entry asks that a request never starts.
+#[derive(Clone, PartialEq, Message)]
+pub struct Revoke {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+}
+
+/// The answer to a revoke.
+#[derive(Clone, PartialEq, Message)]
+pub struct Revoked {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// Whether the request had started; if not, it never will.
+    #[prost(bool, tag = "2")]
+    pub started: bool,
+}
+
+/// The caller left; the work can stop.
+#[derive(Clone, PartialEq, Message)]
+pub struct Cancel {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+}
+
+/// The entry has the whole answer; the agent may forget it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Release {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+}
+
+/// What one target can take.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetLoad {
+    /// The target's name.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The model or service that it serves.
+    #[prost(string, tag = "2")]
+    pub subject: String,
+    /// Whether it is a model engine.
+    #[prost(bool, tag = "3")]
+    pub engine: bool,
+    /// The life state, numbered in `azurestand_server`'s codes.
+    #[prost(uint32, tag = "4")]
+    pub state: u32,
+    /// Requests that it may run at once now.
+    #[prost(uint32, tag = "5")]
+    pub limit: u32,
+    /// Requests that run now.
+    #[prost(uint32, tag = "6")]
+    pub running: u32,
+    /// Requests that wait now.
+    #[prost(uint32, tag = "7")]
+    pub waiting: u32,
+    /// Manifest digest of the weights that answer now, or empty.
+    #[prost(bytes = "bytes", tag = "8")]
+    pub weights: Bytes,
+}
+
+/// An agent tells what its targets can take.
+#[derive(Clone, PartialEq, Message)]
+pub struct Report {
+    /// Counts the reports of one incarnation, so that a late one is dropped.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Each target of the host.
+    #[prost(message, repeated, tag = "2")]
+    pub targets: Vec<TargetLoad>,
+    /// Whether the host is leaving service.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+}
+
+/// Membership and configuration, encoded by `azurestand_membership`.
+#[derive(Clone, PartialEq, Message)]
+pub struct Gossip {
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub bytes: Bytes,
+}
+
+/// Which weights a host has and wants, encoded by `azurestand_spread`.
+#[derive(Clone, PartialEq, Message)]
+pub struct Transfer {
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub bytes: Bytes,
+}
+
+/// Asks for content by digest over a bulk link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Fetch {
+    /// The content's digest.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: Bytes,
+    /// Whether a manifest is wanted rather than a chunk.
+    #[prost(bool, tag = "2")]
+    pub manifest: bool,
+    /// Bytes that the asker already has.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+}
+
+/// A piece of fetched content.
+#[derive(Clone, PartialEq, Message)]
+pub struct Piece {
+    /// The content's digest.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: Bytes,
+    /// Where the piece belongs, in bytes from the content's start.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// The piece.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub bytes: Bytes,
+    /// Whether this is the last piece.
+    #[prost(bool, tag = "4")]
+    pub last: bool,
+}
+
+/// The content can't be had here.
+#[derive(Clone, PartialEq, Message)]
+pub struct Missing {
+    /// The content's digest.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: Bytes,
+}
