--- a/crates/azurestand_wire/src/lib.rs
+++ b/crates/azurestand_wire/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use handshake::{Identity, Purpose, Role};
 pub use key::{FleetKey, FleetKeyError};
-pub use link::{Inbox, Link, LinkError, Outbox, accept, connect};
+pub use link::{Inbox, Link, LinkEnd, LinkError, Outbox, accept, connect};
 pub use message::{
     Ask, Begin, Body, Cancel, End, Envelope, Failed, Fetch, Gossip, Header, Hello, Missing, Part,
     Piece, Ping, Refused, Release, Report, Resume, Revoke, Revoked, TargetLoad, Transfer,
--- a/crates/azurestand_wire/src/link.rs
+++ b/crates/azurestand_wire/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -102,14 +103,36 @@
     }
 }
 
+/// Why a link ended.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+pub enum LinkEnd {
+    /// One of the ends closed it, or the network broke it.
+    #[display("it was closed")]
+    Closed,
+    /// Nothing was heard for longer than a heartbeat may take.
+    #[display("the other end is silent; new work goes over a new link")]
+    Silent,
+    /// A frame was forged, replayed or malformed.
+    #[display("{_0}")]
+    Refused(SealError),
+}
+
 /// The receiving side of a link.
 #[derive(Debug)]
-pub struct Inbox(mpsc::Receiver<Body>);
+pub struct Inbox {
+    messages: mpsc::Receiver<Body>,
+    end: Arc<OnceLock<LinkEnd>>,
+}
 
 impl Inbox {
     /// The next message that isn't a heartbeat, or none when the link has ended.
     pub async fn receive(&mut self) -> Option<Body> {
-        self.0.recv().await
+        self.messages.recv().await
+    }
+
+    /// Why the link ended; closed as long as nothing worse is known.
+    pub fn end(&self) -> LinkEnd {
+        self.end.get().cloned().unwrap_or(LinkEnd::Closed)
     }
 }
 
@@ -241,15 +264,27 @@
     let (frames, queue) = mpsc::channel(QUEUE_FRAMES);
     let (deliver, inbox) = mpsc::channel(QUEUE_FRAMES);
     let ended = CancellationToken::new();
+    let end = Arc::new(OnceLock::new());
     let Session { outward, inward } = session;
     let Ends { reader, writer } = ends;
     tokio::spawn(pump_out(writer, outward, queue, ended.clone()));
-    tokio::spawn(pump_in(reader, inward, deliver, ended.clone()));
+    let pump = pump_in(reader, inward, deliver, end.clone());
+    let token = ended.clone();
+    tokio::spawn(async move {
+        let _guard = token.clone().drop_guard();
+        tokio::select! {
+            () = pump => (),
+            () = token.cancelled() => (),
+        }
+    });
     Link {
         peer,
         purpose,
         outbox: Outbox { frames, ended },
-        inbox: Inbox(inbox),
+        inbox: Inbox {
+            messages: inbox,
+            end,
+        },
     }
 }
 
@@ -299,20 +334,22 @@
     mut reader: Reader,
     mut half: Half,
     deliver: mpsc::Sender<Body>,
-    ended: CancellationToken,
+    end: Arc<OnceLock<LinkEnd>>,
 ) {
-    let _guard = ended.clone().drop_guard();
     loop {
-        let next = tokio::select! {
-            next = timeout(SILENCE_LIMIT, reader.next()) => next,
-            () = ended.cancelled() => return,
+        let frame = match timeout(SILENCE_LIMIT, reader.next()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(_) => return,
+            Err(_) => {
+                let _ = end.set(LinkEnd::Silent);
+                return;
+            }
         };
-        let Ok(Some(Ok(frame))) = next else { return };
         let body = match half.open(frame.freeze()) {
             Ok(Some(Body::Ping(_)) | None) => continue,
             Ok(Some(body)) => body,
             Err(error) => {
-                log::warn!(event = "E0103"; "link ended: {error}");
+                let _ = end.set(LinkEnd::Refused(error));
                 return;
             }
         };
