Add sealed datagrams for probes and gossip

Cause: a process probes hundreds of others; a kept connection to each would cost more heartbeats than the probes. Change: datagrams with a code under the fleet's key and a replay window a sender. Before: links only. Conclusion: gossip takes datagrams, large answers a link.

--- a/crates/azurestand_server/src/metrics.rs
+++ b/crates/azurestand_server/src/metrics.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cadence::{BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed};
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
+};
 
 macro_rules! metrics {
     ($kind:ident, $doc:literal: $($name:ident = $key:literal, $meaning:literal;)+) => {
--- a/crates/azurestand_server/src/settings/options.rs
+++ b/crates/azurestand_server/src/settings/options.rs
@@ -178,7 +178,11 @@
     match text.map(|text| (text, text.as_ref().as_str())) {
         None | Some((_, "text")) => Ok(LogFormat::Text),
         Some((_, "json")) => Ok(LogFormat::Json),
-        Some((text, _)) => Err(fault(text, "log", "is no format; choose \"text\" or \"json\"")),
+        Some((text, _)) => Err(fault(
+            text,
+            "log",
+            "is no format; choose \"text\" or \"json\"",
+        )),
     }
 }
 
@@ -188,7 +192,11 @@
         let place = options.name.clone();
         let target = TargetSettings::try_from(options)?;
         if checked.iter().any(|other| other.name == target.name) {
-            return Err(fault(&place, "targets.name", "stands twice; give each target its own"));
+            return Err(fault(
+                &place,
+                "targets.name",
+                "stands twice; give each target its own",
+            ));
         }
         checked.push(target);
     }
@@ -200,7 +208,11 @@
 
     fn try_from(options: Options) -> Result<Self, Fault> {
         if options.store.is_empty() {
-            return Err(fault(&options.host, "store", "is empty; name at least one address"));
+            return Err(fault(
+                &options.host,
+                "store",
+                "is empty; name at least one address",
+            ));
         }
         let drain = bounded(
             options.drain_seconds.as_ref(),
--- /dev/null
+++ b/crates/azurestand_wire/src/datagram.rs
@@ -0,0 +1,194 @@
+//! Small sealed messages that need no connection, for probes and gossip.
+//!
+//! A process probes hundreds of others, each of them seldom; a connection to
+//! each would cost more heartbeats than the probes themselves.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use azurestand_types::{HostName, Incarnation};
+use bytes::Bytes;
+use prost::Message;
+use quick_error::quick_error;
+use subtle::ConstantTimeEq;
+use tokio::net::UdpSocket;
+
+use crate::key::FleetKey;
+
+const CODE_BYTES: usize = 16;
+const WINDOW: u64 = 64;
+const MAX_SENDERS: usize = 4_096;
+
+/// The longest payload of one datagram, in bytes; it fits an Ethernet frame.
+pub const MAX_DATAGRAM_BYTES: usize = 1_300;
+
+quick_error! {
+    /// Why a datagram was dropped.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum DatagramError {
+        /// The code is wrong, or the bytes are no datagram.
+        Code {
+            display("a datagram's code is wrong; check that both hosts have the same fleet-key")
+        }
+        /// The same datagram came before, or it is too old to tell.
+        Replayed {
+            display("a datagram was replayed; if it goes on, find who sends it")
+        }
+    }
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Parcel {
+    #[prost(string, tag = "1")]
+    host: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+    #[prost(bytes = "bytes", tag = "4")]
+    payload: Bytes,
+}
+
+/// Seals the datagrams of one process.
+#[derive(Debug)]
+pub struct Sealer {
+    code: [u8; 32],
+    host: HostName,
+    incarnation: Incarnation,
+    sequence: AtomicU64,
+}
+
+impl Sealer {
+    /// Seals as `host` in its present `incarnation`.
+    pub fn new(key: &FleetKey, host: HostName, incarnation: Incarnation) -> Self {
+        Self {
+            code: key.derive("azurestand datagram", &[]),
+            host,
+            incarnation,
+            sequence: AtomicU64::new(1),
+        }
+    }
+
+    /// Seals `payload` as the next datagram.
+    pub fn seal(&self, payload: Bytes) -> Bytes {
+        let parcel = Parcel {
+            host: self.host.to_string(),
+            incarnation: self.incarnation.0,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            payload,
+        };
+        let encoded = parcel.encode_to_vec();
+        let mut datagram = code(&self.code, &encoded).to_vec();
+        datagram.extend_from_slice(&encoded);
+        datagram.into()
+    }
+}
+
+fn code(key: &[u8; 32], body: &[u8]) -> [u8; CODE_BYTES] {
+    let mut code = [0; CODE_BYTES];
+    blake3::Hasher::new_keyed(key)
+        .update(body)
+        .finalize_xof()
+        .fill(&mut code);
+    code
+}
+
+/// Which of a sender's latest datagrams have come.
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    incarnation: u64,
+    highest: u64,
+    seen: u64,
+}
+
+impl Window {
+    /// Whether this datagram is new; datagrams may arrive out of order.
+    fn accept(&mut self, incarnation: u64, sequence: u64) -> bool {
+        if incarnation < self.incarnation {
+            return false;
+        }
+        if incarnation > self.incarnation {
+            *self = Self {
+                incarnation,
+                ..Self::default()
+            };
+        }
+        if sequence > self.highest {
+            let shift = sequence - self.highest;
+            self.seen = self
+                .seen
+                .checked_shl(u32::try_from(shift).unwrap_or(64))
+                .unwrap_or(0)
+                | 1;
+            self.highest = sequence;
+            return true;
+        }
+        let age = self.highest - sequence;
+        let bit = 1_u64
+            .checked_shl(u32::try_from(age).unwrap_or(64))
+            .unwrap_or(0);
+        let fresh = age < WINDOW && self.seen & bit == 0;
+        self.seen |= bit;
+        fresh
+    }
+}
+
+/// Opens datagrams, each at most once.
+#[derive(Debug)]
+pub struct Opener {
+    code: [u8; 32],
+    windows: BTreeMap<HostName, Window>,
+}
+
+impl Opener {
+    /// Opens datagrams sealed with `key`.
+    pub fn new(key: &FleetKey) -> Self {
+        Self {
+            code: key.derive("azurestand datagram", &[]),
+            windows: BTreeMap::new(),
+        }
+    }
+
+    /// Checks a datagram and gives its payload.
+    ///
+    /// # Errors
+    ///
+    /// [`DatagramError`] when it is forged, malformed or replayed.
+    pub fn open(&mut self, datagram: &[u8]) -> Result<Bytes, DatagramError> {
+        let (sent, body) = datagram
+            .split_at_checked(CODE_BYTES)
+            .ok_or(DatagramError::Code)?;
+        if !bool::from(code(&self.code, body).ct_eq(sent)) {
+            return Err(DatagramError::Code);
+        }
+        let parcel = Parcel::decode(body).map_err(|_| DatagramError::Code)?;
+        let host = HostName::try_from(parcel.host.as_str()).map_err(|_| DatagramError::Code)?;
+        if self.windows.len() >= MAX_SENDERS && !self.windows.contains_key(&host) {
+            self.windows.pop_first();
+        }
+        let window = self.windows.entry(host).or_default();
+        if window.accept(parcel.incarnation, parcel.sequence) {
+            Ok(parcel.payload)
+        } else {
+            Err(DatagramError::Replayed)
+        }
+    }
+}
+
+/// Reads the next datagram of `socket` and opens it.
+///
+/// # Errors
+///
+/// The socket's error; a refused datagram is the inner error.
+pub async fn receive(
+    socket: &UdpSocket,
+    opener: &mut Opener,
+) -> io::Result<Result<(SocketAddr, Bytes), DatagramError>> {
+    let mut buffer = [0; 2_048];
+    let (length, from) = socket.recv_from(&mut buffer).await?;
+    Ok(opener
+        .open(&buffer[..length])
+        .map(|payload| (from, payload)))
+}
--- a/crates/azurestand_wire/src/lib.rs
+++ b/crates/azurestand_wire/src/lib.rs
@@ -17,12 +17,14 @@
 //! assert!(theirs.open(&frame).is_err(), "a replay is refused");
 //! ```
 
+mod datagram;
 mod handshake;
 mod key;
 mod link;
 mod message;
 mod session;
 
+pub use datagram::{DatagramError, MAX_DATAGRAM_BYTES, Opener, Sealer, receive};
 pub use handshake::{Identity, Purpose, Role};
 pub use key::{FleetKey, FleetKeyError};
 pub use link::{Inbox, Link, LinkEnd, LinkError, Outbox, accept, connect};
