Give membership its public types and messages

Cause: the daemons need the signatures of the membership machine. Change: identity, limits, document with stamps, records and their order, checked and bounded gossip messages, live view, events and actions; the machine itself does nothing yet. Before: empty crate. Conclusion: signatures can be integrated against.

--- a/crates/azurestand_membership/src/lib.rs
+++ b/crates/azurestand_membership/src/lib.rs
@@ -1,1 +1,51 @@
-//! Live view, failure detection and dissemination decisions.
+//! Decides who is alive, who watches the store, and how a new document reaches everyone.
+//!
+//! A [`Member`] takes events and the present moment and returns actions; the
+//! daemon carries them out. [docs/MEMBERSHIP.md](../../../docs/MEMBERSHIP.md)
+//! weighs the ways and gives the figures.
+//!
+//! ```
+//! use azurestand_membership::{Action, Event, Identity, Limits, Member, Role};
+//! use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Region};
+//!
+//! let identity = |host: &str, port| Identity {
+//!     host: HostName::try_from(host).unwrap(),
+//!     role: Role::Entry,
+//!     centre: DataCentre::try_from("north-1").unwrap(),
+//!     region: Region::try_from("north").unwrap(),
+//!     address: ([127, 0, 0, 1], port).into(),
+//!     incarnation: Incarnation(1),
+//! };
+//! let (a, b) = (identity("a", 1), identity("b", 2));
+//! let random = fastrand::Rng::with_seed(7);
+//! let mut member = Member::new(a, vec![b.address], Limits::default(), random.clone());
+//! let mut other = Member::new(b, vec![], Limits::default(), random);
+//!
+//! // The first tick greets the seed; what it hears, the seed takes into its view.
+//! for action in member.handle(Moment::START, Event::Tick) {
+//!     if let Action::Send { gossip, .. } = action {
+//!         other.handle(Moment::START, Event::Received(gossip));
+//!     }
+//! }
+//! # let _ = other.view().members().count();
+//! ```
+
+mod config;
+mod event;
+mod gossip;
+mod identity;
+mod limits;
+mod member;
+mod record;
+mod view;
+
+pub use config::{
+    Config, ConfigError, MAX_CONFIG_BYTES, MAX_SECTIONS, Section, SectionName, Stamp,
+};
+pub use event::{Action, Change, Event, Listing, Note, Source, StoreNews};
+pub use gossip::{Gossip, GossipError, MAX_GOSSIP_BYTES};
+pub use identity::{Identity, Role};
+pub use limits::Limits;
+pub use member::Member;
+pub use record::{MAX_STATUS_BYTES, Record, State, Status};
+pub use view::View;
--- /dev/null
+++ b/crates/azurestand_membership/src/limits.rs
@@ -0,0 +1,70 @@
+//! How often and how much a member talks.
+
+use std::time::Duration;
+
+/// The intervals and sizes that bound a member's cost.
+///
+/// The defaults keep a process of a fleet of 1,260 under the budget of
+/// [docs/MEMBERSHIP.md](../../../docs/MEMBERSHIP.md); all members of one
+/// deployment use the same limits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// How often the daemon sends [`Event::Tick`](crate::Event::Tick).
+    pub tick: Duration,
+    /// How often a member probes one peer of its data centre.
+    pub probe_every: Duration,
+    /// How long a direct probe may take before other peers are asked to probe.
+    pub direct_wait: Duration,
+    /// How long the probes of other peers may take before suspicion starts.
+    pub relay_wait: Duration,
+    /// How many other peers probe on a member's behalf.
+    pub relays: usize,
+    /// How long a suspected peer has to refute.
+    pub suspect_for: Duration,
+    /// How many peers hear of news at once from each that learns it.
+    pub fan_out: usize,
+    /// Bytes of a packet that carries membership news.
+    pub packet_bytes: usize,
+    /// How often a member compares its view with that of one peer.
+    pub sync_every: Duration,
+    /// How often a hub compares its view with that of another data centre.
+    pub bridge_every: Duration,
+    /// The least time between two reports of a changed status.
+    pub report_every: Duration,
+    /// How long a data centre or the store may be silent before it counts as cut off.
+    pub quiet_for: Duration,
+    /// The longest pause between two store reads of a member that hears nothing.
+    pub read_pause: Duration,
+    /// How long a fresh process listens before it may become a hub.
+    pub settle_for: Duration,
+    /// How many members of a data centre watch the store.
+    pub watchers: usize,
+    /// How long a dead or departed member is remembered with its details.
+    pub forget_after: Duration,
+    /// How long an answer to a configuration request may take before another peer is asked.
+    pub pull_wait: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(100),
+            probe_every: Duration::from_secs(1),
+            direct_wait: Duration::from_millis(300),
+            relay_wait: Duration::from_millis(600),
+            relays: 3,
+            suspect_for: Duration::from_secs(3),
+            fan_out: 6,
+            packet_bytes: 1_200,
+            sync_every: Duration::from_secs(5),
+            bridge_every: Duration::from_secs(1),
+            report_every: Duration::from_secs(2),
+            quiet_for: Duration::from_secs(15),
+            read_pause: Duration::from_secs(300),
+            settle_for: Duration::from_secs(1),
+            watchers: 2,
+            forget_after: Duration::from_secs(3_600),
+            pull_wait: Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurestand_membership/src/record.rs
@@ -0,0 +1,144 @@
+//! What is known of one member, and which of two pieces of knowledge is newer.
+
+use azurestand_types::Incarnation;
+use bytes::Bytes;
+use derive_more::Display;
+
+use crate::{Identity, Stamp};
+
+/// The most bytes of an opaque status.
+pub const MAX_STATUS_BYTES: usize = 512;
+
+/// How far a member's life has come; only the member itself moves it, and only forward.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) enum Stage {
+    Active,
+    Leaving,
+    Left,
+}
+
+/// What the member's data centre has found out about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) enum Health {
+    Alive,
+    Suspect,
+    Dead,
+}
+
+/// The state of a member as routing and operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub enum State {
+    /// It answers and may get new work.
+    #[display("alive")]
+    Alive,
+    /// It missed its probes and may still refute.
+    #[display("suspect")]
+    Suspect,
+    /// It finishes what it has and takes no new work.
+    #[display("leaving")]
+    Leaving,
+    /// It said goodbye.
+    #[display("left")]
+    Left,
+    /// It neither answered nor refuted.
+    #[display("dead")]
+    Dead,
+}
+
+impl State {
+    /// Whether the process may still run.
+    pub fn is_present(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect | Self::Leaving)
+    }
+}
+
+/// Orders knowledge of one host name: a higher one replaces a lower one, with no exception.
+///
+/// The incarnation goes first, so that nothing about an earlier process under
+/// the same name survives; then the refutation count, which only the member raises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Version {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) refutation: u64,
+    pub(crate) health: Health,
+    pub(crate) stage: Stage,
+}
+
+/// The opaque status of a member, with its own counter; the highest counter of the
+/// highest incarnation wins.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Status {
+    /// Grows with each report of one incarnation.
+    pub counter: u64,
+    /// The configuration that the member has in force.
+    pub stamp: Stamp,
+    /// What the daemon wants operators to see; at most 512 bytes.
+    pub blob: Bytes,
+}
+
+/// All that is known of one member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// Who it is.
+    pub identity: Identity,
+    /// Its last reported status, with counter 0 before the first report.
+    pub status: Status,
+    pub(crate) refutation: u64,
+    pub(crate) stage: Stage,
+    pub(crate) health: Health,
+}
+
+impl Record {
+    pub(crate) fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            status: Status::default(),
+            refutation: 0,
+            stage: Stage::Active,
+            health: Health::Alive,
+        }
+    }
+
+    /// The member's state.
+    pub fn state(&self) -> State {
+        match (self.stage, self.health) {
+            (Stage::Left, _) => State::Left,
+            (_, Health::Dead) => State::Dead,
+            (Stage::Leaving, _) => State::Leaving,
+            (Stage::Active, Health::Suspect) => State::Suspect,
+            (Stage::Active, Health::Alive) => State::Alive,
+        }
+    }
+
+    pub(crate) fn version(&self) -> Version {
+        Version {
+            incarnation: self.identity.incarnation,
+            refutation: self.refutation,
+            health: self.health,
+            stage: self.stage,
+        }
+    }
+
+    /// Takes over what is newer in `other`; tells whether the membership part changed.
+    ///
+    /// Within an incarnation the stage only moves forward, whatever the
+    /// refutation count says; a delayed "active" never undoes "leaving".
+    pub(crate) fn merge(&mut self, other: &Self) -> bool {
+        let before = self.version();
+        let (mine, theirs) = (self.identity.incarnation, other.identity.incarnation);
+        if theirs < mine {
+            return false;
+        }
+        if theirs > mine {
+            *self = other.clone();
+            return true;
+        }
+        self.stage = self.stage.max(other.stage);
+        let judged = (self.refutation, self.health).max((other.refutation, other.health));
+        (self.refutation, self.health) = judged;
+        if other.status.counter > self.status.counter {
+            self.status = other.status.clone();
+        }
+        self.version() != before
+    }
+}
--- /dev/null
+++ b/crates/azurestand_membership/src/view.rs
@@ -0,0 +1,202 @@
+//! The live view: what this member knows of all members.
+
+use std::collections::BTreeMap;
+
+use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Revision, rendezvous};
+
+use crate::record::{Health, Record, Version};
+use crate::{Role, State};
+
+/// How many departed hosts' last versions are remembered after their records are gone.
+const MAX_GRAVES: usize = 8_192;
+
+/// What this member knows of all members and data centres.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    members: BTreeMap<HostName, Entry>,
+    graves: BTreeMap<HostName, Version>,
+    centres: BTreeMap<DataCentre, Moment>,
+}
+
+/// A record with what only this member needs to know of it.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) record: Record,
+    /// When the membership part last changed here.
+    pub(crate) changed: Moment,
+    /// How often the last change was passed on.
+    pub(crate) sent: u32,
+    /// The incarnation that the platform's list says is leaving.
+    pub(crate) hint: Option<Incarnation>,
+}
+
+/// What came of an offered record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// It belongs to an earlier life; the newest incarnation is given.
+    Stale(Incarnation),
+    /// Nothing new about the membership.
+    Same,
+    /// The membership part changed.
+    Changed,
+}
+
+impl View {
+    /// All members in the order of their names, departed ones included for a while.
+    pub fn members<'a>(&'a self) -> Box<dyn Iterator<Item = &'a Record> + 'a> {
+        Box::new(self.members.values().map(|entry| &entry.record))
+    }
+
+    /// The member under this name.
+    pub fn get(&self, host: &HostName) -> Option<&Record> {
+        self.members.get(host).map(|entry| &entry.record)
+    }
+
+    /// A member's state, with the platform's hint that it is leaving merged in.
+    ///
+    /// What peers have seen goes before the hint: it turns only "alive" into
+    /// "leaving", and only for the incarnation that it was given about.
+    pub fn state(&self, host: &HostName) -> Option<State> {
+        let entry = self.members.get(host)?;
+        let state = entry.record.state();
+        let hinted = entry.hint == Some(entry.record.identity.incarnation);
+        Some(match state {
+            State::Alive if hinted => State::Leaving,
+            _ => state,
+        })
+    }
+
+    /// When a data centre was last heard of, at first or second hand.
+    pub fn heard(&self, centre: &DataCentre) -> Option<Moment> {
+        self.centres.get(centre).copied()
+    }
+
+    /// All data centres that were ever heard of.
+    pub fn centres<'a>(&'a self) -> Box<dyn Iterator<Item = (&'a DataCentre, Moment)> + 'a> {
+        Box::new(self.centres.iter().map(|(centre, heard)| (centre, *heard)))
+    }
+
+    /// The members that have reported a lower revision than `wanted`, or none yet.
+    pub fn lagging(&self, wanted: Revision) -> Vec<&Record> {
+        self.members()
+            .filter(|record| record.state().is_present())
+            .filter(|record| record.status.stamp.revision < wanted)
+            .collect()
+    }
+
+    /// The members of a data centre that watch the store and bridge to other data
+    /// centres: the first `count` of a rendezvous order, entries before agents.
+    pub fn hubs(&self, centre: &DataCentre, count: usize) -> Vec<&Record> {
+        let key = centre.as_str().as_bytes();
+        let mut ranked: Vec<_> = self
+            .members()
+            .filter(|record| record.identity.centre == *centre)
+            .filter(|record| record.state() == State::Alive)
+            .map(|record| {
+                let identity = &record.identity;
+                let score = rendezvous::score(key, identity.host.as_str());
+                (identity.role == Role::Agent, u64::MAX - score, record)
+            })
+            .collect();
+        ranked.sort_by(|a, b| (a.0, a.1, &a.2.identity.host).cmp(&(b.0, b.1, &b.2.identity.host)));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, _, record)| record).collect()
+    }
+
+    pub(crate) fn entry(&self, host: &HostName) -> Option<&Entry> {
+        self.members.get(host)
+    }
+
+    pub(crate) fn entry_mut(&mut self, host: &HostName) -> Option<&mut Entry> {
+        self.members.get_mut(host)
+    }
+
+    pub(crate) fn entries(&self) -> std::collections::btree_map::Values<'_, HostName, Entry> {
+        self.members.values()
+    }
+
+    /// Notes that a data centre was heard of at `moment`.
+    pub(crate) fn hear(&mut self, centre: &DataCentre, moment: Moment) {
+        match self.centres.get_mut(centre) {
+            Some(heard) => *heard = moment.max(*heard),
+            None => {
+                self.centres.insert(centre.clone(), moment);
+            }
+        }
+    }
+
+    /// Takes over what is newer in `record`.
+    pub(crate) fn merge(&mut self, now: Moment, record: &Record) -> Merge {
+        let host = &record.identity.host;
+        let Some(entry) = self.members.get_mut(host) else {
+            return self.insert(now, record);
+        };
+        let known = entry.record.identity.incarnation;
+        if record.identity.incarnation < known {
+            return Merge::Stale(known);
+        }
+        if !entry.record.merge(record) {
+            return Merge::Same;
+        }
+        entry.changed = now;
+        entry.sent = 0;
+        Merge::Changed
+    }
+
+    /// Adds an unknown host, unless it is gone already or the record is of a life that ended.
+    fn insert(&mut self, now: Moment, record: &Record) -> Merge {
+        let host = &record.identity.host;
+        if let Some(grave) = self.graves.get(host) {
+            if record.identity.incarnation < grave.incarnation {
+                return Merge::Stale(grave.incarnation);
+            }
+            let judged = |version: Version| (version.incarnation, version.refutation);
+            if judged(record.version()) <= judged(*grave) {
+                return Merge::Same;
+            }
+        }
+        if !record.state().is_present() {
+            return Merge::Same;
+        }
+        self.graves.remove(host);
+        let entry = Entry {
+            record: record.clone(),
+            changed: now,
+            sent: 0,
+            hint: None,
+        };
+        self.members.insert(host.clone(), entry);
+        Merge::Changed
+    }
+
+    /// Sets the health of a member of our own data centre; tells whether that changed it.
+    pub(crate) fn judge(&mut self, now: Moment, host: &HostName, health: Health) -> bool {
+        let Some(entry) = self.members.get_mut(host) else {
+            return false;
+        };
+        if entry.record.health >= health {
+            return false;
+        }
+        entry.record.health = health;
+        entry.changed = now;
+        entry.sent = 0;
+        true
+    }
+
+    /// Drops the records of members that departed before `limit`, and keeps their versions.
+    pub(crate) fn bury(&mut self, limit: Moment) {
+        let gone: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, entry)| !entry.record.state().is_present() && entry.changed < limit)
+            .map(|(host, entry)| (host.clone(), entry.record.version()))
+            .collect();
+        for (host, version) in gone {
+            self.members.remove(&host);
+            self.graves.insert(host, version);
+        }
+        while self.graves.len() > MAX_GRAVES {
+            self.graves.pop_first();
+        }
+    }
+}
