--- a/crates/azurestand_route/src/lib.rs
+++ b/crates/azurestand_route/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`Table`] keeps what agents report and chooses between two targets.
 //! - [`AccountLimits`] holds each account's rate and concurrency.
+//! - [`Delivery`] takes one request from its arrival to one of three outcomes.
 //! - [`RetryBudget`] bounds the load that retries add.
 //!
 //! ```
@@ -20,9 +21,11 @@
 //! ```
 
 mod account;
+mod delivery;
 mod retry;
 mod table;
 
 pub use account::{AccountLimits, Allowance};
+pub use delivery::{Budget, Delivery, DeliveryAction, DeliveryEvent};
 pub use retry::RetryBudget;
 pub use table::{Choice, Load, Report, Table, Wanted};
--- a/crates/azurestand_wire/src/link.rs
+++ b/crates/azurestand_wire/src/link.rs
@@ -92,6 +92,11 @@
         self.ended.cancel();
     }
 
+    /// Whether `other` sends over the same link.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.frames.same_channel(&other.frames)
+    }
+
     /// Whether the link has ended.
     pub fn is_closed(&self) -> bool {
         self.ended.is_cancelled()
