Check, merge and cut the operators' document

Cause: every other part reads the operators' document, so its types and signatures have to stand first. Before: an empty crate.

--- /dev/null
+++ b/crates/azurestand_config/src/delta.rs
@@ -0,0 +1,115 @@
+//! What changed between two revisions, for nodes that hold the older one.
+
+use std::sync::Arc;
+
+use azurestand_types::{Digest, Revision};
+use quick_error::quick_error;
+
+use crate::error::ConfigErrors;
+use crate::layout::Block;
+use crate::stamp::Stamp;
+use crate::{Document, Section};
+
+/// One section that changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SectionDelta {
+    /// The section.
+    pub section: Section,
+    /// When and by which change it got its text.
+    pub stamp: Stamp,
+    /// Its whole text.
+    pub text: Arc<str>,
+}
+
+/// The sections that changed since a revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delta {
+    /// The revision that the receiver holds, or an earlier one.
+    pub since: Revision,
+    /// The revision that the merge gives.
+    pub revision: Revision,
+    /// The digest of the text that the merge gives.
+    pub digest: Digest,
+    /// The sections that changed, in the document's order.
+    pub sections: Vec<SectionDelta>,
+}
+
+quick_error! {
+    /// Why a delta can't be merged. The document stays as it is.
+    #[derive(Debug, Clone, PartialEq)]
+    pub enum DeltaError {
+        /// The delta starts above the document's revision.
+        Gap(held: Revision, since: Revision) {
+            display("the delta starts at revision {since} but {held} is held; ask for one since {held}")
+        }
+        /// The delta ends at or below the document's revision.
+        Old(held: Revision, offered: Revision) {
+            display("the delta ends at revision {offered} but {held} is held; drop it")
+        }
+        /// The merge gives another text than the sender holds.
+        Diverged(revision: Revision) {
+            display("the delta to revision {revision} gives another text than its sender holds; ask for the whole document")
+        }
+        /// The sections are wrong.
+        Invalid(errors: ConfigErrors) {
+            from()
+            display("the delta's sections are invalid; ask for the whole document: {errors}")
+        }
+    }
+}
+
+impl Document {
+    /// The sections that changed after `since`.
+    pub fn delta(&self, since: Revision) -> Delta {
+        let changed = self.sections().filter(|(_, stamp)| stamp.revision > since);
+        let sections = changed.map(|(section, stamp)| SectionDelta {
+            section,
+            stamp: stamp.clone(),
+            text: self.section_text(section).into(),
+        });
+        Delta {
+            since,
+            revision: self.revision(),
+            digest: self.digest(),
+            sections: sections.collect(),
+        }
+    }
+
+    /// This document with the delta's sections in place of its own.
+    ///
+    /// # Errors
+    ///
+    /// A [`DeltaError`] when the delta doesn't start at or below this
+    /// document's revision, doesn't lead above it, or leads to another text
+    /// than the sender's.
+    pub fn merge(&self, delta: &Delta) -> Result<Self, DeltaError> {
+        let held = self.revision();
+        if delta.since > held {
+            return Err(DeltaError::Gap(held, delta.since));
+        }
+        if delta.revision <= held {
+            return Err(DeltaError::Old(held, delta.revision));
+        }
+        let mut errors = ConfigErrors::default();
+        let mut draft = self.draft();
+        draft.revision = delta.revision;
+        for changed in &delta.sections {
+            let block = Block {
+                text: &changed.text,
+                line: 1,
+            };
+            draft.read(changed.section, block, &mut errors);
+            let part = draft.parts.entry(changed.section).or_default();
+            part.stamp = changed.stamp.clone();
+        }
+        if errors.as_slice().is_empty() {
+            errors = draft.cross_check(1);
+        }
+        errors.verdict(())?;
+        let document = draft.close()?;
+        if document.digest() != delta.digest {
+            return Err(DeltaError::Diverged(delta.revision));
+        }
+        Ok(document)
+    }
+}
--- /dev/null
+++ b/crates/azurestand_config/src/document.rs
@@ -0,0 +1,289 @@
+//! The checked document.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+use azurestand_types::{
+    AccountName, DataCentre, Digest, ModelName, Priority, PriorityName, Revision, ServiceName,
+};
+
+use crate::checked::Checked;
+use crate::error::{ConfigError, ConfigErrors, Fault};
+use crate::layout::{self, Block};
+use crate::source::Source;
+use crate::stamp::{Stamp, Stamps};
+use crate::{Account, Centre, Limits, Model, Section, Service, account, cross};
+
+/// The longest text of a document, in bytes. The store takes values up to a megabyte.
+pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
+
+/// One section's text, its stamp and its place in a text under check.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Part {
+    pub(crate) text: Arc<str>,
+    pub(crate) stamp: Stamp,
+}
+
+/// The parts of a document before they are checked against each other.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Draft {
+    pub(crate) revision: Revision,
+    pub(crate) parts: BTreeMap<Section, Part>,
+    pub(crate) checked: Checked,
+}
+
+#[derive(Debug)]
+struct Inner {
+    draft: Draft,
+    text: Arc<str>,
+    digest: Digest,
+}
+
+/// The operators' document, checked and immutable. A clone costs one counter.
+///
+/// Whoever holds a document can rely on every check of
+/// [docs/CONFIGURATION.md](../../../docs/CONFIGURATION.md).
+#[derive(Clone)]
+pub struct Document(Arc<Inner>);
+
+impl Document {
+    /// Reads and checks a whole document.
+    ///
+    /// A text without a `[document]` table is a first document, of revision 1.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong with the text, with lines counted from 1.
+    pub fn parse(text: &str) -> Result<Self, ConfigErrors> {
+        if text.len() > MAX_DOCUMENT_BYTES {
+            return Err(too_large(text.len()));
+        }
+        let layout = layout::split(text)?;
+        let first = layout.head.text.trim().is_empty();
+        let stamps = if first {
+            first_stamps(layout.sections.keys())
+        } else {
+            Stamps::read(layout.head)?
+        };
+        let mut errors = ConfigErrors::default();
+        let mut draft = Draft {
+            revision: stamps.revision,
+            ..Draft::default()
+        };
+        for (section, stamp) in stamps.sections {
+            let part = Part {
+                stamp,
+                ..Part::default()
+            };
+            draft.parts.insert(section, part);
+        }
+        for (section, block) in &layout.sections {
+            draft.read(*section, *block, &mut errors);
+        }
+        if errors.as_slice().is_empty() {
+            let line = layout.sections.get(&Section::Accounts);
+            errors = draft.cross_check(line.map_or(1, |block| block.line));
+        }
+        errors.verdict(())?;
+        draft.close()
+    }
+
+    /// The document that stands before any was written: revision 0, nothing in it.
+    pub fn empty() -> Self {
+        Self::from_draft(Draft::default())
+    }
+
+    /// The whole text, as it stands in the store.
+    pub fn text(&self) -> &str {
+        &self.0.text
+    }
+
+    /// The whole text, shared.
+    pub fn shared_text(&self) -> Arc<str> {
+        Arc::clone(&self.0.text)
+    }
+
+    /// The digest of the text. Two nodes with equal digests hold the same document.
+    pub fn digest(&self) -> Digest {
+        self.0.digest
+    }
+
+    /// The document's revision, which grows by one with every change.
+    pub fn revision(&self) -> Revision {
+        self.0.draft.revision
+    }
+
+    /// When each section that was ever written last changed.
+    pub fn sections(&self) -> impl Iterator<Item = (Section, &Stamp)> {
+        let parts = self.0.draft.parts.iter();
+        parts.map(|(section, part)| (*section, &part.stamp))
+    }
+
+    /// When `section` last changed; revision 0 if it was never written.
+    pub fn stamp(&self, section: Section) -> Stamp {
+        let part = self.0.draft.parts.get(&section);
+        part.map(|part| part.stamp.clone()).unwrap_or_default()
+    }
+
+    /// The text of one section as its team wrote it; empty if there is none.
+    pub fn section_text(&self, section: Section) -> &str {
+        let part = self.0.draft.parts.get(&section);
+        part.map_or("", |part| &*part.text)
+    }
+
+    /// The models by name.
+    pub fn models(&self) -> &BTreeMap<ModelName, Model> {
+        &self.0.draft.checked.models
+    }
+
+    /// The services by name.
+    pub fn services(&self) -> &BTreeMap<ServiceName, Service> {
+        &self.0.draft.checked.services
+    }
+
+    /// The data centres by name.
+    pub fn centres(&self) -> &BTreeMap<DataCentre, Centre> {
+        &self.0.draft.checked.centres
+    }
+
+    /// Whether a data centre takes new work. One that isn't listed takes none.
+    pub fn in_service(&self, centre: &DataCentre) -> bool {
+        let found = self.centres().get(centre);
+        found.is_some_and(|centre| centre.in_service)
+    }
+
+    /// The priorities by name.
+    pub fn priorities(&self) -> &BTreeMap<PriorityName, Priority> {
+        &self.0.draft.checked.priorities
+    }
+
+    /// The accounts by name.
+    pub fn accounts(&self) -> &BTreeMap<AccountName, Account> {
+        &self.0.draft.checked.accounts
+    }
+
+    /// The limits, with defaults for those that aren't given.
+    pub fn limits(&self) -> &Limits {
+        &self.0.draft.checked.limits
+    }
+
+    /// The account whose bearer key was presented.
+    ///
+    /// The time that this takes doesn't depend on how much of a key is right.
+    pub fn find_account(&self, presented: &str) -> Option<(&AccountName, &Account)> {
+        account::find(self.accounts(), presented)
+    }
+
+    /// How urgent an account's requests are.
+    pub fn priority_of(&self, account: &Account) -> Priority {
+        let level = self.priorities().get(&account.priority);
+        level.copied().unwrap_or(Priority(u8::MAX))
+    }
+
+    pub(crate) fn draft(&self) -> Draft {
+        self.0.draft.clone()
+    }
+
+    fn from_draft(draft: Draft) -> Self {
+        let text = draft.text();
+        let digest = Digest::of(text.as_bytes());
+        let text = text.into();
+        Self(Arc::new(Inner {
+            draft,
+            text,
+            digest,
+        }))
+    }
+}
+
+impl Draft {
+    /// Replaces one section's text and what it says.
+    pub(crate) fn read(&mut self, section: Section, block: Block<'_>, errors: &mut ConfigErrors) {
+        let source = Source::new(section, block.text, block.line);
+        self.checked.read(&source, errors);
+        let part = self.parts.entry(section).or_default();
+        part.text = layout::normalise(block.text).into();
+    }
+
+    /// Checks what the sections say of each other; `line` is where the accounts start.
+    pub(crate) fn cross_check(&self, line: usize) -> ConfigErrors {
+        let part = self.parts.get(&Section::Accounts);
+        let text = part.map_or("", |part| &*part.text);
+        let source = Source::new(Section::Accounts, text, line);
+        cross::check(&self.checked, &source)
+    }
+
+    /// Makes the document, unless it has grown too large.
+    pub(crate) fn close(self) -> Result<Document, ConfigErrors> {
+        let document = Document::from_draft(self);
+        let length = document.text().len();
+        if length > MAX_DOCUMENT_BYTES {
+            return Err(too_large(length));
+        }
+        Ok(document)
+    }
+
+    fn text(&self) -> String {
+        let stamps = self.parts.iter();
+        let stamps = Stamps {
+            revision: self.revision,
+            sections: stamps
+                .map(|(section, part)| (*section, part.stamp.clone()))
+                .collect(),
+        };
+        let parts = self.parts.iter();
+        layout::join(
+            &stamps,
+            parts.map(|(section, part)| (*section, &*part.text)),
+        )
+    }
+}
+
+impl fmt::Debug for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Document")
+            .field("revision", &self.revision())
+            .field("digest", &self.digest())
+            .finish_non_exhaustive()
+    }
+}
+
+impl PartialEq for Document {
+    fn eq(&self, other: &Self) -> bool {
+        self.digest() == other.digest()
+    }
+}
+
+impl Eq for Document {}
+
+impl Default for Document {
+    fn default() -> Self {
+        Self::empty()
+    }
+}
+
+fn first_stamps<'a, I>(sections: I) -> Stamps
+where
+    I: Iterator<Item = &'a Section>,
+{
+    let revision = Revision(1);
+    let stamp = Stamp {
+        revision,
+        change: None,
+    };
+    Stamps {
+        revision,
+        sections: sections.map(|section| (*section, stamp.clone())).collect(),
+    }
+}
+
+fn too_large(bytes: usize) -> ConfigErrors {
+    vec![ConfigError {
+        section: None,
+        key: String::new(),
+        line: 1,
+        fault: Fault::TooLarge(bytes, MAX_DOCUMENT_BYTES),
+    }]
+    .into()
+}
--- /dev/null
+++ b/crates/azurestand_config/src/error.rs
@@ -0,0 +1,173 @@
+//! What can be wrong with a document.
+
+use std::fmt;
+
+use azurestand_types::{DigestError, NameError};
+use derive_more::{Display, From};
+use quick_error::quick_error;
+
+use crate::Section;
+use crate::span::SpanError;
+
+quick_error! {
+    /// What is wrong at one place of a document. Each message names the remedy.
+    #[derive(Debug, Clone, PartialEq)]
+    pub enum Fault {
+        /// The text isn't TOML.
+        Syntax(message: String) {
+            display("{message}; correct the TOML syntax")
+        }
+        /// The document is larger than the store takes.
+        TooLarge(bytes: usize, most: usize) {
+            display("the document has {bytes} bytes; shorten it to {most}")
+        }
+        /// A top-level table is no section.
+        UnknownSection(name: String) {
+            display("there is no section {name:?}; use models, services, data_centres, priorities, accounts or limits")
+        }
+        /// A section's tables stand in two places.
+        Split {
+            display("the section stands in two places; move its tables together")
+        }
+        /// Another section's table stands in this section's text.
+        Foreign(name: String) {
+            display("table {name:?} belongs to another section; edit it there")
+        }
+        /// A key stands before the first table header.
+        Headless {
+            display("keys stand before the first table header; put them under a [section] header")
+        }
+        /// A line looks like one that the system itself writes.
+        Reserved {
+            display("the line begins with \"#:\", which is kept for the system; begin the comment with \"# \"")
+        }
+        /// A value stands where a table belongs.
+        NoTable {
+            display("a table belongs here; write it as [section.name] with its keys below")
+        }
+        /// The lines that the system keeps are damaged.
+        Stamp(message: String) {
+            display("the [document] table is damaged: {message}; restore it from `azurestand config show`")
+        }
+        /// A key isn't known here.
+        UnknownKey(known: String) {
+            display("the key is unknown; remove it or use one of: {known}")
+        }
+        /// A key that must be given is absent.
+        Missing(kind: &'static str) {
+            display("the key is missing; give {kind}")
+        }
+        /// A value has the wrong type.
+        Type(message: String, kind: &'static str) {
+            display("{message}; give {kind}")
+        }
+        /// A name is malformed.
+        Name(error: NameError) {
+            from()
+            display("{error}")
+        }
+        /// A digest is malformed.
+        Digest(error: DigestError) {
+            from()
+            display("{error}")
+        }
+        /// A duration is malformed.
+        Span(error: SpanError) {
+            from()
+            display("{error}")
+        }
+        /// A number lies outside its range.
+        Range(found: String, least: String, most: String) {
+            display("{found} is out of range; give {least} to {most}")
+        }
+        /// A list holds a name twice.
+        Duplicate(name: String) {
+            display("{name:?} stands twice in the list; remove one")
+        }
+        /// Two accounts have one key.
+        SharedKey(other: String) {
+            display("account {other:?} has the same key; give each account a key of its own")
+        }
+        /// A version has no manifest.
+        NoManifest(version: String) {
+            display("version {version:?} has no manifest; publish it and add its digest to the model's versions table")
+        }
+        /// A canary needs both a version and a share.
+        HalfCanary {
+            display("a canary needs canary_version and canary_share; give both or neither")
+        }
+        /// A service whose calls may not be repeated has no homes.
+        NoHomes {
+            display("a service that isn't idempotent needs homes for its idempotency keys; list its targets in homes")
+        }
+        /// An account names a priority that isn't defined.
+        UnknownPriority(name: String) {
+            display("priority {name:?} isn't defined; add [priorities.{name}] first")
+        }
+        /// The default deadline exceeds the longest one.
+        Deadlines {
+            display("the default deadline exceeds max_deadline; lower it or raise max_deadline")
+        }
+    }
+}
+
+/// One thing wrong with a document, with the place where it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ConfigError {
+    /// The section, where it is known.
+    pub section: Option<Section>,
+    /// The dotted path of the key or table; empty for the whole text.
+    pub key: String,
+    /// The line, counted from 1.
+    pub line: usize,
+    /// What is wrong, and the remedy.
+    pub fault: Fault,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: ", self.line)?;
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        write!(f, "{}", self.fault)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// Everything wrong with a document, in the order of its lines.
+#[derive(Debug, Clone, PartialEq, Default, From, Display)]
+#[display("{}", self.lines())]
+pub struct ConfigErrors(Vec<ConfigError>);
+
+impl ConfigErrors {
+    /// The single errors.
+    pub fn as_slice(&self) -> &[ConfigError] {
+        &self.0
+    }
+
+    pub(crate) fn add(&mut self, error: ConfigError) {
+        self.0.push(error);
+    }
+
+    pub(crate) fn extend(&mut self, others: Self) {
+        self.0.extend(others.0);
+    }
+
+    /// Turns the collection into a verdict on `value`.
+    pub(crate) fn verdict<T>(mut self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() {
+            return Ok(value);
+        }
+        self.0.sort_by_key(|error| error.line);
+        Err(self)
+    }
+
+    fn lines(&self) -> String {
+        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    }
+}
+
+impl std::error::Error for ConfigErrors {}
--- /dev/null
+++ b/crates/azurestand_config/src/source.rs
@@ -0,0 +1,67 @@
+//! One section's text and where it stands in the document.
+
+use crate::Section;
+use crate::error::{ConfigError, Fault};
+
+/// A section's text, which knows the line on which it starts.
+#[derive(Debug)]
+pub(crate) struct Source<'a> {
+    pub(crate) section: Section,
+    pub(crate) text: &'a str,
+    first_line: usize,
+    breaks: Vec<usize>,
+}
+
+impl<'a> Source<'a> {
+    pub(crate) fn new(section: Section, text: &'a str, first_line: usize) -> Self {
+        let breaks = text.match_indices('\n').map(|(at, _)| at).collect();
+        Self {
+            section,
+            text,
+            first_line,
+            breaks,
+        }
+    }
+
+    /// The document's line that holds byte `offset` of the section.
+    pub(crate) fn line(&self, offset: usize) -> usize {
+        self.first_line + self.breaks.partition_point(|at| *at < offset)
+    }
+
+    /// An error about the section as a whole.
+    pub(crate) fn error(&self, offset: usize, fault: Fault) -> ConfigError {
+        ConfigError {
+            section: Some(self.section),
+            key: self.section.to_string(),
+            line: self.line(offset),
+            fault,
+        }
+    }
+}
+
+/// Where a table stands, for the errors of its keys.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub(crate) section: Section,
+    pub(crate) path: String,
+    pub(crate) line: usize,
+}
+
+impl Place {
+    /// An error about `key` of the table, or about the table when `key` is empty.
+    pub(crate) fn error<F>(&self, key: &str, line: usize, fault: F) -> ConfigError
+    where
+        F: Into<Fault>,
+    {
+        let key = match key {
+            "" => self.path.clone(),
+            key => format!("{}.{key}", self.path),
+        };
+        ConfigError {
+            section: Some(self.section),
+            key,
+            line,
+            fault: fault.into(),
+        }
+    }
+}
