Add a target's life, admission and exchanges

Cause: the daemons need the public signatures of azurestand_target. Change: life as a state machine, admission with fair queueing and ageing, exchanges by request id. Before: an empty crate.

--- /dev/null
+++ b/crates/azurestand_target/src/exchange.rs
@@ -0,0 +1,320 @@
+//! Requests that an agent knows by their id, and their answers.
+//!
+//! A connection's death must not cut an answer or run a request again: the
+//! agent keeps the answer, the entry resumes it by offset, and a second send
+//! of the same id attaches to the first. See
+//! [docs/AT-MOST-ONCE.md](../../../docs/AT-MOST-ONCE.md).
+
+mod buffer;
+mod entry;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use azurestand_types::{Moment, Outcome, RequestId, Uncertainty};
+use bytes::Bytes;
+
+use self::entry::{Entry, State};
+use crate::life::Weights;
+
+pub use self::entry::{Ending, Keep, Read};
+
+/// The bounds of an agent's memory of requests and answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExchangeSettings {
+    /// Bytes of one answer that may wait to be acknowledged.
+    pub buffer: usize,
+    /// Bytes of all answers together.
+    pub total: usize,
+    /// How long an ended answer is kept for a reader that comes back.
+    pub keep: Duration,
+    /// How long after its stamp a send is still accepted.
+    pub window: Duration,
+    /// Requests remembered, ended ones included.
+    pub ids: usize,
+}
+
+impl Default for ExchangeSettings {
+    fn default() -> Self {
+        Self {
+            buffer: 256 * 1024,
+            total: 16 * 1024 * 1024,
+            keep: Duration::from_mins(1),
+            window: Duration::from_secs(30),
+            ids: 100_000,
+        }
+    }
+}
+
+/// What a send of a request came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sent {
+    /// The first send of this id: pass it on to the claims or to admission.
+    Fresh,
+    /// The id is known: read its answer; nothing runs again.
+    Attached,
+    /// The id was revoked before it came: it never runs.
+    Revoked,
+    /// Too old to tell whether an earlier send ran. This send ran nothing; an
+    /// entry that sent the id only once may call it not run.
+    Stale,
+    /// No memory is left to remember it by: it never runs.
+    Full,
+}
+
+/// What the revoke of a request came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RevokeAnswer {
+    /// It never came here, and a late send will be refused.
+    NeverRuns,
+    /// It waits: ask the admission and the claims, then note the end.
+    Waiting,
+    /// It was started, or it has ended.
+    Started,
+    /// It ended as not run.
+    NotRun,
+    /// Too old to tell.
+    Stale,
+}
+
+/// All requests that one agent knows.
+#[derive(Debug)]
+pub struct Exchanges {
+    settings: ExchangeSettings,
+    entries: BTreeMap<RequestId, Entry>,
+    /// Remembered ids by stamp, the first to be forgotten first.
+    stamps: BTreeSet<(Moment, RequestId)>,
+    /// A send stamped up to here may have been forgotten.
+    floor: Option<Moment>,
+    held: usize,
+}
+
+impl Exchanges {
+    /// Begins to remember for an agent that has just started.
+    pub fn new(settings: ExchangeSettings) -> Self {
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+            stamps: BTreeSet::new(),
+            floor: None,
+            held: 0,
+        }
+    }
+
+    /// Requests remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no request is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes of answers held.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Takes a send of `id` into account.
+    ///
+    /// `stamp` is the newest moment of this agent's clock that the entry had
+    /// heard when it first sent `id` to this life of the agent; a repeated
+    /// send carries the same stamp. So an id can be forgotten once its stamp
+    /// is out of the window, since a late copy is refused by the stamp alone.
+    pub fn send(&mut self, now: Moment, id: RequestId, stamp: Moment, keep: Keep) -> Sent {
+        if let Some(entry) = self.entries.get(&id) {
+            return match entry.state {
+                State::Barred => Sent::Revoked,
+                _ => Sent::Attached,
+            };
+        }
+        if self.is_stale(now, stamp) {
+            return Sent::Stale;
+        }
+        if !self.make_room() {
+            return Sent::Full;
+        }
+        self.remember(id, Entry::new(stamp, keep, State::Waiting));
+        Sent::Fresh
+    }
+
+    /// Takes the revoke of `id`, which was or will be sent with `stamp`, into account.
+    pub fn revoke(&mut self, now: Moment, id: RequestId, stamp: Moment) -> RevokeAnswer {
+        if let Some(entry) = self.entries.get(&id) {
+            return match entry.state {
+                State::Barred => RevokeAnswer::NeverRuns,
+                State::Waiting => RevokeAnswer::Waiting,
+                State::Ended(Outcome::NotRun(_), _) => RevokeAnswer::NotRun,
+                _ => RevokeAnswer::Started,
+            };
+        }
+        if self.is_stale(now, stamp) || !self.make_room() {
+            return RevokeAnswer::Stale;
+        }
+        self.remember(id, Entry::new(stamp, Keep::Unread, State::Barred));
+        RevokeAnswer::NeverRuns
+    }
+
+    /// Notes that `id` starts now on `weights`.
+    ///
+    /// # Panics
+    ///
+    /// When `id` isn't waiting, since it would run a second time.
+    pub fn start(&mut self, now: Moment, id: RequestId, weights: Weights) {
+        let entry = self.entries.get_mut(&id);
+        let waits = entry
+            .as_ref()
+            .is_some_and(|entry| entry.state == State::Waiting);
+        assert!(waits, "request {id} starts twice or after its end");
+        if let Some(entry) = entry {
+            entry.state = State::Running(weights, now);
+        }
+    }
+
+    /// How many bytes of the answer to `id` may be read from the engine now.
+    ///
+    /// At 0 the agent stops reading from the engine until a reader has acknowledged.
+    pub fn room(&self, id: RequestId) -> usize {
+        let own = self.entries.get(&id).map_or(0, |entry| entry.buffer.held());
+        let left = self.settings.total.saturating_sub(self.held);
+        self.settings.buffer.saturating_sub(own).min(left)
+    }
+
+    /// Adds bytes of the engine's answer; bytes after the end are dropped.
+    pub fn append(&mut self, id: RequestId, bytes: Bytes) {
+        if let Some(entry) = self.entries.get_mut(&id)
+            && matches!(entry.state, State::Running(..))
+        {
+            self.held += bytes.len();
+            entry.buffer.push(bytes);
+        }
+    }
+
+    /// Notes how the engine's work on `id` ended, or that it will never begin.
+    pub fn end(&mut self, now: Moment, id: RequestId, ending: Ending) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.end(now, ending);
+            self.held -= entry.drop_useless();
+        }
+    }
+
+    /// Takes a report of the engine, asked for at `taken`, into account.
+    ///
+    /// Returns the running requests that ended by it; the agent cancels them.
+    pub fn report(&mut self, now: Moment, taken: Moment, weights: Weights) -> Vec<RequestId> {
+        let mut ended = Vec::new();
+        for (id, entry) in &mut self.entries {
+            if entry.report(now, taken, weights) {
+                ended.push(*id);
+            }
+            self.held -= entry.drop_useless();
+        }
+        ended
+    }
+
+    /// Ends every running request, since the engine can't be reached.
+    pub fn fail(&mut self, now: Moment, uncertainty: Uncertainty) -> Vec<RequestId> {
+        let running: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.is_running())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &running {
+            self.end(now, *id, Ending::Unknown(uncertainty));
+        }
+        running
+    }
+
+    /// What a reader of `id` that has everything before `offset` gets next.
+    pub fn read(&self, id: RequestId, offset: u64) -> Read {
+        match self.entries.get(&id) {
+            Some(entry) => entry.read(offset),
+            None => Read::Missing,
+        }
+    }
+
+    /// The whole answer to `id`, when it ended as answered and is all held.
+    pub fn whole(&self, id: RequestId) -> Option<Bytes> {
+        self.entries.get(&id)?.whole()
+    }
+
+    /// How `id` ended, if it did.
+    pub fn outcome(&self, id: RequestId) -> Option<Outcome> {
+        match self.entries.get(&id)?.state {
+            State::Ended(outcome, _) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    /// Notes that the reader of `id` has everything before `offset`.
+    pub fn ack(&mut self, id: RequestId, offset: u64) {
+        let bound = self.settings.buffer;
+        if let Some(entry) = self.entries.get_mut(&id) {
+            self.held -= entry.ack(offset, bound);
+        }
+    }
+
+    /// Drops answers that were kept long enough and ids out of the window.
+    pub fn tick(&mut self, now: Moment) {
+        for entry in self.entries.values_mut() {
+            self.held -= entry.expire(now, self.settings.keep);
+        }
+        let old: Vec<_> = self
+            .stamps
+            .iter()
+            .take_while(|(stamp, _)| *stamp + self.settings.window < now)
+            .filter(|(_, id)| self.is_forgettable(*id))
+            .copied()
+            .collect();
+        for (stamp, id) in old {
+            self.forget(id, stamp);
+        }
+    }
+
+    fn is_stale(&self, now: Moment, stamp: Moment) -> bool {
+        let forgotten = self.floor.is_some_and(|floor| stamp <= floor);
+        // A stamp ahead of this clock is of another life of the agent.
+        forgotten || stamp > now || stamp + self.settings.window < now
+    }
+
+    fn remember(&mut self, id: RequestId, entry: Entry) {
+        self.stamps.insert((entry.stamp, id));
+        self.entries.insert(id, entry);
+    }
+
+    fn is_forgettable(&self, id: RequestId) -> bool {
+        self.entries.get(&id).is_none_or(Entry::is_forgettable)
+    }
+
+    fn forget(&mut self, id: RequestId, stamp: Moment) {
+        self.stamps.remove(&(stamp, id));
+        if let Some(entry) = self.entries.remove(&id) {
+            assert!(
+                entry.is_forgettable(),
+                "request {id} is forgotten too early"
+            );
+        }
+        self.floor = self.floor.max(Some(stamp));
+    }
+
+    /// Makes room for one id more by forgetting the oldest that has ended.
+    fn make_room(&mut self) -> bool {
+        if self.entries.len() < self.settings.ids {
+            return true;
+        }
+        let oldest = self
+            .stamps
+            .iter()
+            .find(|(_, id)| self.is_forgettable(*id))
+            .copied();
+        match oldest {
+            Some((stamp, id)) => {
+                self.forget(id, stamp);
+                true
+            }
+            None => false,
+        }
+    }
+}
--- a/crates/azurestand_target/src/lib.rs
+++ b/crates/azurestand_target/src/lib.rs
@@ -1,1 +1,47 @@
-//! A target's life, admission, duplicate detection and orders.
+//! Decides what one target may do: its life, what is admitted to it, what was
+//! sent before, and what it may be ordered.
+//!
+//! Everything here is pure: events and the present moment in, actions out. The
+//! agent on the target's host runs one instance of each and is the only
+//! process that talks to the target. See
+//! [docs/TARGET.md](../../../docs/TARGET.md) and
+//! [docs/AT-MOST-ONCE.md](../../../docs/AT-MOST-ONCE.md).
+//!
+//! ```
+//! use azurestand_target::{
+//!     Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, Arrival, Kind, Life,
+//!     LifeEvent, LifeSettings, Phase, Report,
+//! };
+//! use azurestand_types::{AccountName, BootId, Moment, Priority, RequestId};
+//!
+//! let settings = LifeSettings { kind: Kind::Service, cold_limit: 1, ..LifeSettings::default() };
+//! let mut life = Life::new(settings);
+//! let now = Moment::from_millis(10);
+//! let report = Report { boot: BootId(1), digest: None, ready: true, waiting: 0 };
+//! life.handle(now, LifeEvent::Report(report));
+//! assert_eq!((life.phase(), life.limit()), (Phase::Cold, 1));
+//!
+//! let mut admission = Admission::new(AdmissionSettings::default());
+//! let change = AdmissionEvent::LimitChanged { weights: life.serves(), limit: life.limit() };
+//! admission.handle(now, change);
+//! let arrival = |id| Arrival {
+//!     id: RequestId(id),
+//!     account: AccountName::try_from("depot").unwrap(),
+//!     weight: 1,
+//!     priority: Priority(0),
+//!     deadline: Moment::from_millis(5_000),
+//!     pinned: None,
+//! };
+//! let first = admission.handle(now, AdmissionEvent::Arrived(arrival(1)));
+//! assert!(matches!(first[..], [AdmissionAction::Start { .. }]));
+//! let second = admission.handle(now, AdmissionEvent::Arrived(arrival(2)));
+//! assert!(second.is_empty(), "a cold target gets one request at a time");
+//! ```
+
+mod admission;
+mod exchange;
+mod life;
+
+pub use admission::{Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, Arrival};
+pub use exchange::{Ending, ExchangeSettings, Exchanges, Keep, Read, RevokeAnswer, Sent};
+pub use life::{Kind, Life, LifeEvent, LifeSettings, Phase, Report, Weights};
--- /dev/null
+++ b/crates/azurestand_target/src/life/machine.rs
@@ -0,0 +1,305 @@
+//! The state machine of a target's life.
+
+use azurestand_types::{Digest, Moment};
+use statig::prelude::*;
+
+use super::warmth::{Change, Warmth};
+use super::{Kind, LifeEvent, LifeSettings, Report, Weights};
+
+/// One event and when it came.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Input {
+    pub(crate) now: Moment,
+    pub(crate) event: LifeEvent,
+}
+
+impl Input {
+    pub(crate) fn tick(now: Moment) -> Self {
+        Self {
+            now,
+            event: LifeEvent::Tick,
+        }
+    }
+}
+
+/// What the states share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) settings: LifeSettings,
+    pub(crate) warmth: Warmth,
+    /// The weights that requests may be started with.
+    pub(crate) serving: Option<Weights>,
+    pub(crate) ordered: Option<Digest>,
+    pub(crate) out: bool,
+    /// What counts as ordered again when the engine refuses an order.
+    previous: Option<Digest>,
+    staged: Option<Digest>,
+    report: Option<(Moment, Report)>,
+}
+
+impl Core {
+    pub(crate) fn new(settings: LifeSettings) -> Self {
+        Self {
+            warmth: Warmth::new(&settings),
+            settings,
+            serving: None,
+            ordered: None,
+            out: false,
+            previous: None,
+            staged: None,
+            report: None,
+        }
+    }
+
+    pub(crate) fn reported(&self) -> Option<Weights> {
+        let (_, report) = self.report.as_ref()?;
+        Some(Weights {
+            digest: report.digest,
+            boot: report.boot,
+        })
+    }
+
+    /// The weights of the newest report, when they may be served.
+    fn servable(&self) -> Option<Weights> {
+        let (_, report) = self.report.as_ref()?;
+        let wanted = match self.settings.kind {
+            Kind::Engine => report.digest.is_some() && report.digest == self.ordered,
+            Kind::Service => true,
+        };
+        if report.ready && wanted {
+            self.reported()
+        } else {
+            None
+        }
+    }
+
+    fn forget_stale(&mut self, now: Moment) {
+        if let Some((at, _)) = self.report
+            && now.since(at) > self.settings.stale_after
+        {
+            self.report = None;
+        }
+    }
+
+    /// The state of a target that serves nothing at the moment.
+    fn resting(&mut self) -> State {
+        self.serving = None;
+        self.warmth.chill();
+        if self.staged.is_some() || self.ordered.is_some() {
+            State::staging()
+        } else {
+            State::empty()
+        }
+    }
+
+    fn start_serving(&mut self, weights: Weights) -> State {
+        self.serving = Some(weights);
+        self.previous = None;
+        self.warmth.chill();
+        State::cold()
+    }
+
+    fn order(&mut self, digest: Digest) -> State {
+        if self.ordered != Some(digest) {
+            self.previous = self.ordered;
+            self.ordered = Some(digest);
+        }
+        self.serving = None;
+        self.warmth.chill();
+        State::loading()
+    }
+
+    fn refuse(&mut self) -> State {
+        self.ordered = self.previous.take();
+        match self.servable() {
+            Some(weights) => self.start_serving(weights),
+            None => self.resting(),
+        }
+    }
+
+    /// Whether the engine runs under another boot id than the newest report gave.
+    fn record(&mut self, now: Moment, report: Report) -> bool {
+        let before = self.report.replace((now, report));
+        self.warmth.reported(report.waiting);
+        before.is_some_and(|(_, old)| old.boot != report.boot)
+    }
+
+    /// Follows a report or the lack of one while nothing is served.
+    fn begin(&mut self) -> Outcome<State> {
+        match self.servable() {
+            Some(weights) => Transition(self.start_serving(weights)),
+            None => Handled,
+        }
+    }
+
+    /// Follows a report or the lack of one while something is served.
+    fn keep(&mut self) -> Outcome<State> {
+        match self.servable() {
+            Some(weights) if Some(weights) == self.serving => Handled,
+            Some(weights) => Transition(self.start_serving(weights)),
+            None => Transition(self.resting()),
+        }
+    }
+}
+
+#[state_machine(
+    initial = "State::empty()",
+    visibility = "pub(crate)",
+    state(derive(Debug, Clone, Copy, PartialEq, Eq))
+)]
+impl Core {
+    #[state(superstate = "idle")]
+    fn empty(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::Staging(_) => Transition(State::staging()),
+            LifeEvent::WeightsComplete(digest) => {
+                self.staged = Some(digest);
+                Transition(State::staging())
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "idle")]
+    fn staging(event: &Input) -> Outcome<State> {
+        let _ = event;
+        Super
+    }
+
+    #[state(superstate = "idle")]
+    fn loading(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::LoadRefused => Transition(self.refuse()),
+            LifeEvent::Report(report) => {
+                // A restart in the middle of a load loses the load.
+                let restarted = self.record(event.now, report);
+                match self.servable() {
+                    Some(weights) => Transition(self.start_serving(weights)),
+                    None if restarted => Transition(self.resting()),
+                    None => Handled,
+                }
+            }
+            _ => Super,
+        }
+    }
+
+    #[superstate(superstate = "present")]
+    fn idle(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::Report(report) => {
+                self.record(event.now, report);
+                self.begin()
+            }
+            LifeEvent::Tick => {
+                self.forget_stale(event.now);
+                Handled
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "serving")]
+    fn cold(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::FirstToken { latency, running } => {
+                match self.warmth.first_token(latency, running) {
+                    Change::Same | Change::Chilled => Handled,
+                    Change::Grew => Transition(State::warming()),
+                    Change::Full => Transition(State::warm()),
+                }
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "serving")]
+    fn warming(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::FirstToken { latency, running } => {
+                match self.warmth.first_token(latency, running) {
+                    Change::Same | Change::Grew => Handled,
+                    Change::Chilled => Transition(State::cold()),
+                    Change::Full => Transition(State::warm()),
+                }
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "serving")]
+    fn warm(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::FirstToken { latency, running } => {
+                match self.warmth.first_token(latency, running) {
+                    Change::Chilled => Transition(State::cold()),
+                    Change::Same | Change::Grew | Change::Full => Handled,
+                }
+            }
+            _ => Super,
+        }
+    }
+
+    #[superstate(superstate = "present")]
+    fn serving(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::Report(report) => {
+                self.record(event.now, report);
+                self.keep()
+            }
+            LifeEvent::Overloaded => {
+                self.warmth.chill();
+                Transition(State::cold())
+            }
+            LifeEvent::Failed => match self.warmth.failed() {
+                Change::Chilled => Transition(State::cold()),
+                Change::Same | Change::Grew | Change::Full => Handled,
+            },
+            LifeEvent::Tick => {
+                self.forget_stale(event.now);
+                self.keep()
+            }
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn present(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::WeightsComplete(digest) => {
+                self.staged = Some(digest);
+                Handled
+            }
+            LifeEvent::LoadOrdered(digest) => Transition(self.order(digest)),
+            LifeEvent::Leave => Transition(State::draining()),
+            _ => self.note_centre(event),
+        }
+    }
+
+    #[state]
+    fn draining(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::Idle => Transition(State::left()),
+            LifeEvent::Report(report) => {
+                self.record(event.now, report);
+                Handled
+            }
+            _ => self.note_centre(event),
+        }
+    }
+
+    #[state]
+    fn left(&mut self, event: &Input) -> Outcome<State> {
+        self.note_centre(event)
+    }
+}
+
+impl Core {
+    fn note_centre(&mut self, event: &Input) -> Outcome<State> {
+        match event.event {
+            LifeEvent::CentreOut => self.out = true,
+            LifeEvent::CentreIn => self.out = false,
+            _ => {}
+        }
+        Handled
+    }
+}
