--- a/crates/azurestand_server/src/event.rs
+++ b/crates/azurestand_server/src/event.rs
@@ -42,8 +42,8 @@
     Started = "E0001", Info, "The process is ready.", "Nothing.";
     Stopping = "E0002", Info, "A planned stop began; no new work is taken.", "Nothing.";
     Stopped = "E0003", Info, "The planned stop ended with nothing in flight.", "Nothing.";
-    StopCut = "E0004", Warn, "The planned stop ran into its limit and cut work off.", "Raise drain-seconds.";
-    LinkRefused = "E0101", Warn, "A process could not prove the fleet's key.", "Set the same fleet-key on both hosts; if the address is unknown, find who sends.";
+    StopCut = "E0004", Warn, "The planned stop ran into its limit and cut work off.", "Raise drain_seconds.";
+    LinkRefused = "E0101", Warn, "A process could not prove the fleet's key.", "Set the same fleet_key on both hosts; if the address is unknown, find who sends.";
     LinkLost = "E0102", Info, "A link to another process ended.", "Nothing, unless many end at once: then check the network.";
     LinkFrame = "E0103", Warn, "A frame was forged, replayed or malformed, so its link was ended.", "Run the same version on both hosts.";
     DialFailed = "E0104", Info, "Another process can't be reached.", "Check the host; the dial is repeated.";
--- /dev/null
+++ b/crates/azurestand_server/src/node.rs
@@ -0,0 +1,140 @@
+//! What entries and agents have in common: identity, links, live view, document.
+
+pub(crate) mod document;
+mod gossip;
+pub(crate) mod links;
+mod post;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use azurestand_config::Document;
+use azurestand_membership::{Record, State};
+use azurestand_types::{HostName, Incarnation};
+use azurestand_wire::{Identity, Role};
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch as latest};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+use links::{Arrivals, Links};
+
+/// The live view as the rest of the daemon reads it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Neighbours(pub(crate) Arc<BTreeMap<HostName, Neighbour>>);
+
+/// One other process.
+#[derive(Debug, Clone)]
+pub(crate) struct Neighbour {
+    /// What membership knows of it.
+    pub(crate) record: Record,
+    /// Its state, with the platform's hints merged in.
+    pub(crate) state: State,
+}
+
+/// What membership is told by the rest of the daemon.
+pub(crate) type GossipEvent = azurestand_membership::Event;
+
+/// The shared part of a running daemon.
+#[derive(Debug, Clone)]
+pub(crate) struct Node {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) clock: Clock,
+    pub(crate) links: Links,
+    pub(crate) metrics: Metrics,
+    pub(crate) document: latest::Receiver<Document>,
+    pub(crate) neighbours: latest::Receiver<Neighbours>,
+    pub(crate) gossip: mpsc::Sender<GossipEvent>,
+    /// Cancelled when no new work is to be taken.
+    pub(crate) leaving: CancellationToken,
+    /// Cancelled when everything ends.
+    pub(crate) stop: CancellationToken,
+}
+
+/// A node that has just started, and what its owner must read.
+pub(crate) struct Started {
+    pub(crate) node: Node,
+    pub(crate) arrivals: Arrivals,
+}
+
+/// Draws an incarnation that outranks every earlier one of this host name,
+/// as long as the host's clock doesn't go back by more than its restart takes.
+fn draw_incarnation() -> Incarnation {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = elapsed.map_or(0, |elapsed| elapsed.as_micros());
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
+impl Node {
+    /// Binds the peer address and starts links and membership.
+    pub(crate) async fn start(settings: Settings, role: Role) -> io::Result<Started> {
+        let listener = TcpListener::bind(settings.peers).await?;
+        let address = listener.local_addr()?;
+        let own = Identity {
+            host: settings.host.clone(),
+            incarnation: draw_incarnation(),
+            role,
+            centre: settings.centre.clone(),
+            address,
+        };
+        let (links, arrivals) = Links::new(own, settings.key.clone());
+        let (documents, document) = latest::channel(Document::empty());
+        let (views, neighbours) = latest::channel(Neighbours::default());
+        let (gossip, events) = mpsc::channel(1_024);
+        let stop = CancellationToken::new();
+        let node = Self {
+            metrics: Metrics::open(settings.metrics),
+            settings: Arc::new(settings),
+            clock: Clock::start(),
+            links,
+            document,
+            neighbours,
+            gossip,
+            leaving: stop.child_token(),
+            stop,
+        };
+        let channels = gossip::Channels {
+            events,
+            documents,
+            views,
+        };
+        gossip::Controller::start(node.clone(), channels).await?;
+        tokio::spawn(node.stop.clone().run_until_cancelled_owned(node.links.clone().listen(listener)));
+        Ok(Started { node, arrivals })
+    }
+
+    /// Where other processes reach this one.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.links.own().address
+    }
+
+    /// Takes gossip that came over a link in.
+    pub(crate) fn hear(&self, bytes: &Bytes) {
+        if let Ok(gossip) = azurestand_membership::Gossip::decode(bytes) {
+            let _ = self.gossip.try_send(GossipEvent::Received(gossip));
+        }
+    }
+
+    /// Tells membership what this host's targets are like.
+    pub(crate) fn publish(&self, status: Bytes) {
+        let _ = self.gossip.try_send(GossipEvent::Status(status));
+    }
+
+    /// The document in force.
+    pub(crate) fn document(&self) -> Document {
+        self.document.borrow().clone()
+    }
+
+    /// The live view.
+    pub(crate) fn neighbours(&self) -> Neighbours {
+        self.neighbours.borrow().clone()
+    }
+}
--- a/crates/azurestand_server/src/settings/options.rs
+++ b/crates/azurestand_server/src/settings/options.rs
@@ -32,7 +32,7 @@
 type Text = Spanned<String>;
 
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[serde(deny_unknown_fields)]
 pub(super) struct Options {
     host: Text,
     data_centre: Text,
@@ -55,7 +55,7 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[serde(deny_unknown_fields)]
 struct InputOptions {
     body_bytes: Option<Spanned<u64>>,
     body_seconds: Option<Spanned<u64>>,
@@ -63,7 +63,7 @@
 }
 
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[serde(deny_unknown_fields)]
 struct TargetOptions {
     name: Text,
     address: Text,
@@ -152,14 +152,14 @@
     fn try_from(options: InputOptions) -> Result<Self, Fault> {
         let seconds = bounded(
             options.body_seconds.as_ref(),
-            "input.body-seconds",
+            "input.body_seconds",
             DEFAULT_BODY_SECONDS,
             MAX_BODY_SECONDS,
         )?;
         Ok(Self {
             body_bytes: count(
                 options.body_bytes.as_ref(),
-                "input.body-bytes",
+                "input.body_bytes",
                 DEFAULT_BODY_BYTES,
                 MAX_BODY_BYTES,
             )?,
@@ -216,7 +216,7 @@
         }
         let drain = bounded(
             options.drain_seconds.as_ref(),
-            "drain-seconds",
+            "drain_seconds",
             DEFAULT_DRAIN_SECONDS,
             MAX_DRAIN_SECONDS,
         )?;
@@ -232,13 +232,13 @@
             store: addresses(&options.store, "store")?,
             origin: origin.map(|text| address(text, "origin")).transpose()?,
             seeds: addresses(&options.seeds, "seeds")?,
-            key: key.map_err(|error| fault(&options.fleet_key, "fleet-key", error))?,
+            key: key.map_err(|error| fault(&options.fleet_key, "fleet_key", error))?,
             metrics: metrics.map(|text| address(text, "metrics")).transpose()?,
             log: log_format(options.log.as_ref())?,
             drain: Duration::from_secs(drain),
             staging: bounded(
                 options.staging_bytes.as_ref(),
-                "staging-bytes",
+                "staging_bytes",
                 DEFAULT_STAGING_BYTES,
                 u64::MAX,
             )?,
--- a/crates/azurestand_wire/src/datagram.rs
+++ b/crates/azurestand_wire/src/datagram.rs
@@ -30,7 +30,7 @@
     pub enum DatagramError {
         /// The code is wrong, or the bytes are no datagram.
         Code {
-            display("a datagram's code is wrong; check that both hosts have the same fleet-key")
+            display("a datagram's code is wrong; check that both hosts have the same fleet_key")
         }
         /// The same datagram came before, or it is too old to tell.
         Replayed {
--- a/crates/azurestand_wire/src/link.rs
+++ b/crates/azurestand_wire/src/link.rs
@@ -39,7 +39,7 @@
         }
         /// The other end sent no valid frame in time.
         Silent {
-            display("the other end is silent; check that the process runs and has the same fleet-key")
+            display("the other end is silent; check that the process runs and has the same fleet_key")
         }
         /// The other end's hello was refused.
         Hello(error: HelloError) {
--- a/crates/azurestand_wire/src/message.rs
+++ b/crates/azurestand_wire/src/message.rs
@@ -10,7 +10,7 @@
     /// The message itself; a newer kind that this process doesn't know is empty.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: Option<Body>,
 }
@@ -72,6 +72,9 @@
     /// The chunk can't be had here.
     #[prost(message, tag = "18")]
     Missing(Missing),
+    /// The entry has an answer up to some offset.
+    #[prost(message, tag = "19")]
+    Ack(Ack),
 }
 
 /// Who speaks, sent once in the clear at the start of a link.
@@ -163,9 +166,13 @@
     /// The model or service, for an entry that still has to choose a target.
     #[prost(string, tag = "14")]
     pub subject: String,
-    /// Whether this is the entry's first send of the id on any link.
-    #[prost(bool, tag = "15")]
-    pub first: bool,
+    /// The newest moment of the agent's clock that the entry had heard when it
+    /// first sent the id, in microseconds; a repeated send carries the same one.
+    #[prost(uint64, tag = "15")]
+    pub stamp: u64,
+    /// The agent's incarnation that the stamp belongs to.
+    #[prost(uint64, tag = "16")]
+    pub incarnation: u64,
 }
 
 /// The head of an answer.
@@ -244,6 +251,9 @@
     /// The account that sent the request; nobody else may take up its answer.
     #[prost(string, tag = "3")]
     pub account: String,
+    /// The target that has the request.
+    #[prost(string, tag = "4")]
+    pub target: String,
 }
 
 /// An entry asks that a request never starts.
@@ -252,6 +262,12 @@
     /// The request's id.
     #[prost(bytes = "bytes", tag = "1")]
     pub id: Bytes,
+    /// The stamp of the send that is revoked.
+    #[prost(uint64, tag = "2")]
+    pub stamp: u64,
+    /// The agent's incarnation that the stamp belongs to.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
 }
 
 /// The answer to a revoke.
@@ -273,6 +289,17 @@
     pub id: Bytes,
 }
 
+/// The entry has an answer up to some offset; the agent may drop what lies before.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ack {
+    /// The request's id.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    /// Bytes of the body that the entry has passed on.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
+
 /// The entry has the whole answer; the agent may forget it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Release {
@@ -322,6 +349,9 @@
     /// Whether the host is leaving service.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// The agent's clock, in microseconds since its start.
+    #[prost(uint64, tag = "4")]
+    pub moment: u64,
 }
 
 /// Membership and configuration, encoded by `azurestand_membership`.
--- a/crates/azurestand_wire/src/session.rs
+++ b/crates/azurestand_wire/src/session.rs
@@ -19,7 +19,7 @@
     pub enum SealError {
         /// The frame's code is wrong: another key, a forged or a replayed frame.
         Code {
-            display("a frame's code is wrong; check that both hosts have the same fleet-key")
+            display("a frame's code is wrong; check that both hosts have the same fleet_key")
         }
         /// The frame is no message of this protocol.
         Malformed(reason: String) {
