Add the transfer state machine and its public types

Change: manifests, cutting, messages, limits, buckets, drawing order and one Transfer a host. Before: an empty crate. After: the crate's doctest drives one host to a complete version; no other test yet.

--- /dev/null
+++ b/crates/azurestand_spread/src/bitmap.rs
@@ -0,0 +1,53 @@
+//! Which chunks of a manifest someone holds.
+
+/// A fixed-length bit string; bit `i` stands for the manifest's chunk `i`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Bitmap {
+    bytes: Vec<u8>,
+    length: usize,
+}
+
+impl Bitmap {
+    pub(crate) fn new(length: usize) -> Self {
+        Self {
+            bytes: vec![0; length.div_ceil(8)],
+            length,
+        }
+    }
+
+    /// Reads received bytes; bits past the end are ignored, missing ones are zero.
+    pub(crate) fn read(raw: &[u8], length: usize) -> Self {
+        let mut map = Self::new(length);
+        for (own, other) in map.bytes.iter_mut().zip(raw) {
+            *own = *other;
+        }
+        if let (Some(last), 1..) = (map.bytes.last_mut(), length % 8) {
+            *last &= (1 << (length % 8)) - 1;
+        }
+        map
+    }
+
+    pub(crate) fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    pub(crate) fn get(&self, index: usize) -> bool {
+        index < self.length && self.bytes[index / 8] & (1 << (index % 8)) != 0
+    }
+
+    /// Sets or clears a bit; tells whether that changed it.
+    pub(crate) fn set(&mut self, index: usize, value: bool) -> bool {
+        if index >= self.length || self.get(index) == value {
+            return false;
+        }
+        self.bytes[index / 8] ^= 1 << (index % 8);
+        true
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.bytes
+            .iter()
+            .map(|byte| byte.count_ones() as usize)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/azurestand_spread/src/cut.rs
@@ -0,0 +1,100 @@
+//! Cuts a version's content into chunks for publishing.
+
+use azurestand_types::{Digest, ModelName, VersionName};
+use bytes::{Bytes, BytesMut};
+
+use crate::manifest::{Chunk, MAX_CHUNK_BYTES, Manifest, ManifestError};
+
+/// The chunk length in bytes that `publish` uses.
+pub const CHUNK_BYTES: u32 = 4 * 1024 * 1024;
+
+/// One chunk with its content, ready to be written to the weight store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Piece {
+    /// The digest that readers check the content against.
+    pub digest: Digest,
+    /// The content.
+    pub content: Bytes,
+}
+
+/// Cuts content that arrives in parts of any length, so that a publisher
+/// needs memory for one chunk and not for the whole version.
+#[derive(Debug)]
+pub struct Cutter {
+    length: usize,
+    rest: BytesMut,
+    chunks: Vec<Chunk>,
+}
+
+impl Cutter {
+    /// Starts to cut chunks of `length` bytes; out-of-range lengths are clamped.
+    pub fn new(length: u32) -> Self {
+        Self {
+            length: length.clamp(1, MAX_CHUNK_BYTES) as usize,
+            rest: BytesMut::new(),
+            chunks: Vec::new(),
+        }
+    }
+
+    /// Takes the next part of the content and returns the chunks that it completes.
+    pub fn push(&mut self, part: &[u8]) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        let mut part = part;
+        while !part.is_empty() {
+            let taken = part.len().min(self.length - self.rest.len());
+            self.rest.extend_from_slice(&part[..taken]);
+            part = &part[taken..];
+            if self.rest.len() == self.length {
+                pieces.push(self.close());
+            }
+        }
+        pieces
+    }
+
+    /// Ends the content: returns the manifest, and the last chunk if one was left over.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the content was empty or gave more chunks than a manifest holds.
+    pub fn finish(
+        mut self,
+        model: ModelName,
+        version: VersionName,
+    ) -> Result<(Manifest, Option<Piece>), ManifestError> {
+        let last = (!self.rest.is_empty()).then(|| self.close());
+        Ok((Manifest::new(model, version, self.chunks)?, last))
+    }
+
+    fn close(&mut self) -> Piece {
+        let content = self.rest.split().freeze();
+        let digest = Digest::of(&content);
+        let length = u32::try_from(content.len()).unwrap_or(MAX_CHUNK_BYTES);
+        self.chunks.push(Chunk { digest, length });
+        Piece { digest, content }
+    }
+}
+
+/// Cuts the whole of `content` into chunks of `length` bytes at once.
+///
+/// # Errors
+///
+/// Fails like [`Cutter::finish`].
+pub fn cut<C>(
+    model: ModelName,
+    version: VersionName,
+    length: u32,
+    content: C,
+) -> Result<(Manifest, Vec<Piece>), ManifestError>
+where
+    C: IntoIterator,
+    C::Item: AsRef<[u8]>,
+{
+    let mut cutter = Cutter::new(length);
+    let mut pieces = Vec::new();
+    for part in content {
+        pieces.extend(cutter.push(part.as_ref()));
+    }
+    let (manifest, last) = cutter.finish(model, version)?;
+    pieces.extend(last);
+    Ok((manifest, pieces))
+}
--- a/crates/azurestand_spread/src/lib.rs
+++ b/crates/azurestand_spread/src/lib.rs
@@ -1,1 +1,67 @@
-//! Transfer decisions that spread weights.
+//! Decides which host fetches which chunk of a model's weights, from where, when and how fast.
+//!
+//! One [`Transfer`] runs on each host. It takes the present moment and an
+//! [`Event`], and returns [`Action`]s; it opens no socket and reads no clock.
+//! Nothing is led by one host: each works out the same drawing order from the
+//! live view, so that about one copy a region leaves the origin however many
+//! hosts wait. See [docs/SPREADING.md](../../../docs/SPREADING.md) for the
+//! ways that were weighed and what they measured.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use azurestand_spread::{Action, Event, Limits, Site, Source, Transfer, Verified, cut};
+//! use azurestand_types::{DataCentre, HostName, Incarnation, ModelName, Moment, Region, VersionName};
+//!
+//! let site = Site {
+//!     host: HostName::try_from("host-1").unwrap(),
+//!     incarnation: Incarnation(1),
+//!     centre: DataCentre::try_from("north-1").unwrap(),
+//!     region: Region::try_from("north").unwrap(),
+//! };
+//! let model = ModelName::try_from("draft").unwrap();
+//! let version = VersionName::try_from("v1").unwrap();
+//! let (manifest, pieces) = cut(model, version, 4, [b"weights".to_vec()]).unwrap();
+//!
+//! let mut transfer = Transfer::new(site, Limits::default(), fastrand::Rng::with_seed(1));
+//! let mut now = Moment::START;
+//! let mut actions = transfer.handle(now, Event::Wanted(vec![Arc::new(manifest)]));
+//! let mut complete = false;
+//! while !complete {
+//!     now = now + std::time::Duration::from_millis(100);
+//!     actions.extend(transfer.handle(now, Event::Tick));
+//!     for action in std::mem::take(&mut actions) {
+//!         match action {
+//!             Action::Fetch { digest, .. } => {
+//!                 let piece = pieces.iter().find(|piece| piece.digest == digest).unwrap();
+//!                 let outcome = Verified::check(digest, &piece.content);
+//!                 let event = Event::Fetched { digest, source: Source::Origin, outcome };
+//!                 actions.extend(transfer.handle(now, event));
+//!             }
+//!             Action::Complete { .. } => complete = true,
+//!             _ => {}
+//!         }
+//!     }
+//! }
+//! assert_eq!(transfer.progress(now)[0].held, 2);
+//! ```
+
+mod bitmap;
+mod bucket;
+mod cut;
+mod event;
+mod limits;
+mod manifest;
+mod message;
+mod plan;
+mod progress;
+mod transfer;
+
+pub use bucket::{Bucket, Rate};
+pub use cut::{CHUNK_BYTES, Cutter, Piece, cut};
+pub use event::{Action, Event, Failure, Load, Note, Peer, Site, Source, Verified};
+pub use limits::{Limits, Policy};
+pub use manifest::{Chunk, MAX_CHUNK_BYTES, MAX_CHUNKS, Manifest, ManifestError};
+pub use message::{Envelope, Message, MessageError, Reason};
+pub use plan::{Links, bound};
+pub use progress::{Progress, Sourced};
+pub use transfer::Transfer;
--- /dev/null
+++ b/crates/azurestand_spread/src/plan.rs
@@ -0,0 +1,33 @@
+//! The physical lower bound of a spread, and what the links allow.
+
+use std::time::Duration;
+
+use crate::bucket::Rate;
+
+/// The links that a spread has to pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Links {
+    /// A host's link, each way.
+    pub host: Rate,
+    /// The origin's link.
+    pub origin: Rate,
+    /// One link between two regions, one way.
+    pub cross: Rate,
+    /// How many regions take the version.
+    pub regions: usize,
+}
+
+/// The least time in which `size` bytes can reach every host.
+///
+/// It is the tightest of three cuts: a host's own link, the origin's link
+/// carrying one copy, and the links into the regions, where `r` regions need
+/// `r` copies and `r (r - 1)` links help the origin. See
+/// [docs/SPREADING.md](../../../docs/SPREADING.md).
+pub fn bound(size: u64, links: Links) -> Duration {
+    let regions = links.regions.max(1) as u64;
+    let inbound = links.origin.0 + regions * (regions - 1) * links.cross.0;
+    let host = links.host.time(size);
+    let origin = links.origin.time(size);
+    let region = Rate(inbound).time(size * regions);
+    host.max(origin).max(region)
+}
--- /dev/null
+++ b/crates/azurestand_spread/src/transfer/listen.rs
@@ -0,0 +1,236 @@
+//! Who tells whom which chunks it holds.
+
+use std::time::Duration;
+
+use azurestand_types::{Digest, HostName, Moment};
+use bytes::Bytes;
+
+use super::Transfer;
+use super::peers::{Heard, Place};
+use crate::bitmap::Bitmap;
+use crate::limits::Policy;
+use crate::message::Message;
+
+const SUBSCRIPTION: Duration = Duration::from_secs(20);
+const RENEWAL: Duration = Duration::from_secs(6);
+const DECLINED: Duration = Duration::from_secs(5);
+const MAX_LISTENERS: usize = 128;
+
+impl Transfer {
+    /// Subscribes to the hosts whose chunks matter for each unfinished version.
+    pub(crate) fn subscribe(&mut self, now: Moment) {
+        for index in 0..self.goals.len() {
+            let goal = &self.goals[index];
+            if goal.missing == 0 {
+                continue;
+            }
+            let id = goal.id();
+            for host in self.teachers(index, now) {
+                let Some(neighbour) = self.peers.get_mut(&host) else {
+                    continue;
+                };
+                let last = neighbour.subscribed.get(&id);
+                if last.is_some_and(|last| now.since(*last) < RENEWAL) {
+                    continue;
+                }
+                neighbour.subscribed.insert(id, now);
+                self.send(&host, Message::Subscribe { manifest: id });
+            }
+        }
+    }
+
+    fn teachers(&mut self, index: usize, now: Moment) -> Vec<HostName> {
+        let goal = &self.goals[index];
+        let (id, orders) = (goal.id(), &goal.orders);
+        let mut hosts = Vec::new();
+        if self.limits.policy == Policy::Ordered {
+            if orders.centre.is_drawer() {
+                hosts.extend(orders.centre.drawers.iter().cloned());
+                hosts.extend(orders.region.drawers.iter().cloned());
+            }
+            if orders.region.is_drawer() {
+                hosts.extend(orders.abroad.iter().cloned());
+            }
+        }
+        hosts.sort();
+        hosts.dedup();
+        let fanout = self.limits.fanout;
+        match self.limits.policy {
+            Policy::Ordered => {
+                hosts.extend(self.sample(id, fanout, now, |place| place == Place::Centre));
+                if self.is_stuck(index, now) {
+                    hosts.extend(self.sample(id, 2, now, |place| place == Place::Region));
+                    hosts.extend(self.sample(id, 2, now, |place| place == Place::Cross));
+                }
+            }
+            Policy::Unordered => hosts.extend(self.sample(id, fanout, now, |_| true)),
+            Policy::Origin => {}
+        }
+        hosts
+    }
+
+    /// Keeps up to `count` hosts of a kind that are subscribed to already and fills up at random.
+    fn sample<T>(&mut self, id: Digest, count: usize, now: Moment, test: T) -> Vec<HostName>
+    where
+        T: Fn(Place) -> bool,
+    {
+        let model = self.goals.iter().find(|goal| goal.id() == id);
+        let Some(model) = model.map(|goal| goal.manifest.model().clone()) else {
+            return Vec::new();
+        };
+        let mut kept = Vec::new();
+        let mut fresh = Vec::new();
+        for (host, neighbour) in &self.peers {
+            let declined = neighbour
+                .declined
+                .get(&id)
+                .is_some_and(|until| *until > now);
+            if !test(neighbour.place) || declined || !neighbour.peer.models.contains(&model) {
+                continue;
+            }
+            if neighbour.subscribed.contains_key(&id) {
+                kept.push(host.clone());
+            } else {
+                fresh.push(host.clone());
+            }
+        }
+        kept.truncate(count.max(kept.len().min(2 * count)));
+        while kept.len() < count && !fresh.is_empty() {
+            kept.push(fresh.swap_remove(self.rng.usize(..fresh.len())));
+        }
+        kept
+    }
+
+    pub(crate) fn subscribed(&mut self, from: &HostName, manifest: Digest, now: Moment) {
+        let listeners = self.peers.values();
+        let count = listeners
+            .filter(|neighbour| neighbour.listens.contains_key(&manifest))
+            .count();
+        let Some(neighbour) = self.peers.get_mut(from) else {
+            return;
+        };
+        if count >= MAX_LISTENERS && !neighbour.listens.contains_key(&manifest) {
+            return;
+        }
+        neighbour.listens.insert(manifest, now + SUBSCRIPTION);
+        match self.goals.iter().position(|goal| goal.id() == manifest) {
+            Some(index) => self.tell(index, std::slice::from_ref(from)),
+            None => self.send(from, Message::Decline { manifest }),
+        }
+    }
+
+    pub(crate) fn declined(&mut self, from: &HostName, manifest: Digest, now: Moment) {
+        if let Some(neighbour) = self.peers.get_mut(from) {
+            neighbour.subscribed.remove(&manifest);
+            neighbour.declined.insert(manifest, now + DECLINED);
+        }
+    }
+
+    /// Tells all listeners what is held, as often as allowed.
+    pub(crate) fn announce(&mut self, now: Moment) {
+        for index in 0..self.goals.len() {
+            let goal = &mut self.goals[index];
+            let due = goal.missing == 0 || now.since(goal.announced) >= self.limits.announce;
+            if !goal.dirty || !due {
+                continue;
+            }
+            goal.dirty = false;
+            goal.announced = now;
+            let id = goal.id();
+            let listens = |until: &Moment| *until > now;
+            let hosts: Vec<_> = self
+                .peers
+                .iter()
+                .filter(|(_, neighbour)| neighbour.listens.get(&id).is_some_and(listens))
+                .map(|(host, _)| host.clone())
+                .collect();
+            self.tell(index, &hosts);
+        }
+    }
+
+    fn tell(&mut self, index: usize, hosts: &[HostName]) {
+        self.sequence += 1;
+        let goal = &self.goals[index];
+        let message = Message::Have {
+            manifest: goal.id(),
+            sequence: self.sequence,
+            bits: Bytes::copy_from_slice(goal.have.bytes()),
+        };
+        for host in hosts {
+            self.send(host, message.clone());
+        }
+    }
+
+    pub(crate) fn heard(
+        &mut self,
+        from: &HostName,
+        manifest: Digest,
+        sequence: u64,
+        raw: &[u8],
+        now: Moment,
+    ) {
+        let Some(goal) = self.goals.iter_mut().find(|goal| goal.id() == manifest) else {
+            return;
+        };
+        let Some(neighbour) = self.peers.get_mut(from) else {
+            return;
+        };
+        let old = neighbour.heard.get(&manifest);
+        let late = old.is_some_and(|old| old.sequence >= sequence);
+        if late || neighbour.muted > now {
+            return;
+        }
+        let bits = Bitmap::read(raw, goal.len());
+        let gained = goal
+            .counts
+            .replace(neighbour.place, old.map(|old| &old.bits), &bits);
+        if gained && neighbour.place == Place::Cross {
+            goal.offered = now;
+        }
+        let grown = match old {
+            Some(old) if !gained => old.grown,
+            _ => now,
+        };
+        let heard = Heard {
+            bits,
+            sequence,
+            grown,
+        };
+        neighbour.heard.insert(manifest, heard);
+    }
+
+    /// Forgets what a host said it holds, since it lied, was slow, or is gone.
+    pub(crate) fn disbelieve(&mut self, host: &HostName) {
+        let Some(neighbour) = self.peers.get_mut(host) else {
+            return;
+        };
+        for goal in &mut self.goals {
+            if let Some(heard) = neighbour.heard.remove(&goal.id()) {
+                let none = Bitmap::new(goal.len());
+                goal.counts
+                    .replace(neighbour.place, Some(&heard.bits), &none);
+            }
+        }
+        neighbour.heard.clear();
+        neighbour.subscribed.clear();
+    }
+
+    /// Takes note that a host doesn't hold a chunk after all.
+    pub(crate) fn correct(&mut self, host: &HostName, digest: Digest) {
+        let Some(neighbour) = self.peers.get_mut(host) else {
+            return;
+        };
+        for goal in &mut self.goals {
+            let Some(index) = goal.place(digest) else {
+                continue;
+            };
+            if let Some(heard) = neighbour.heard.get_mut(&goal.id()) {
+                let mut bits = heard.bits.clone();
+                bits.set(index, false);
+                goal.counts
+                    .replace(neighbour.place, Some(&heard.bits), &bits);
+                heard.bits = bits;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurestand_spread/src/transfer/serve.rs
@@ -0,0 +1,131 @@
+//! Uploads to other hosts: a few slots, a queue behind them, and the link's rate.
+
+use std::collections::VecDeque;
+
+use azurestand_types::{Digest, HostName, Incarnation, Moment};
+
+use super::Transfer;
+use super::peers::Place;
+use crate::event::Action;
+use crate::message::{Message, Reason};
+
+/// Uploads that run at once within the region; a second one fills the gaps of the first.
+const RUNNING_UPLOADS: usize = 2;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Job {
+    pub(crate) to: HostName,
+    incarnation: Incarnation,
+    digest: Digest,
+    cross: bool,
+    length: u32,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Uploads {
+    queue: VecDeque<Job>,
+    running: Vec<Job>,
+}
+
+impl Uploads {
+    fn count(&self, cross: bool) -> usize {
+        let all = self.queue.iter().chain(&self.running);
+        all.filter(|job| job.cross == cross).count()
+    }
+
+    fn running(&self, cross: bool) -> usize {
+        self.running.iter().filter(|job| job.cross == cross).count()
+    }
+
+    fn contains(&self, to: &HostName, digest: Digest) -> bool {
+        let mut all = self.queue.iter().chain(&self.running);
+        all.any(|job| job.to == *to && job.digest == digest)
+    }
+
+    fn cancel(&mut self, to: &HostName, digest: Digest) {
+        self.queue
+            .retain(|job| job.to != *to || job.digest != digest);
+    }
+
+    fn end(&mut self, to: &HostName, digest: Digest) {
+        self.running
+            .retain(|job| job.to != *to || job.digest != digest);
+    }
+
+    /// Forgets all that was for a host which is gone.
+    pub(crate) fn forget(&mut self, host: &HostName) {
+        self.queue.retain(|job| job.to != *host);
+        self.running.retain(|job| job.to != *host);
+    }
+
+    pub(crate) fn drop_chunk(&mut self, digest: Digest) {
+        self.queue.retain(|job| job.digest != digest);
+    }
+}
+
+impl Transfer {
+    pub(crate) fn requested(&mut self, from: &HostName, digest: Digest, now: Moment) {
+        if self.uploads.contains(from, digest) {
+            return;
+        }
+        let Some(&length) = self.held.get(&digest) else {
+            self.refuse(from, digest, Reason::Missing);
+            return;
+        };
+        let Some(neighbour) = self.peers.get(from) else {
+            return;
+        };
+        let cross = neighbour.place == Place::Cross;
+        if self.uploads.count(cross) >= self.limits.uploads {
+            self.refuse(from, digest, Reason::Busy);
+            return;
+        }
+        self.uploads.queue.push_back(Job {
+            to: from.clone(),
+            incarnation: neighbour.peer.incarnation,
+            digest,
+            cross,
+            length,
+        });
+        self.upload(now);
+    }
+
+    pub(crate) fn cancelled(&mut self, from: &HostName, digest: Digest) {
+        self.uploads.cancel(from, digest);
+    }
+
+    pub(crate) fn uploaded(&mut self, to: &HostName, digest: Digest, now: Moment) {
+        self.uploads.end(to, digest);
+        self.upload(now);
+    }
+
+    /// Starts queued uploads as far as slots and the link allow.
+    pub(crate) fn upload(&mut self, now: Moment) {
+        while let Some(index) = self.next_upload() {
+            let length = u64::from(self.uploads.queue[index].length);
+            if !self.egress.take(length, now) {
+                return;
+            }
+            let Some(job) = self.uploads.queue.remove(index) else {
+                return;
+            };
+            self.out.push(Action::Upload {
+                to: job.to.clone(),
+                incarnation: job.incarnation,
+                digest: job.digest,
+                rate: self.egress.rate(),
+            });
+            self.uploads.running.push(job);
+        }
+    }
+
+    fn next_upload(&self) -> Option<usize> {
+        let near = self.uploads.running(false) < RUNNING_UPLOADS;
+        let is_next = |job: &Job| job.cross || near;
+        self.uploads.queue.iter().position(is_next)
+    }
+
+    fn refuse(&mut self, to: &HostName, digest: Digest, reason: Reason) {
+        self.send(to, Message::Refuse { digest, reason });
+    }
+}
