--- a/crates/azurestand_server/src/agent/origin.rs
+++ b/crates/azurestand_server/src/agent/origin.rs
@@ -47,7 +47,7 @@
         let request = self.request(&format!("/manifests/{digest}"));
         let call = self.client.call(request, MANIFEST_LIMIT, MAX_MANIFEST_BYTES);
         let answer = call.await.ok()?;
-        let manifest = Manifest::decode(answer.body()).ok()?;
+        let manifest = Manifest::try_from(&answer.body()[..]).ok()?;
         (manifest.digest() == digest).then_some(manifest)
     }
 
