Bring an edit into the store exactly once

Cause: a lost answer leaves an editor not knowing whether the change happened, and two teams edit at one time. Change: Editing, a loop of events and actions around one compare-and-swap that writes document and audit record together; patches that take changes back. Before: no way from an edit to the store. Conclusion: the record of the next revision settles every lost answer.

--- /dev/null
+++ b/crates/azurestand_config/src/audit.rs
@@ -0,0 +1,121 @@
+//! The audit trail: one bounded record for each change.
+
+use azurestand_types::{ChangeId, Digest, Revision};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::patch::{Patch, RevertError};
+use crate::{Author, Document, Edit, Section};
+
+/// The store's key of the document.
+pub const DOCUMENT_KEY: &str = "azurestand/document";
+
+/// What the store's keys of audit records begin with.
+pub const AUDIT_PREFIX: &str = "azurestand/audit/";
+
+/// The changes whose audit records the store keeps; older ones are deleted.
+pub const KEPT_RECORDS: u64 = 100_000;
+
+quick_error! {
+    /// Why bytes aren't an audit record.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum AuditError {
+        /// The bytes aren't a record of this version.
+        Malformed(message: String) {
+            display("the audit record is malformed ({message}); read it with the version that wrote it")
+        }
+    }
+}
+
+/// Who changed what, when, and how.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditRecord {
+    /// The document's revision that the change gave.
+    pub revision: Revision,
+    /// The section that changed; none when the whole document was written.
+    pub section: Option<Section>,
+    /// The revision that brought the section's text before this change.
+    pub from: Revision,
+    /// The change's id.
+    pub change: ChangeId,
+    /// Who made it.
+    pub author: Author,
+    /// When it was sent, in seconds since 1970-01-01 UTC by the author's clock.
+    pub at: u64,
+    /// Whether the author forced it.
+    pub force: bool,
+    /// The digest of the text before, of the section or of the whole document.
+    pub before: Digest,
+    /// The digest of the text after.
+    pub after: Digest,
+    /// The lines that changed; none if they were too many to keep.
+    pub patch: Option<Patch>,
+}
+
+impl AuditRecord {
+    /// The record of `edit`, which led from `old` to `new` at the second `at`.
+    pub fn of(edit: &Edit, old: &Document, new: &Document, at: u64) -> Self {
+        let before = old.section_text(edit.section);
+        let after = new.section_text(edit.section);
+        Self {
+            revision: new.revision(),
+            section: Some(edit.section),
+            from: old.stamp(edit.section).revision,
+            change: edit.change.clone(),
+            author: edit.author.clone(),
+            at,
+            force: edit.force,
+            before: Digest::of(before.as_bytes()),
+            after: Digest::of(after.as_bytes()),
+            patch: Patch::between(before, after),
+        }
+    }
+
+    /// The record of a whole `document`, written first or brought back.
+    pub fn whole(document: &Document, author: Author, change: ChangeId, at: u64) -> Self {
+        Self {
+            revision: document.revision(),
+            section: None,
+            from: Revision(0),
+            change,
+            author,
+            at,
+            force: false,
+            before: Digest::of(b""),
+            after: document.digest(),
+            patch: None,
+        }
+    }
+
+    /// The store's key of the record that `revision` brought. Keys sort like revisions.
+    pub fn key(revision: Revision) -> String {
+        format!("{AUDIT_PREFIX}{:020}", revision.0)
+    }
+
+    /// The record as the store holds it.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("a record has only string keys and finite numbers")
+    }
+
+    /// Takes this change back from the section's `present` text.
+    ///
+    /// `later` are the records of the same section after this one, the newest first.
+    ///
+    /// # Errors
+    ///
+    /// A [`RevertError`] when a later change touched the same lines, or when
+    /// the lines of this or a later change weren't kept.
+    pub fn revert(&self, present: &str, later: &[Self]) -> Result<String, RevertError> {
+        let patch = self.patch.as_ref().ok_or(RevertError::NotKept)?;
+        let later: Option<Vec<&Patch>> = later.iter().map(|record| record.patch.as_ref()).collect();
+        patch.revert(present, &later.ok_or(RevertError::NotKept)?)
+    }
+}
+
+impl TryFrom<&[u8]> for AuditRecord {
+    type Error = AuditError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, AuditError> {
+        serde_json::from_slice(bytes).map_err(|error| AuditError::Malformed(error.to_string()))
+    }
+}
--- a/crates/azurestand_config/src/delta.rs
+++ b/crates/azurestand_config/src/delta.rs
@@ -36,7 +36,7 @@
 
 quick_error! {
     /// Why a delta can't be merged. The document stays as it is.
-    #[derive(Debug, Clone, PartialEq)]
+    #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum DeltaError {
         /// The delta starts above the document's revision.
         Gap(held: Revision, since: Revision) {
--- a/crates/azurestand_config/src/document.rs
+++ b/crates/azurestand_config/src/document.rs
@@ -181,6 +181,14 @@
         level.copied().unwrap_or(Priority(u8::MAX))
     }
 
+    /// The same sections under the next revision.
+    #[must_use]
+    pub fn succeed(&self) -> Self {
+        let mut draft = self.draft();
+        draft.revision = draft.revision.next();
+        Self::from_draft(draft)
+    }
+
     pub(crate) fn draft(&self) -> Draft {
         self.0.draft.clone()
     }
--- a/crates/azurestand_config/src/edit.rs
+++ b/crates/azurestand_config/src/edit.rs
@@ -62,7 +62,7 @@
 
 quick_error! {
     /// Why an edit was refused. The document stays as it is.
-    #[derive(Debug, Clone, PartialEq)]
+    #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum EditError {
         /// Another change of the same section came first.
         Conflict(conflict: Conflict) {
--- /dev/null
+++ b/crates/azurestand_config/src/editing.rs
@@ -0,0 +1,271 @@
+//! The loop that brings one edit into the store, whatever gets lost on the way.
+//!
+//! The document and the audit record of a change are written in one
+//! transaction, on the condition that the document's key still has the version
+//! that was read. A transaction on a document of revision 7 can therefore only
+//! give revision 8, and the audit record of revision 8 tells for ever whose
+//! transaction that was. That settles every lost answer.
+
+use std::time::Duration;
+
+use azurestand_types::{ChangeId, Revision};
+use derive_more::Display;
+use fastrand::Rng;
+
+use crate::error::ConfigErrors;
+use crate::transaction::{Commit, StoreVersion, Transaction};
+use crate::{AuditRecord, Document, Edit, EditError, Merge};
+
+const MAX_ATTEMPTS: u32 = 60;
+const MAX_TRACE: u32 = 64;
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// What the driver of the loop saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EditingEvent {
+    /// The document's key was read; the text is none if the key isn't there.
+    Read(Option<String>, StoreVersion),
+    /// An audit record was read; none if the key isn't there.
+    ReadAudit(Option<AuditRecord>),
+    /// A read failed.
+    ReadFailed,
+    /// A transaction ended.
+    Committed(Commit),
+}
+
+/// What the driver of the loop has to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EditingAction {
+    /// Wait, then read the document.
+    Read(Duration),
+    /// Read the audit record of a revision.
+    ReadAudit(Revision),
+    /// Run a transaction.
+    Commit(Transaction),
+    /// Stop.
+    Done(EditingOutcome),
+}
+
+/// How the loop ended.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum EditingOutcome {
+    /// The change is in the store.
+    #[display("applied as revision {_0}")]
+    Applied(Revision),
+    /// The change was in the store before.
+    #[display("this change was applied before, as revision {_0}")]
+    AlreadyApplied(Revision),
+    /// The change isn't in the store.
+    #[display("{_0}")]
+    Refused(EditError),
+    /// The document in the store can't be read.
+    #[display("the store's document is invalid; nothing was changed:\n{_0}")]
+    Damaged(ConfigErrors),
+    /// No document is in the store.
+    #[display("the store holds no document; write the first with `azurestand config init FILE`")]
+    NoDocument,
+    /// The store went back to an older document than was seen before.
+    #[display(
+        "the store holds revision {found} but {seen} was in force, so it was restored to an older state; bring the newer document back with `azurestand config recover`"
+    )]
+    WentBack {
+        /// The revision that was in force.
+        seen: Revision,
+        /// The revision that the store holds.
+        found: Revision,
+    },
+    /// The store didn't take part for too long, and nothing was sent that could take effect.
+    #[display("the store doesn't answer or is too busy; nothing was changed; try again later")]
+    Unreachable,
+    /// The store didn't answer, and the change may have taken effect.
+    #[display(
+        "the store doesn't answer, and the change may have taken effect; ask with `azurestand config status {_0}`"
+    )]
+    Unknown(ChangeId),
+}
+
+/// What the loop waits for.
+#[derive(Debug, Clone)]
+enum State {
+    /// The document.
+    Reading,
+    /// The end of the transaction that gives a revision.
+    Committing(Revision),
+    /// The record that tells whose transaction gave the pending revision.
+    Settling(Document, StoreVersion, Revision),
+    /// The records that lead from a conflict back to the edit's base.
+    Tracing(EditError, u32),
+    /// Nothing more.
+    Done,
+}
+
+/// Brings one edit into the store, exactly once.
+///
+/// The driver runs each action and hands back what it saw:
+/// [`EditingAction::Read`] is answered by [`EditingEvent::Read`] or
+/// [`EditingEvent::ReadFailed`], and so on. Driving stops at
+/// [`EditingAction::Done`].
+#[derive(Debug, Clone)]
+pub struct Editing {
+    edit: Edit,
+    at: u64,
+    seen: Revision,
+    rng: Rng,
+    pending: Option<Revision>,
+    attempts: u32,
+    state: State,
+}
+
+impl Editing {
+    /// Takes the edit, the second since 1970 at which it is made, the highest
+    /// revision that is known to have been in force (0 if none is), and the
+    /// generator of its pauses.
+    pub fn new(edit: Edit, at: u64, seen: Revision, rng: Rng) -> Self {
+        Self {
+            edit,
+            at,
+            seen,
+            rng,
+            pending: None,
+            attempts: 0,
+            state: State::Reading,
+        }
+    }
+
+    /// The first action.
+    pub fn start(&self) -> EditingAction {
+        EditingAction::Read(Duration::ZERO)
+    }
+
+    /// Takes what the driver saw and says what it has to do next.
+    pub fn handle(&mut self, event: EditingEvent) -> EditingAction {
+        let state = std::mem::replace(&mut self.state, State::Done);
+        match (state, event) {
+            (State::Reading, EditingEvent::Read(text, version)) => self.read(text, version),
+            (State::Committing(revision), EditingEvent::Committed(commit)) => {
+                self.committed(revision, commit)
+            }
+            (State::Settling(document, version, revision), EditingEvent::ReadAudit(record)) => {
+                self.settle(&document, version, revision, record)
+            }
+            (State::Tracing(error, steps), EditingEvent::ReadAudit(record)) => {
+                self.trace(error, steps, record)
+            }
+            (State::Committing(revision), _) => self.committed(revision, Commit::Unknown),
+            (State::Done, _) => self.give_up(),
+            _ => self.again(),
+        }
+    }
+
+    fn read(&mut self, text: Option<String>, version: StoreVersion) -> EditingAction {
+        let found = match text.as_deref().map(Document::parse) {
+            Some(Ok(document)) => document,
+            Some(Err(errors)) => return self.done(EditingOutcome::Damaged(errors)),
+            None if self.seen == Revision(0) => return self.done(EditingOutcome::NoDocument),
+            None => Document::empty(),
+        };
+        if found.revision() < self.seen {
+            return self.done(EditingOutcome::WentBack {
+                seen: self.seen,
+                found: found.revision(),
+            });
+        }
+        self.seen = found.revision();
+        match self.pending {
+            Some(revision) if found.revision() >= revision => {
+                self.state = State::Settling(found, version, revision);
+                EditingAction::ReadAudit(revision)
+            }
+            _ => self.merge(&found, version),
+        }
+    }
+
+    fn merge(&mut self, found: &Document, version: StoreVersion) -> EditingAction {
+        match found.apply(&self.edit) {
+            Ok(Merge::Merged(merged)) => {
+                let record = AuditRecord::of(&self.edit, found, &merged, self.at);
+                self.state = State::Committing(merged.revision());
+                EditingAction::Commit(Transaction::new(version, &merged, &record))
+            }
+            Ok(Merge::AlreadyApplied(revision)) => {
+                self.done(EditingOutcome::AlreadyApplied(revision))
+            }
+            Err(EditError::Conflict(conflict)) if conflict.present.revision > conflict.base => {
+                let revision = conflict.present.revision;
+                self.state = State::Tracing(conflict.into(), 0);
+                EditingAction::ReadAudit(revision)
+            }
+            Err(error) => self.done(EditingOutcome::Refused(error)),
+        }
+    }
+
+    fn committed(&mut self, revision: Revision, commit: Commit) -> EditingAction {
+        match commit {
+            Commit::Applied => return self.done(EditingOutcome::Applied(revision)),
+            Commit::NotApplied => {}
+            Commit::Unknown => self.pending = Some(revision),
+        }
+        self.again()
+    }
+
+    /// The pending transaction can't take effect any more: its condition is past.
+    fn settle(
+        &mut self,
+        found: &Document,
+        version: StoreVersion,
+        revision: Revision,
+        record: Option<AuditRecord>,
+    ) -> EditingAction {
+        if record.is_some_and(|record| record.change == self.edit.change) {
+            return self.done(EditingOutcome::Applied(revision));
+        }
+        self.pending = None;
+        self.merge(found, version)
+    }
+
+    /// An earlier run of the same change may lie below other changes of the section.
+    fn trace(
+        &mut self,
+        error: EditError,
+        steps: u32,
+        record: Option<AuditRecord>,
+    ) -> EditingAction {
+        match record {
+            Some(record) if record.change == self.edit.change => {
+                self.done(EditingOutcome::AlreadyApplied(record.revision))
+            }
+            Some(record) if record.from > self.edit.base && steps < MAX_TRACE => {
+                self.state = State::Tracing(error, steps + 1);
+                EditingAction::ReadAudit(record.from)
+            }
+            _ => self.done(EditingOutcome::Refused(error)),
+        }
+    }
+
+    fn again(&mut self) -> EditingAction {
+        self.attempts += 1;
+        if self.attempts >= MAX_ATTEMPTS {
+            return self.give_up();
+        }
+        let doublings = self.attempts.min(16) - 1;
+        let longest = FIRST_PAUSE
+            .saturating_mul(1 << doublings)
+            .min(LONGEST_PAUSE);
+        self.state = State::Reading;
+        EditingAction::Read(longest.mul_f64(self.rng.f64()))
+    }
+
+    fn give_up(&mut self) -> EditingAction {
+        let outcome = match self.pending {
+            Some(_) => EditingOutcome::Unknown(self.edit.change.clone()),
+            None => EditingOutcome::Unreachable,
+        };
+        self.done(outcome)
+    }
+
+    fn done(&mut self, outcome: EditingOutcome) -> EditingAction {
+        self.state = State::Done;
+        EditingAction::Done(outcome)
+    }
+}
--- a/crates/azurestand_config/src/error.rs
+++ b/crates/azurestand_config/src/error.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use azurestand_types::{DigestError, NameError};
-use derive_more::{Display, From};
+use derive_more::Display;
 use quick_error::quick_error;
 
 use crate::Section;
@@ -11,7 +11,7 @@
 
 quick_error! {
     /// What is wrong at one place of a document. Each message names the remedy.
-    #[derive(Debug, Clone, PartialEq)]
+    #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum Fault {
         /// The text isn't TOML.
         Syntax(message: String) {
@@ -112,7 +112,7 @@
 }
 
 /// One thing wrong with a document, with the place where it stands.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigError {
     /// The section, where it is known.
     pub section: Option<Section>,
@@ -137,7 +137,7 @@
 impl std::error::Error for ConfigError {}
 
 /// Everything wrong with a document, in the order of its lines.
-#[derive(Debug, Clone, PartialEq, Default, From, Display)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Display)]
 #[display("{}", self.lines())]
 pub struct ConfigErrors(Vec<ConfigError>);
 
@@ -156,12 +156,11 @@
     }
 
     /// Turns the collection into a verdict on `value`.
-    pub(crate) fn verdict<T>(mut self, value: T) -> Result<T, Self> {
+    pub(crate) fn verdict<T>(self, value: T) -> Result<T, Self> {
         if self.0.is_empty() {
             return Ok(value);
         }
-        self.0.sort_by_key(|error| error.line);
-        Err(self)
+        Err(self.0.into())
     }
 
     fn lines(&self) -> String {
@@ -170,4 +169,11 @@
     }
 }
 
+impl From<Vec<ConfigError>> for ConfigErrors {
+    fn from(mut errors: Vec<ConfigError>) -> Self {
+        errors.sort_by_key(|error| error.line);
+        Self(errors)
+    }
+}
+
 impl std::error::Error for ConfigErrors {}
--- a/crates/azurestand_config/src/lib.rs
+++ b/crates/azurestand_config/src/lib.rs
@@ -34,6 +34,7 @@
 //! ```
 
 mod account;
+mod audit;
 mod centre;
 mod check;
 mod checked;
@@ -42,30 +43,37 @@
 mod delta;
 mod document;
 mod edit;
+mod editing;
 mod error;
 mod key;
 mod layout;
 mod limits;
 mod model;
 mod options;
+mod patch;
 mod priority;
 mod section;
 mod service;
 mod source;
 mod span;
 mod stamp;
+mod transaction;
 
 pub use account::Account;
+pub use audit::{AUDIT_PREFIX, AuditError, AuditRecord, DOCUMENT_KEY, KEPT_RECORDS};
 pub use centre::Centre;
 pub use current::{Current, Offer};
 pub use delta::{Delta, DeltaError, SectionDelta};
 pub use document::{Document, MAX_DOCUMENT_BYTES};
 pub use edit::{Author, AuthorError, Conflict, Edit, EditError, Merge, difference};
+pub use editing::{Editing, EditingAction, EditingEvent, EditingOutcome};
 pub use error::{ConfigError, ConfigErrors, Fault};
 pub use key::Key;
 pub use limits::Limits;
 pub use model::{Canary, Model};
+pub use patch::{Hunk, Patch, RevertError};
 pub use section::{Section, SectionError};
 pub use service::Service;
 pub use span::SpanError;
 pub use stamp::Stamp;
+pub use transaction::{Commit, StoreVersion, Transaction, Write};
