--- a/crates/azurestand_config/src/audit.rs
+++ b/crates/azurestand_config/src/audit.rs
@@ -94,7 +94,7 @@
 
     /// The record as the store holds it.
     pub fn to_json(&self) -> String {
-        serde_json::to_string(self).expect("a record has only string keys and finite numbers")
+        serde_json::json!(self).to_string()
     }
 
     /// Takes this change back from the section's `present` text.
--- a/crates/azurestand_config/src/editing.rs
+++ b/crates/azurestand_config/src/editing.rs
@@ -142,7 +142,9 @@
     pub fn handle(&mut self, event: EditingEvent) -> EditingAction {
         let state = std::mem::replace(&mut self.state, State::Done);
         match (state, event) {
-            (State::Reading, EditingEvent::Read(text, version)) => self.read(text, version),
+            (State::Reading, EditingEvent::Read(text, version)) => {
+                self.read(text.as_deref(), version)
+            }
             (State::Committing(revision), EditingEvent::Committed(commit)) => {
                 self.committed(revision, commit)
             }
@@ -158,8 +160,8 @@
         }
     }
 
-    fn read(&mut self, text: Option<String>, version: StoreVersion) -> EditingAction {
-        let found = match text.as_deref().map(Document::parse) {
+    fn read(&mut self, text: Option<&str>, version: StoreVersion) -> EditingAction {
+        let found = match text.map(Document::parse) {
             Some(Ok(document)) => document,
             Some(Err(errors)) => return self.done(EditingOutcome::Damaged(errors)),
             None if self.seen == Revision(0) => return self.done(EditingOutcome::NoDocument),
--- a/crates/azurestand_config/src/patch.rs
+++ b/crates/azurestand_config/src/patch.rs
@@ -44,18 +44,7 @@
 impl Patch {
     /// What leads from `old` to `new`; none if that is too long to keep.
     pub fn between(old: &str, new: &str) -> Option<Self> {
-        let removed = lines(old);
-        let added = lines(new);
-        let diff = TextDiff::from_slices(&removed, &added);
-        let ops = diff.ops().iter();
-        let changed = ops.filter(|op| !matches!(op, DiffOp::Equal { .. }));
-        let hunks: Vec<Hunk> = changed
-            .map(|op| Hunk {
-                line: op.new_range().start + 1,
-                removed: owned(&removed[op.old_range()]),
-                added: owned(&added[op.new_range()]),
-            })
-            .collect();
+        let hunks = hunks(&lines(old), &lines(new));
         let lines = hunks
             .iter()
             .flat_map(|hunk| hunk.removed.iter().chain(&hunk.added));
@@ -93,12 +82,10 @@
         for patch in later {
             after = patch.undo(&after)?;
         }
-        let old = lines(&after);
         let mut lines = lines(present);
-        let diff = TextDiff::from_slices(&old, &lines);
-        let ops = diff.ops().to_vec();
+        let runs = runs(&self::lines(&after), &lines);
         for hunk in self.hunks.iter().rev() {
-            let at = hunk.moved(&ops).ok_or(RevertError::Overlap(hunk.line))?;
+            let at = hunk.moved(&runs).ok_or(RevertError::Overlap(hunk.line))?;
             lines.splice(at..at + hunk.added.len(), borrowed(&hunk.removed));
         }
         Ok(lines.concat())
@@ -107,20 +94,68 @@
 
 impl Hunk {
     /// Where the hunk's new lines stand after later changes, if none touched them.
-    fn moved(&self, ops: &[DiffOp]) -> Option<usize> {
+    fn moved(&self, runs: &[Run]) -> Option<usize> {
         let start = self.line - 1;
         let end = start + self.added.len();
-        ops.iter().find_map(|op| match *op {
-            DiffOp::Equal {
-                old_index,
-                new_index,
-                len,
-            } if old_index <= start && end <= old_index + len => {
-                Some(new_index + start - old_index)
-            }
-            _ => None,
-        })
+        let run = runs
+            .iter()
+            .find(|run| run.old <= start && end <= run.old + run.length)?;
+        Some(run.new + start - run.old)
+    }
+}
+
+/// Lines that two texts have in common.
+struct Run {
+    old: usize,
+    new: usize,
+    length: usize,
+}
+
+/// The runs of equal lines; two empty texts have one of no length.
+///
+/// Only these are taken from the diff: of a deletion and an insertion side by
+/// side, each may be given the position before the other.
+fn runs(old: &[&str], new: &[&str]) -> Vec<Run> {
+    let diff = TextDiff::from_slices(old, new);
+    let equal = diff.ops().iter().filter_map(|op| match *op {
+        DiffOp::Equal {
+            old_index: old,
+            new_index: new,
+            len: length,
+        } => Some(Run { old, new, length }),
+        _ => None,
+    });
+    let mut runs: Vec<Run> = equal.collect();
+    if old.is_empty() && new.is_empty() {
+        runs.push(Run {
+            old: 0,
+            new: 0,
+            length: 0,
+        });
+    }
+    runs
+}
+
+/// What stands between the runs of equal lines.
+fn hunks(old: &[&str], new: &[&str]) -> Vec<Hunk> {
+    let mut hunks = Vec::new();
+    let (mut old_end, mut new_end) = (0, 0);
+    let end = Run {
+        old: old.len(),
+        new: new.len(),
+        length: 0,
+    };
+    for run in runs(old, new).into_iter().chain([end]) {
+        if old_end < run.old || new_end < run.new {
+            hunks.push(Hunk {
+                line: new_end + 1,
+                removed: owned(&old[old_end..run.old]),
+                added: owned(&new[new_end..run.new]),
+            });
+        }
+        (old_end, new_end) = (run.old + run.length, run.new + run.length);
     }
+    hunks
 }
 
 /// The lines of a text with their breaks, so that they join to the same text.
--- a/crates/azurestand_config/tests/document.rs
+++ b/crates/azurestand_config/tests/document.rs
@@ -1,5 +1,6 @@
 //! What a document says, and everything that can be wrong with it.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use azurestand_config::{Document, Fault, Section};
@@ -245,7 +246,8 @@
     let mut text = String::from("[priorities.p]\nlevel = 1\n");
     for number in 0..5_200_u32 {
         let key = Digest::of(&number.to_le_bytes());
-        text += &format!(
+        let _ = write!(
+            text,
             "[accounts.a{number}]\nkey = \"{key}\"\npriority = \"p\"\nrate = 1.0\nburst = 1\n\
              concurrency = 1 # comment\n"
         );
--- a/crates/azurestand_config/tests/editing.rs
+++ b/crates/azurestand_config/tests/editing.rs
@@ -352,8 +352,10 @@
 
 #[test]
 fn the_first_document_and_a_recovered_one_are_written_with_a_record() {
-    let mut store = Store::default();
-    store.version = 3;
+    let mut store = Store {
+        version: 3,
+        ..Store::default()
+    };
     let author: azurestand_config::Author = "ana".to_owned().try_into().unwrap();
     let change = |id: &str| id.to_owned().try_into().unwrap();
     let transaction = Transaction::first(&first(), author.clone(), change("init"), 7);
