--- a/crates/azurestand_server/src/agent/engine.rs
+++ b/crates/azurestand_server/src/agent/engine.rs
@@ -9,6 +9,9 @@
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
 use crate::client::{CallError, HttpClient, request};
 
 const STATE_LIMIT: Duration = Duration::from_secs(1);
@@ -84,6 +87,16 @@
         serde_json::from_slice(answer.body()).map_err(|error| CallError::Broken(error.to_string()))
     }
 
+    /// Opens a connection, which a plain service that runs always takes.
+    pub(crate) async fn connect(&self) -> Result<(), CallError> {
+        let connecting = TcpStream::connect(self.address);
+        match timeout(STATE_LIMIT, connecting).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) => Err(CallError::Refused(error.to_string())),
+            Err(_) => Err(CallError::Late),
+        }
+    }
+
     /// Gives an order to load.
     pub(crate) async fn load(&self, order: &LoadOrder) -> Ordered {
         let body = serde_json::to_vec(order).unwrap_or_default();
--- /dev/null
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -0,0 +1,437 @@
+//! Runs one target: its life, its admission, its answers and its orders.
+//!
+//! One task owns all of a target's state, so that every decision about it is
+//! made in one order; calls to the target run beside it and report back.
+
+mod answers;
+mod asks;
+mod orders;
+mod run;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurestand_config::Document;
+use azurestand_target::{
+    Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, Ending, ExchangeSettings,
+    Exchanges, Kind, Life, LifeEvent, LifeSettings, Phase, Report,
+};
+use azurestand_types::{BootId, HostName, Moment, Refusal, RequestId, Uncertainty};
+use azurestand_wire::{Ask, Body, Outbox, TargetLoad};
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch as latest};
+use tokio::time::{MissedTickBehavior, interval};
+
+use self::answers::Request;
+use self::orders::Loader;
+pub(crate) use self::run::{RunEnd, RunEvent};
+use super::engine::{Engine, EngineReport, EngineState, Ordered};
+use super::spread::SpreadView;
+use crate::client::{CallError, HttpClient};
+use crate::codes;
+use crate::event::Event;
+use crate::node::Node;
+use crate::settings::{TargetKind, TargetSettings};
+
+const INPUT_QUEUE: usize = 4_096;
+const TICK: Duration = Duration::from_millis(50);
+/// How often a target is asked for its report.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a target's controller is told.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// An entry asks for a run.
+    Ask {
+        /// The request.
+        ask: Box<Ask>,
+        /// The entry.
+        from: HostName,
+        /// The way back.
+        outbox: Outbox,
+    },
+    /// An entry takes up an answer.
+    Resume {
+        /// The request.
+        id: RequestId,
+        /// Bytes that the entry has.
+        offset: u64,
+        /// The account that sent the request.
+        account: String,
+        /// The way back.
+        outbox: Outbox,
+    },
+    /// An entry takes a request back.
+    Revoke {
+        /// The request.
+        id: RequestId,
+        /// The revoked send's stamp.
+        stamp: Moment,
+        /// The way back.
+        outbox: Outbox,
+    },
+    /// The caller left.
+    Cancel(RequestId),
+    /// The entry has the answer up to an offset.
+    Ack(RequestId, u64),
+    /// The entry has the whole answer.
+    Release(RequestId),
+    /// A call to the target brought something.
+    Run {
+        /// The request.
+        id: RequestId,
+        /// What it brought.
+        event: RunEvent,
+    },
+    /// The target answered a question for its report, asked at `taken`.
+    Polled {
+        /// When it was asked.
+        taken: Moment,
+        /// The report.
+        report: Result<EngineReport, CallError>,
+    },
+    /// An order's answer.
+    Ordered(Ordered),
+    /// The host leaves service.
+    Leave,
+}
+
+/// What a target can take, as entries are told.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetView {
+    /// The load to report.
+    pub(crate) load: TargetLoad,
+    /// Requests that run or wait.
+    pub(crate) busy: usize,
+}
+
+/// The ways to a running controller.
+#[derive(Debug, Clone)]
+pub(crate) struct Handle {
+    pub(crate) settings: Arc<TargetSettings>,
+    pub(crate) inputs: mpsc::Sender<Input>,
+    pub(crate) view: latest::Receiver<TargetView>,
+}
+
+pub(super) struct Controller {
+    node: Node,
+    settings: Arc<TargetSettings>,
+    client: HttpClient,
+    engine: Engine,
+    life: Life,
+    admission: Admission,
+    exchanges: Exchanges,
+    requests: BTreeMap<RequestId, Request>,
+    loader: Loader,
+    spread: SpreadView,
+    inputs: mpsc::Receiver<Input>,
+    own: mpsc::Sender<Input>,
+    view: latest::Sender<TargetView>,
+    phase: Phase,
+    polling: bool,
+    polled: Moment,
+    answers: bool,
+    leaving: bool,
+}
+
+/// Starts the controller of one target.
+pub(crate) fn start(
+    node: &Node,
+    settings: TargetSettings,
+    client: HttpClient,
+    spread: SpreadView,
+    source: String,
+) -> Handle {
+    let (own, inputs) = mpsc::channel(INPUT_QUEUE);
+    let settings = Arc::new(settings);
+    let document = node.document();
+    let life = Life::new(life_settings(&settings.kind, &document));
+    let queue = document.limits().queue_length as usize;
+    let admission = Admission::new(AdmissionSettings {
+        queue,
+        ..AdmissionSettings::default()
+    });
+    let first = TargetView {
+        load: TargetLoad::default(),
+        busy: 0,
+    };
+    let (view, shown) = latest::channel(first);
+    let controller = Controller {
+        node: node.clone(),
+        engine: Engine::new(client.clone(), settings.address),
+        settings: settings.clone(),
+        client,
+        life,
+        admission,
+        exchanges: Exchanges::new(ExchangeSettings::default()),
+        requests: BTreeMap::new(),
+        loader: Loader::new(node.links.own().incarnation, source),
+        spread,
+        inputs,
+        own: own.clone(),
+        view,
+        phase: Phase::Empty,
+        polling: false,
+        polled: Moment::START,
+        answers: true,
+        leaving: false,
+    };
+    tokio::spawn(controller.run());
+    Handle {
+        settings,
+        inputs: own,
+        view: shown,
+    }
+}
+
+fn life_settings(kind: &TargetKind, document: &Document) -> LifeSettings {
+    let limits = document.limits();
+    LifeSettings {
+        kind: match kind {
+            TargetKind::Engine { .. } => Kind::Engine,
+            TargetKind::Service { .. } => Kind::Service,
+        },
+        cold_limit: limits.cold_slots,
+        warm_limit: limits.warm_slots,
+        good_token: limits.first_token,
+        ..LifeSettings::default()
+    }
+}
+
+impl Controller {
+    async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let stop = self.node.stop.clone();
+        let mut documents = self.node.document.clone();
+        let mut complete = self.spread.complete.clone();
+        self.follow_document();
+        loop {
+            tokio::select! {
+                Some(input) = self.inputs.recv() => self.take(input),
+                _ = ticks.tick() => self.tick(),
+                Ok(()) = documents.changed() => self.follow_document(),
+                Ok(()) = complete.changed() => self.order(),
+                () = stop.cancelled() => return,
+            }
+            self.show();
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.node.clock.now()
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Ask { ask, from, outbox } => self.ask(*ask, &from, &outbox),
+            Input::Resume {
+                id,
+                offset,
+                account,
+                outbox,
+            } => self.resume(id, offset, &account, outbox),
+            Input::Revoke { id, stamp, outbox } => self.revoke(id, stamp, &outbox),
+            Input::Cancel(id) => self.admit(AdmissionEvent::Cancel(id)),
+            Input::Ack(id, offset) => self.ack(id, offset),
+            Input::Release(id) => self.release(id),
+            Input::Run { id, event } => self.take_run(id, event),
+            Input::Polled { taken, report } => self.take_report(taken, report),
+            Input::Ordered(ordered) => self.take_order(ordered),
+            Input::Leave => self.leave(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.live(LifeEvent::Tick);
+        self.admit(AdmissionEvent::Tick);
+        self.exchanges.tick(now);
+        self.pump_all();
+        self.forget_old();
+        if now.since(self.polled) >= POLL_INTERVAL {
+            self.poll();
+        }
+    }
+
+    /// Asks the target for its report, unless a question is under way.
+    fn poll(&mut self) {
+        if self.polling {
+            return;
+        }
+        self.polling = true;
+        let taken = self.now();
+        self.polled = taken;
+        let (engine, own) = (self.engine.clone(), self.own.clone());
+        let service = matches!(self.settings.kind, TargetKind::Service { .. });
+        tokio::spawn(async move {
+            let report = if service {
+                engine.reach().await
+            } else {
+                engine.state().await
+            };
+            let _ = own.send(Input::Polled { taken, report }).await;
+        });
+    }
+
+    fn take_report(&mut self, taken: Moment, report: Result<EngineReport, CallError>) {
+        self.polling = false;
+        match report {
+            Ok(report) => {
+                self.answers = true;
+                self.learn(taken, &report);
+            }
+            Err(error) => {
+                if self.answers {
+                    Event::TargetLost.log(format_args!("{}: {error}", self.settings.name));
+                }
+                self.answers = false;
+                self.live(LifeEvent::Failed);
+            }
+        }
+        self.order();
+    }
+
+    fn learn(&mut self, taken: Moment, report: &EngineReport) {
+        let ready = matches!(report.state, EngineState::Cold | EngineState::Warm);
+        self.live(LifeEvent::Report(Report {
+            boot: report.boot_id,
+            digest: report.digest,
+            ready,
+            waiting: report.waiting,
+        }));
+        self.loader.learn(report);
+        let Some(weights) = self.life.reported() else {
+            return;
+        };
+        let now = self.now();
+        for id in self.exchanges.report(now, taken, weights) {
+            self.stop_run(id);
+            self.admit(AdmissionEvent::Finished(id));
+        }
+        self.pump_all();
+    }
+
+    /// Feeds the life, then lets admission know what it allows now.
+    fn live(&mut self, event: LifeEvent) {
+        let now = self.now();
+        self.life.handle(now, event);
+        let phase = self.life.phase();
+        if phase != self.phase {
+            Event::State.log(format_args!("{} is {phase}", self.settings.name));
+            self.phase = phase;
+        }
+        self.admit(AdmissionEvent::LimitChanged {
+            weights: self.life.serves(),
+            limit: self.life.limit(),
+        });
+    }
+
+    fn admit(&mut self, event: AdmissionEvent) {
+        let now = self.now();
+        for action in self.admission.handle(now, event) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: AdmissionAction) {
+        match action {
+            AdmissionAction::Start { id, weights } => self.start_run(id, weights),
+            AdmissionAction::Refuse(id, refusal) => self.end(id, Ending::NotRun(refusal)),
+            AdmissionAction::Revoked(id) => {
+                self.end(id, Ending::NotRun(Refusal::Revoked));
+                self.answer_revoke(id, false);
+            }
+            AdmissionAction::Running(id) => self.answer_revoke(id, true),
+            AdmissionAction::Cancel(id) => {
+                self.stop_run(id);
+                self.end(id, Ending::Unknown(Uncertainty::Unreachable));
+                self.admit(AdmissionEvent::Finished(id));
+            }
+        }
+    }
+
+    fn end(&mut self, id: RequestId, ending: Ending) {
+        let now = self.now();
+        self.exchanges.end(now, id, ending);
+        self.pump(id);
+    }
+
+    /// Takes over what the document says about this data centre.
+    fn follow_document(&mut self) {
+        let document = self.node.document();
+        let centre = &self.node.links.own().centre;
+        if self.leaving {
+            return;
+        }
+        // Before any document is in force there is nothing to take a data centre out.
+        let known = document.centres().contains_key(centre);
+        if known && !document.in_service(centre) {
+            self.live(LifeEvent::CentreOut);
+            self.admit(AdmissionEvent::Close(Refusal::OutOfService));
+        } else {
+            self.live(LifeEvent::CentreIn);
+            self.admit(AdmissionEvent::Open);
+        }
+        self.order();
+    }
+
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.live(LifeEvent::Leave);
+        self.admit(AdmissionEvent::Close(Refusal::Draining));
+    }
+
+    fn show(&self) {
+        let weights = self.life.serves().and_then(|weights| weights.digest);
+        let load = TargetLoad {
+            target: self.settings.name.to_string(),
+            subject: self.settings.kind.subject().to_owned(),
+            engine: matches!(self.settings.kind, TargetKind::Engine { .. }),
+            state: codes::from_phase(self.life.phase()),
+            limit: self.life.limit(),
+            running: small(self.admission.running()),
+            waiting: small(self.admission.waiting()),
+            weights: weights.map_or_else(Bytes::new, |digest| {
+                Bytes::copy_from_slice(digest.as_bytes())
+            }),
+        };
+        let busy = self.admission.running() + self.admission.waiting() + self.unread();
+        self.view.send_if_modified(|view| {
+            let changed = view.load != load || view.busy != busy;
+            *view = TargetView { load, busy };
+            changed
+        });
+    }
+}
+
+fn small(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+/// Queues a message that must arrive, without holding the controller up.
+fn tell(outbox: &Outbox, body: Body) {
+    if outbox.offer(body.clone()) {
+        return;
+    }
+    let outbox = outbox.clone();
+    tokio::spawn(async move { outbox.send(body).await });
+}
+
+/// The boot id of a plain service, which reports none.
+const SERVICE_BOOT: BootId = BootId(1);
+
+impl Engine {
+    /// Whether a plain service takes connections.
+    async fn reach(&self) -> Result<EngineReport, CallError> {
+        self.connect().await?;
+        Ok(EngineReport {
+            boot_id: SERVICE_BOOT,
+            digest: None,
+            state: EngineState::Warm,
+            fence: azurestand_types::Fence(0),
+            waiting: 0,
+        })
+    }
+}
