Let members watch each other and pass documents on

Change: probes with relays and refutation inside a data centre; hubs that watch the store, bridge to other data centres and collect statuses; digest-first anti-entropy; documents by announcement and section delta, through one gate that only lets higher revisions in force. Conclusion: daemons can be integrated; costs at size are not measured yet.

--- a/crates/azurestand_membership/src/event.rs
+++ b/crates/azurestand_membership/src/event.rs
@@ -15,7 +15,7 @@
     /// [`Limits::tick`](crate::Limits::tick) has passed.
     Tick,
     /// A peer's authenticated and decoded message arrived.
-    Received(Gossip),
+    Received(Box<Gossip>),
     /// A connection to this peer opened or proved to be alive.
     Connected(HostName),
     /// A connection to this peer broke or went silent.
@@ -60,7 +60,7 @@
         /// Where the receiver listens.
         to: SocketAddr,
         /// What to send.
-        gossip: Gossip,
+        gossip: Box<Gossip>,
     },
     /// Read the document and watch it until told to stop, reconnecting with back-off.
     StartWatch,
--- a/crates/azurestand_membership/src/gossip.rs
+++ b/crates/azurestand_membership/src/gossip.rs
@@ -133,6 +133,14 @@
     pub(crate) counter: u64,
 }
 
+impl Brief {
+    /// Whether the sender has a newer status of the same life than `known`.
+    pub(crate) fn status_outranks(&self, known: &Record) -> bool {
+        known.identity.incarnation == self.version.incarnation
+            && self.counter > known.status.counter
+    }
+}
+
 /// The sections that the receiver lacks, and the shape of the whole document.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Delta {
--- a/crates/azurestand_membership/src/lib.rs
+++ b/crates/azurestand_membership/src/lib.rs
@@ -27,7 +27,7 @@
 //!         other.handle(Moment::START, Event::Received(gossip));
 //!     }
 //! }
-//! # let _ = other.view().members().count();
+//! assert_eq!(other.view().members().count(), 2);
 //! ```
 
 mod config;
--- a/crates/azurestand_membership/src/limits.rs
+++ b/crates/azurestand_membership/src/limits.rs
@@ -60,10 +60,10 @@
             bridge_every: Duration::from_secs(1),
             report_every: Duration::from_secs(2),
             quiet_for: Duration::from_secs(15),
-            read_pause: Duration::from_secs(300),
+            read_pause: Duration::from_mins(5),
             settle_for: Duration::from_secs(1),
             watchers: 2,
-            forget_after: Duration::from_secs(3_600),
+            forget_after: Duration::from_hours(1),
             pull_wait: Duration::from_millis(250),
         }
     }
--- /dev/null
+++ b/crates/azurestand_membership/src/member/hint.rs
@@ -0,0 +1,46 @@
+//! Merges the platform's lagging list with what is seen.
+
+use std::collections::BTreeSet;
+
+use azurestand_types::HostName;
+
+use super::Member;
+use crate::Listing;
+
+/// How many listed addresses are kept as contacts.
+const MAX_LISTED: usize = 4_096;
+
+impl Member {
+    /// Takes listed addresses as contacts and listed departures as hints.
+    ///
+    /// The list lags and names no incarnation. A hint therefore sticks to the
+    /// incarnation known when the name first appears, and a process that was
+    /// first seen less than the quiet limit ago isn't the one meant.
+    pub(super) fn listed(&mut self, listing: Listing) {
+        self.listed = listing.live;
+        self.listed.truncate(MAX_LISTED);
+        let leaving: BTreeSet<_> = listing.leaving.into_iter().collect();
+        let hosts: Vec<HostName> = self
+            .view
+            .members()
+            .map(|record| record.identity.host.clone())
+            .collect();
+        for host in hosts {
+            let before = self.condition(&host);
+            self.hint(&host, leaving.contains(&host));
+            self.report_change(&host, before.as_ref());
+        }
+    }
+
+    fn hint(&mut self, host: &HostName, leaving: bool) {
+        let (now, limit) = (self.now, self.limits.quiet_for);
+        let Some(entry) = self.view.entry_mut(host) else {
+            return;
+        };
+        if !leaving {
+            entry.hint = None;
+        } else if entry.hint.is_none() && now.since(entry.since) >= limit {
+            entry.hint = Some(entry.record.identity.incarnation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurestand_membership/src/member/sync.rs
@@ -0,0 +1,212 @@
+//! Anti-entropy: two members compare their views, digest first.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use azurestand_types::HostName;
+
+use super::Member;
+use crate::Role;
+use crate::gossip::{BUCKETS, Body, Brief, MAX_BRIEFS, Summary, record_bytes};
+use crate::record::Record;
+
+/// How many versions one answer lists at most.
+const SUMMARY_BRIEFS: usize = 96;
+
+/// Bytes of records that one exchange carries at most.
+const SYNC_BYTES: usize = 8_192;
+
+/// A member that lacks this many records compares again soon.
+const CATCH_UP: usize = 16;
+
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
+
+impl Member {
+    pub(super) fn sync_tick(&mut self) {
+        if self.now < self.timers.sync {
+            return;
+        }
+        self.timers.sync = self.now + self.limits.sync_every;
+        let entry = self.me.identity.role == Role::Entry;
+        let hubs = entry && self.random.bool();
+        let peers = if hubs {
+            self.hub_records()
+        } else {
+            self.local_peers(usize::MAX)
+        };
+        let suited = |peer: &&Record| !entry || peer.identity.role == Role::Entry;
+        let suited: Vec<_> = peers.iter().filter(suited).collect();
+        let peer = match self.random.choice(&suited) {
+            Some(peer) => (*peer).clone(),
+            None => match self.random.choice(&peers) {
+                Some(peer) => peer.clone(),
+                None => return,
+            },
+        };
+        self.open_sync(&peer);
+    }
+
+    /// Opens a comparison; statuses are compared only among entries and hubs, which keep them.
+    pub(super) fn open_sync(&mut self, peer: &Record) {
+        let both = self.keeps_statuses() && peer.identity.role == Role::Entry;
+        let digest = self.digest(both);
+        self.send_news(peer, digest);
+    }
+
+    fn keeps_statuses(&self) -> bool {
+        self.watching || self.me.identity.role == Role::Entry
+    }
+
+    /// One hash a bucket over all present members.
+    pub(super) fn digest(&self, statuses: bool) -> Body {
+        let mut buckets = vec![0; BUCKETS];
+        for record in self.view.members().filter(|r| r.state().is_present()) {
+            buckets[bucket(&record.identity.host)] ^= hash(record, statuses);
+        }
+        Body::Digest { statuses, buckets }
+    }
+
+    /// Answers a digest with what is held in some of the buckets that differ.
+    pub(super) fn compare(&mut self, sender: &Record, statuses: bool, theirs: &[u32]) {
+        let Body::Digest { buckets: mine, .. } = self.digest(statuses) else {
+            return;
+        };
+        let mut differing: Vec<_> = (0..BUCKETS)
+            .filter(|bucket| mine[*bucket] != theirs[*bucket])
+            .collect();
+        self.random.shuffle(&mut differing);
+        let mut summary = Summary {
+            statuses,
+            buckets: Vec::new(),
+            briefs: Vec::new(),
+        };
+        for bucket in differing {
+            let briefs = self.briefs(bucket);
+            let full = summary.briefs.len() + briefs.len() > SUMMARY_BRIEFS;
+            if full && !summary.buckets.is_empty() {
+                break;
+            }
+            summary.buckets.push(bucket);
+            summary.briefs.extend(briefs);
+        }
+        summary.briefs.truncate(MAX_BRIEFS);
+        self.send_news(sender, Body::Summary(summary));
+    }
+
+    fn briefs(&self, wanted: usize) -> Vec<Brief> {
+        let held = |record: &&Record| {
+            bucket(&record.identity.host) == wanted && record.state().is_present()
+        };
+        let brief = |record: &Record| Brief {
+            host: record.identity.host.clone(),
+            version: record.version(),
+            counter: record.status.counter,
+        };
+        self.view.members().filter(held).map(brief).collect()
+    }
+
+    /// Sends what the other lacks and asks for what this member lacks.
+    pub(super) fn complete(&mut self, sender: &Record, summary: &Summary) {
+        let statuses = summary.statuses;
+        let news = |record: &Record, brief: &Brief| {
+            record.version().adds_to(brief.version)
+                || (statuses && record.status_outranks(brief.version, brief.counter))
+        };
+        let lacks = |brief: &Brief| match self.view.get(&brief.host) {
+            None => true,
+            Some(known) => {
+                brief.version.adds_to(known.version()) || (statuses && brief.status_outranks(known))
+            }
+        };
+        let hosts: Vec<_> = summary
+            .briefs
+            .iter()
+            .filter(|brief| lacks(brief) && !self.is_mine(&brief.host))
+            .map(|brief| brief.host.clone())
+            .collect();
+        let theirs: BTreeMap<_, _> = summary
+            .briefs
+            .iter()
+            .map(|brief| (&brief.host, brief))
+            .collect();
+        let mut mine: Vec<HostName> = Vec::new();
+        for record in self.view.members() {
+            let host = &record.identity.host;
+            let compared = summary.buckets.contains(&bucket(host));
+            let missing = || record.state().is_present();
+            let newer = |brief: &&Brief| news(record, brief);
+            if compared && theirs.get(host).map_or_else(missing, newer) {
+                mine.push(host.clone());
+            }
+        }
+        if hosts.len() >= CATCH_UP {
+            self.timers.sync = self.timers.sync.min(self.now + CATCH_UP_PAUSE);
+        }
+        if hosts.is_empty() && mine.is_empty() {
+            return;
+        }
+        let records = self.records(&mine, statuses);
+        let mut answer = self.message(if hosts.is_empty() {
+            Body::Push
+        } else {
+            Body::Want { statuses, hosts }
+        });
+        answer.records = records;
+        self.send(sender.identity.address, answer);
+    }
+
+    /// Sends the records that were asked for.
+    pub(super) fn supply(&mut self, sender: &Record, statuses: bool, hosts: &[HostName]) {
+        let mut answer = self.message(Body::Push);
+        answer.records = self.records(hosts, statuses);
+        self.send(sender.identity.address, answer);
+    }
+
+    /// The records of some hosts, as many as one exchange carries.
+    fn records(&self, hosts: &[HostName], statuses: bool) -> Vec<Record> {
+        let mut room = SYNC_BYTES;
+        let mut records = Vec::new();
+        for record in hosts.iter().filter_map(|host| self.view.get(host)) {
+            let size = record_bytes(record, statuses);
+            if size > room {
+                break;
+            }
+            room -= size;
+            records.push(if statuses {
+                record.clone()
+            } else {
+                record.without_status()
+            });
+        }
+        records
+    }
+}
+
+fn bucket(host: &HostName) -> usize {
+    usize::try_from(fold(0, host.as_str().as_bytes()) % BUCKETS as u64).unwrap_or(0)
+}
+
+fn hash(record: &Record, statuses: bool) -> u32 {
+    let version = record.version();
+    let mut hash = fold(0, record.identity.host.as_str().as_bytes());
+    let counter = if statuses { record.status.counter } else { 0 };
+    for part in [
+        version.incarnation.0,
+        version.refutation,
+        version.health as u64,
+        version.stage as u64,
+        counter,
+    ] {
+        hash = fold(hash, &part.to_le_bytes());
+    }
+    u32::try_from(hash >> 32).unwrap_or(0)
+}
+
+/// FNV-1a with a final mix; views are compared for difference, not against forgery.
+fn fold(start: u64, bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    let hash = bytes.iter().fold(start ^ OFFSET, step);
+    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/crates/azurestand_membership/src/record.rs
+++ b/crates/azurestand_membership/src/record.rs
@@ -64,6 +64,17 @@
     pub(crate) stage: Stage,
 }
 
+impl Version {
+    /// Whether merging this version into `other` would change it.
+    pub(crate) fn adds_to(self, other: Self) -> bool {
+        if self.incarnation != other.incarnation {
+            return self.incarnation > other.incarnation;
+        }
+        let judged = (self.refutation, self.health) > (other.refutation, other.health);
+        judged || self.stage > other.stage
+    }
+}
+
 /// The opaque status of a member, with its own counter; the highest counter of the
 /// highest incarnation wins.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -119,6 +130,29 @@
         }
     }
 
+    /// The membership part alone, which is what most messages carry.
+    pub(crate) fn without_status(&self) -> Self {
+        Self {
+            status: Status::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Whether the member would want to refute this record of it.
+    pub(crate) fn is_doubted(&self) -> bool {
+        self.health != Health::Alive
+    }
+
+    /// Whether this record holds newer membership than `other`.
+    pub(crate) fn outranks(&self, other: &Self) -> bool {
+        self.version().adds_to(other.version())
+    }
+
+    /// Whether the status is newer than one of the given version and counter.
+    pub(crate) fn status_outranks(&self, version: Version, counter: u64) -> bool {
+        self.identity.incarnation == version.incarnation && self.status.counter > counter
+    }
+
     /// Takes over what is newer in `other`; tells whether the membership part changed.
     ///
     /// Within an incarnation the stage only moves forward, whatever the
--- a/crates/azurestand_membership/src/view.rs
+++ b/crates/azurestand_membership/src/view.rs
@@ -1,6 +1,7 @@
 //! The live view: what this member knows of all members.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Values;
 
 use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Revision, rendezvous};
 
@@ -24,6 +25,8 @@
     pub(crate) record: Record,
     /// When the membership part last changed here.
     pub(crate) changed: Moment,
+    /// When this incarnation was first seen.
+    pub(crate) since: Moment,
     /// How often the last change was passed on.
     pub(crate) sent: u32,
     /// The incarnation that the platform's list says is leaving.
@@ -43,8 +46,8 @@
 
 impl View {
     /// All members in the order of their names, departed ones included for a while.
-    pub fn members<'a>(&'a self) -> Box<dyn Iterator<Item = &'a Record> + 'a> {
-        Box::new(self.members.values().map(|entry| &entry.record))
+    pub fn members(&self) -> impl Iterator<Item = &Record> {
+        self.members.values().map(|entry| &entry.record)
     }
 
     /// The member under this name.
@@ -72,8 +75,8 @@
     }
 
     /// All data centres that were ever heard of.
-    pub fn centres<'a>(&'a self) -> Box<dyn Iterator<Item = (&'a DataCentre, Moment)> + 'a> {
-        Box::new(self.centres.iter().map(|(centre, heard)| (centre, *heard)))
+    pub fn centres(&self) -> impl Iterator<Item = (&DataCentre, Moment)> {
+        self.centres.iter().map(|(centre, heard)| (centre, *heard))
     }
 
     /// The members that have reported a lower revision than `wanted`, or none yet.
@@ -111,7 +114,7 @@
         self.members.get_mut(host)
     }
 
-    pub(crate) fn entries(&self) -> std::collections::btree_map::Values<'_, HostName, Entry> {
+    pub(crate) fn entries(&self) -> Values<'_, HostName, Entry> {
         self.members.values()
     }
 
@@ -138,6 +141,9 @@
         if !entry.record.merge(record) {
             return Merge::Same;
         }
+        if entry.record.identity.incarnation > known {
+            entry.since = now;
+        }
         entry.changed = now;
         entry.sent = 0;
         Merge::Changed
@@ -162,6 +168,7 @@
         let entry = Entry {
             record: record.clone(),
             changed: now,
+            since: now,
             sent: 0,
             hint: None,
         };
--- /dev/null
+++ b/crates/azurestand_membership/tests/membership/main.rs
@@ -0,0 +1,7 @@
+//! Members over a small fake network that loses, repeats, delays and cuts.
+
+mod codec;
+mod documents;
+mod failures;
+mod hubs;
+mod net;
