--- a/crates/azurestand_server/src/agent/bulk.rs
+++ b/crates/azurestand_server/src/agent/bulk.rs
@@ -54,7 +54,13 @@
     }
 
     /// Pushes one chunk no faster than `rate`; tells whether all of it was sent.
-    pub(crate) async fn push(&self, to: &Receiver, digest: Digest, content: Bytes, rate: Rate) -> bool {
+    pub(crate) async fn push(
+        &self,
+        to: &Receiver,
+        digest: Digest,
+        content: Bytes,
+        rate: Rate,
+    ) -> bool {
         let Some(outbox) = self.outbox(to).await else {
             return false;
         };
--- a/crates/azurestand_server/src/agent/engine.rs
+++ b/crates/azurestand_server/src/agent/engine.rs
@@ -80,7 +80,10 @@
     /// Asks for the engine's report.
     pub(crate) async fn state(&self) -> Result<EngineReport, CallError> {
         let request = request(Method::GET, self.address, "/admin/state", Bytes::new());
-        let answer = self.client.call(request, STATE_LIMIT, MAX_STATE_BYTES).await?;
+        let answer = self
+            .client
+            .call(request, STATE_LIMIT, MAX_STATE_BYTES)
+            .await?;
         if answer.status() != StatusCode::OK {
             return Err(CallError::Status(answer.status()));
         }
@@ -101,7 +104,11 @@
     pub(crate) async fn load(&self, order: &LoadOrder) -> Ordered {
         let body = serde_json::to_vec(order).unwrap_or_default();
         let request = request(Method::POST, self.address, "/admin/load", body.into());
-        match self.client.call(request, ORDER_LIMIT, MAX_STATE_BYTES).await {
+        match self
+            .client
+            .call(request, ORDER_LIMIT, MAX_STATE_BYTES)
+            .await
+        {
             Ok(answer) if answer.status().is_success() => Ordered::Accepted,
             Ok(answer) => Ordered::Refused(answer.status()),
             Err(error) => Ordered::Unknown(error),
--- a/crates/azurestand_server/src/agent/manifests.rs
+++ b/crates/azurestand_server/src/agent/manifests.rs
@@ -57,7 +57,9 @@
                 tokio::spawn(self.clone().seek(*digest));
             }
         }
-        let found = wanted.iter().filter_map(|digest| known.manifests.get(digest));
+        let found = wanted
+            .iter()
+            .filter_map(|digest| known.manifests.get(digest));
         found.cloned().collect()
     }
 
--- a/crates/azurestand_server/src/agent/origin.rs
+++ b/crates/azurestand_server/src/agent/origin.rs
@@ -45,7 +45,9 @@
     /// Fetches the manifest with this digest and checks it.
     pub(crate) async fn manifest(&self, digest: Digest) -> Option<Manifest> {
         let request = self.request(&format!("/manifests/{digest}"));
-        let call = self.client.call(request, MANIFEST_LIMIT, MAX_MANIFEST_BYTES);
+        let call = self
+            .client
+            .call(request, MANIFEST_LIMIT, MAX_MANIFEST_BYTES);
         let answer = call.await.ok()?;
         let manifest = Manifest::try_from(&answer.body()[..]).ok()?;
         (manifest.digest() == digest).then_some(manifest)
@@ -61,7 +63,9 @@
         match response.status() {
             StatusCode::OK => (),
             StatusCode::NOT_FOUND => return Err(Failure::Missing),
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => return Err(Failure::Busy),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                return Err(Failure::Busy);
+            }
             _ => return Err(Failure::Unreachable),
         }
         let start = Instant::now();
--- /dev/null
+++ b/crates/azurestand_server/src/agent/reports.rs
@@ -0,0 +1,184 @@
+//! Tells entries what this host's targets can take, and membership what they are.
+
+use std::time::Duration;
+
+use azurestand_spread::Progress;
+use azurestand_types::Digest;
+use azurestand_wire::{Body, Outbox, Report, TargetLoad};
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+use super::spread::SpreadView;
+use super::status::{HostStatus, TargetStatus, VersionStatus};
+use super::target::Handle;
+use crate::metrics::Gauge;
+use crate::node::Node;
+
+/// The longest time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The shortest time between two reports, however often loads change.
+const REPORT_PAUSE: Duration = Duration::from_millis(50);
+const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// An entry that opened a link.
+#[derive(Debug)]
+pub(super) struct EntryLink {
+    pub(super) outbox: Outbox,
+}
+
+struct Reporter {
+    node: Node,
+    targets: Vec<Handle>,
+    spread: SpreadView,
+    entries: Vec<Outbox>,
+    sequence: u64,
+    last: Vec<TargetLoad>,
+    status: HostStatus,
+    shown: Instant,
+}
+
+/// Starts reporting; new links to entries are sent to the result.
+pub(super) fn start(
+    node: &Node,
+    targets: Vec<Handle>,
+    spread: SpreadView,
+) -> mpsc::Sender<EntryLink> {
+    let (links, queue) = mpsc::channel(64);
+    let reporter = Reporter {
+        node: node.clone(),
+        targets,
+        spread,
+        entries: Vec::new(),
+        sequence: 0,
+        last: Vec::new(),
+        status: HostStatus::default(),
+        shown: Instant::now(),
+    };
+    tokio::spawn(reporter.run(queue));
+    links
+}
+
+impl Reporter {
+    async fn run(mut self, mut links: mpsc::Receiver<EntryLink>) {
+        let stop = self.node.stop.clone();
+        let leaving = self.node.leaving.clone();
+        self.publish();
+        let mut due = Instant::now();
+        let mut sent = Instant::now();
+        loop {
+            tokio::select! {
+                Some(link) = links.recv() => {
+                    self.send(&link.outbox);
+                    self.entries.push(link.outbox);
+                }
+                () = sleep_until(due) => {
+                    let quiet = sent.elapsed() < REPORT_INTERVAL;
+                    if !(quiet && self.loads() == self.last && !leaving.is_cancelled()) {
+                        self.report();
+                        sent = Instant::now();
+                    }
+                    due = Instant::now() + REPORT_PAUSE;
+                    self.publish_due();
+                }
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    fn loads(&self) -> Vec<TargetLoad> {
+        let views = self.targets.iter();
+        views
+            .map(|target| target.view.borrow().load.clone())
+            .collect()
+    }
+
+    fn message(&self) -> Body {
+        Body::Report(Report {
+            sequence: self.sequence,
+            targets: self.last.clone(),
+            leaving: self.node.leaving.is_cancelled(),
+            moment: self.node.clock.now().as_micros(),
+        })
+    }
+
+    fn send(&self, outbox: &Outbox) {
+        outbox.offer(self.message());
+    }
+
+    fn report(&mut self) {
+        self.sequence += 1;
+        self.last = self.loads();
+        self.entries.retain(|outbox| !outbox.is_closed());
+        for outbox in &self.entries {
+            self.send(outbox);
+        }
+        let sum = |part: fn(&TargetLoad) -> u32| self.last.iter().map(part).map(u64::from).sum();
+        let metrics = &self.node.metrics;
+        metrics.set(Gauge::Running, sum(|load| load.running));
+        metrics.set(Gauge::Waiting, sum(|load| load.waiting));
+        metrics.set(Gauge::Limit, sum(|load| load.limit));
+    }
+
+    fn publish_due(&mut self) {
+        if self.shown.elapsed() >= STATUS_INTERVAL {
+            self.publish();
+        }
+    }
+
+    /// Membership carries a status to everyone, so only changes are told.
+    fn publish(&mut self) {
+        self.shown = Instant::now();
+        let status = self.host_status();
+        if status != self.status {
+            self.node.publish(status.encode_to_vec().into());
+            self.status = status;
+        }
+    }
+
+    fn host_status(&self) -> HostStatus {
+        let targets = self.targets.iter().map(|target| {
+            let load = target.view.borrow().load.clone();
+            let digest = Digest::try_from(&load.weights[..]).ok();
+            TargetStatus {
+                target: target.settings.name.to_string(),
+                subject: target.settings.kind.subject().to_owned(),
+                engine: matches!(
+                    target.settings.kind,
+                    crate::settings::TargetKind::Engine { .. }
+                ),
+                state: load.state,
+                weights: digest.as_ref().map_or(0, head),
+            }
+        });
+        let versions = self.spread.progress.borrow().iter().map(version).collect();
+        HostStatus {
+            targets: targets.collect(),
+            versions,
+            callers: String::new(),
+        }
+    }
+}
+
+/// The head of a digest, by which a status tells versions apart.
+pub(crate) fn head(digest: &Digest) -> u64 {
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_be_bytes(head)
+}
+
+fn version(progress: &Progress) -> VersionStatus {
+    let sourced = progress.sourced;
+    let small = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+    VersionStatus {
+        manifest: head(&progress.manifest),
+        held: small(progress.held),
+        wanted: small(progress.wanted),
+        origin: sourced.origin + sourced.store,
+        cross: sourced.cross,
+        near: sourced.region + sourced.centre,
+        remaining: progress
+            .remaining
+            .map_or(0, |span| u32::try_from(span.as_secs()).unwrap_or(u32::MAX)),
+    }
+}
--- a/crates/azurestand_server/src/agent/spread.rs
+++ b/crates/azurestand_server/src/agent/spread.rs
@@ -198,9 +198,8 @@
     fn take_pushed(&mut self, pushed: Pushed) {
         let neighbours = self.node.neighbours();
         let known = neighbours.0.get(&pushed.from);
-        let current = known.is_some_and(|known| {
-            known.record.identity.incarnation == pushed.incarnation
-        });
+        let current =
+            known.is_some_and(|known| known.record.identity.incarnation == pushed.incarnation);
         if !current {
             Event::OldLife.log(format_args!("a chunk from {}", pushed.from));
             return;
--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -17,15 +17,16 @@
     Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, Ending, ExchangeSettings,
     Exchanges, Kind, Life, LifeEvent, LifeSettings, Phase, Report,
 };
-use azurestand_types::{BootId, HostName, Moment, Refusal, RequestId, Uncertainty};
+use azurestand_types::{BootId, Moment, Refusal, RequestId, Uncertainty};
 use azurestand_wire::{Ask, Body, Outbox, TargetLoad};
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch as latest};
 use tokio::time::{MissedTickBehavior, interval};
 
 use self::answers::Request;
+pub(crate) use self::asks::refused;
 use self::orders::Loader;
-pub(crate) use self::run::{RunEnd, RunEvent};
+use self::run::RunEvent;
 use super::engine::{Engine, EngineReport, EngineState, Ordered};
 use super::spread::SpreadView;
 use crate::client::{CallError, HttpClient};
@@ -46,8 +47,6 @@
     Ask {
         /// The request.
         ask: Box<Ask>,
-        /// The entry.
-        from: HostName,
         /// The way back.
         outbox: Outbox,
     },
@@ -225,7 +224,7 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Ask { ask, from, outbox } => self.ask(*ask, &from, &outbox),
+            Input::Ask { ask, outbox } => self.ask(*ask, &outbox),
             Input::Resume {
                 id,
                 offset,
--- a/crates/azurestand_server/src/agent/vault.rs
+++ b/crates/azurestand_server/src/agent/vault.rs
@@ -41,6 +41,8 @@
     pub(crate) fn whole(&self, manifest: &Manifest) -> Option<Vec<Bytes>> {
         let chunks = self.0.read().unwrap_or_else(PoisonError::into_inner);
         let parts = manifest.chunks().iter();
-        parts.map(|chunk| chunks.get(&chunk.digest).cloned()).collect()
+        parts
+            .map(|chunk| chunks.get(&chunk.digest).cloned())
+            .collect()
     }
 }
--- a/crates/azurestand_server/src/client.rs
+++ b/crates/azurestand_server/src/client.rs
@@ -58,7 +58,10 @@
     }
 
     /// Sends a request and waits for the head of its answer.
-    pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
         self.0.request(request).await.map_err(|error| {
             let reason = describe(&error);
             if error.is_connect() {
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use azurestand_config::Document;
 use azurestand_membership::{Record, State};
@@ -27,6 +27,9 @@
 
 use links::{Arrivals, Links};
 
+/// How long the last messages may take to leave.
+const GOODBYE_TIME: Duration = Duration::from_millis(50);
+
 /// The live view as the rest of the daemon reads it.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Neighbours(pub(crate) Arc<BTreeMap<HostName, Neighbour>>);
@@ -107,7 +110,11 @@
             views,
         };
         gossip::Controller::start(node.clone(), channels).await?;
-        tokio::spawn(node.stop.clone().run_until_cancelled_owned(node.links.clone().listen(listener)));
+        tokio::spawn(
+            node.stop
+                .clone()
+                .run_until_cancelled_owned(node.links.clone().listen(listener)),
+        );
         Ok(Started { node, arrivals })
     }
 
@@ -128,6 +135,14 @@
         let _ = self.gossip.try_send(GossipEvent::Status(status));
     }
 
+    /// Says goodbye and ends everything.
+    pub(crate) async fn end(&self) {
+        let _ = self.gossip.send(GossipEvent::Goodbye).await;
+        tokio::time::sleep(GOODBYE_TIME).await;
+        self.stop.cancel();
+        self.links.close();
+    }
+
     /// The document in force.
     pub(crate) fn document(&self) -> Document {
         self.document.borrow().clone()
--- a/crates/azurestand_server/src/node/gossip.rs
+++ b/crates/azurestand_server/src/node/gossip.rs
@@ -172,7 +172,9 @@
         State::Alive | State::Suspect => Event::HostSeen,
         State::Leaving | State::Left | State::Dead => Event::HostGone,
     };
-    event.log(format_args!("{host} in incarnation {incarnation} is {state}"));
+    event.log(format_args!(
+        "{host} in incarnation {incarnation} is {state}"
+    ));
 }
 
 fn log_note(note: &Note) {
--- a/crates/azurestand_wire/src/message.rs
+++ b/crates/azurestand_wire/src/message.rs
@@ -268,6 +268,9 @@
     /// The agent's incarnation that the stamp belongs to.
     #[prost(uint64, tag = "3")]
     pub incarnation: u64,
+    /// The target that has the request.
+    #[prost(string, tag = "4")]
+    pub target: String,
 }
 
 /// The answer to a revoke.
@@ -287,6 +290,9 @@
     /// The request's id.
     #[prost(bytes = "bytes", tag = "1")]
     pub id: Bytes,
+    /// The target that has the request.
+    #[prost(string, tag = "2")]
+    pub target: String,
 }
 
 /// The entry has an answer up to some offset; the agent may drop what lies before.
@@ -298,6 +304,9 @@
     /// Bytes of the body that the entry has passed on.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
+    /// The target that has the request.
+    #[prost(string, tag = "3")]
+    pub target: String,
 }
 
 /// The entry has the whole answer; the agent may forget it.
@@ -306,6 +315,9 @@
     /// The request's id.
     #[prost(bytes = "bytes", tag = "1")]
     pub id: Bytes,
+    /// The target that has the request.
+    #[prost(string, tag = "2")]
+    pub target: String,
 }
 
 /// What one target can take.
