--- a/crates/azurestand_config/src/editing.rs
+++ b/crates/azurestand_config/src/editing.rs
@@ -75,6 +75,11 @@
         /// The revision that the store holds.
         found: Revision,
     },
+    /// The store finds the transaction invalid.
+    #[display(
+        "the store refuses the transaction as invalid; check its limits of value size and operations against a document of 1 MB"
+    )]
+    Rejected,
     /// The store didn't take part for too long, and nothing was sent that could take effect.
     #[display("the store doesn't answer or is too busy; nothing was changed; try again later")]
     Unreachable,
@@ -205,7 +210,10 @@
     fn committed(&mut self, revision: Revision, commit: Commit) -> EditingAction {
         match commit {
             Commit::Applied => return self.done(EditingOutcome::Applied(revision)),
-            Commit::NotApplied => {}
+            Commit::Rejected if self.pending.is_none() => {
+                return self.done(EditingOutcome::Rejected);
+            }
+            Commit::NotApplied | Commit::Rejected => {}
             Commit::Unknown => self.pending = Some(revision),
         }
         self.again()
--- a/crates/azurestand_config/src/patch.rs
+++ b/crates/azurestand_config/src/patch.rs
@@ -4,6 +4,12 @@
 use serde::{Deserialize, Serialize};
 use similar::{DiffOp, TextDiff};
 
+/// The most comparisons that a diff may take, in pairs of lines.
+///
+/// Above it the changed middle of a text counts as one hunk: two megabytes of
+/// unlike lines would take seconds.
+const MAX_LINE_PAIRS: usize = 25_000_000;
+
 /// The longest patch that an audit record carries, in bytes of its lines.
 pub(crate) const MAX_PATCH_BYTES: usize = 128 * 1024;
 
@@ -111,11 +117,39 @@
     length: usize,
 }
 
-/// The runs of equal lines; two empty texts have one of no length.
-///
-/// Only these are taken from the diff: of a deletion and an insertion side by
-/// side, each may be given the position before the other.
+/// The runs of equal lines, with the common head and tail even if they are empty.
 fn runs(old: &[&str], new: &[&str]) -> Vec<Run> {
+    let head = old.iter().zip(new).take_while(|(a, b)| a == b).count();
+    let tails = old[head..].iter().rev().zip(new[head..].iter().rev());
+    let tail = tails.take_while(|(a, b)| a == b).count();
+    let (old_end, new_end) = (old.len() - tail, new.len() - tail);
+    let pairs = (old_end - head).saturating_mul(new_end - head);
+    let mut runs = vec![Run {
+        old: 0,
+        new: 0,
+        length: head,
+    }];
+    if pairs <= MAX_LINE_PAIRS {
+        let middle = equal_runs(&old[head..old_end], &new[head..new_end]);
+        runs.extend(middle.into_iter().map(|run| Run {
+            old: run.old + head,
+            new: run.new + head,
+            ..run
+        }));
+    }
+    runs.push(Run {
+        old: old_end,
+        new: new_end,
+        length: tail,
+    });
+    runs
+}
+
+/// The equal runs that a diff finds.
+///
+/// Only these are taken from it: of a deletion and an insertion side by side,
+/// each may be given the position before the other.
+fn equal_runs(old: &[&str], new: &[&str]) -> Vec<Run> {
     let diff = TextDiff::from_slices(old, new);
     let equal = diff.ops().iter().filter_map(|op| match *op {
         DiffOp::Equal {
@@ -125,27 +159,14 @@
         } => Some(Run { old, new, length }),
         _ => None,
     });
-    let mut runs: Vec<Run> = equal.collect();
-    if old.is_empty() && new.is_empty() {
-        runs.push(Run {
-            old: 0,
-            new: 0,
-            length: 0,
-        });
-    }
-    runs
+    equal.collect()
 }
 
 /// What stands between the runs of equal lines.
 fn hunks(old: &[&str], new: &[&str]) -> Vec<Hunk> {
     let mut hunks = Vec::new();
     let (mut old_end, mut new_end) = (0, 0);
-    let end = Run {
-        old: old.len(),
-        new: new.len(),
-        length: 0,
-    };
-    for run in runs(old, new).into_iter().chain([end]) {
+    for run in runs(old, new) {
         if old_end < run.old || new_end < run.new {
             hunks.push(Hunk {
                 line: new_end + 1,
--- a/crates/azurestand_config/src/transaction.rs
+++ b/crates/azurestand_config/src/transaction.rs
@@ -45,6 +45,8 @@
     Applied,
     /// It did not and never will, because the condition failed.
     NotApplied,
+    /// It did not and never will, because the store finds it invalid.
+    Rejected,
     /// The answer was lost; it may have taken effect, or may still do so.
     Unknown,
 }
