Add the store client: budget, leases, permits, lost answers, a follower

Cause: every controller needs the platform's store and its failures by type. Change: the `Store` trait with an HTTP adapter for etcd's JSON gateway; pure state machines for call budget, back-off, leases, permits, lost answers and following a scope; a task that runs the last against a store. Before: an empty crate.

--- a/crates/azurestand_standin/src/store/message.rs
+++ b/crates/azurestand_standin/src/store/message.rs
@@ -97,6 +97,7 @@
     pub(crate) end: Blob,
     #[serde(with = "int64")]
     pub(crate) limit: i64,
+    pub(crate) keys_only: bool,
 }
 
 impl Range {
--- a/crates/azurestand_standin/src/store/state.rs
+++ b/crates/azurestand_standin/src/store/state.rs
@@ -43,6 +43,11 @@
         if limit > 0 {
             kvs.truncate(limit);
         }
+        if range.keys_only {
+            for kv in &mut kvs {
+                kv.value.0.clear();
+            }
+        }
         RangeAnswer {
             more: kvs.len() < count,
             count: int64(count),
--- /dev/null
+++ b/crates/azurestand_store/src/http/call.rs
@@ -0,0 +1,240 @@
+//! One call: its place in the budget, an address that takes connections, a time limit.
+
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azurestand_types::Moment;
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use tokio::time::{Instant, timeout};
+
+use super::HttpOptions;
+use super::message::Refusal;
+use crate::budget::{Budget, OverBudget, Rates};
+use crate::error::StoreError;
+
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const IDLE_CONNECTIONS: usize = 4;
+const TOO_MANY_REQUESTS: u16 = 429;
+
+/// Whether a call counts as a read or as a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Kind {
+    Read,
+    Write,
+}
+
+/// Why a call gave no answer.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// The budget has no place for it in time; nothing was sent.
+    OverBudget(OverBudget),
+    /// No connection could be made; nothing was sent.
+    Unsent,
+    /// The connection broke after something may have been sent.
+    Broken,
+    /// The answer didn't come in time.
+    TimedOut(Duration),
+    /// The store answered with an error.
+    Refused { status: u16, refusal: Refusal },
+}
+
+impl Failure {
+    /// Whether the store said that what the call names doesn't exist.
+    pub(super) fn is_missing(&self) -> bool {
+        matches!(self, Self::Refused { refusal, .. } if refusal.is_missing())
+    }
+
+    /// Whether the store refused the call for its rate.
+    pub(super) fn is_throttled(&self) -> bool {
+        match self {
+            Self::Refused { status, refusal } => {
+                *status == TOO_MANY_REQUESTS || refusal.is_exhausted()
+            }
+            _ => false,
+        }
+    }
+}
+
+impl From<Failure> for StoreError {
+    fn from(failure: Failure) -> Self {
+        let throttled = failure.is_throttled();
+        match failure {
+            Failure::OverBudget(over) => Self::OverBudget(over.wait),
+            Failure::Unsent => Self::Unreachable,
+            Failure::Broken => Self::Broken,
+            Failure::TimedOut(limit) => Self::TimedOut(limit),
+            Failure::Refused { .. } if throttled => Self::Throttled,
+            Failure::Refused { status, refusal } => Self::Refused(status, refusal.text()),
+        }
+    }
+}
+
+type Pool = Client<HttpConnector, Full<Bytes>>;
+
+#[derive(Debug)]
+pub(super) struct Caller {
+    options: HttpOptions,
+    budget: Mutex<Budget>,
+    start: Instant,
+    pool: Mutex<Pool>,
+    /// The address that is tried first.
+    preferred: AtomicUsize,
+}
+
+impl Caller {
+    pub(super) fn new(options: HttpOptions) -> Self {
+        let rates = options.share.rates();
+        let budget = Budget::new(rates, options.burst, Moment::START, options.seed);
+        Self {
+            budget: Mutex::new(budget),
+            start: Instant::now(),
+            pool: Mutex::new(pool()),
+            preferred: AtomicUsize::new(0),
+            options,
+        }
+    }
+
+    pub(super) fn set_rates(&self, rates: Rates) {
+        lock(&self.budget).set_rates(rates, self.now());
+    }
+
+    /// Calls and reads the whole answer.
+    pub(super) async fn call<T>(&self, kind: Kind, path: &str, body: &T) -> Result<Bytes, Failure>
+    where
+        T: Serialize + Sync,
+    {
+        self.place(kind).await?;
+        let limit = self.options.timeout;
+        let answer = timeout(limit, async {
+            let response = self.send(path, body).await?;
+            whole(response).await
+        });
+        let answer = answer.await.unwrap_or(Err(Failure::TimedOut(limit)));
+        self.learn(&answer);
+        answer
+    }
+
+    /// Calls for an answer that goes on; also tells how long its start may take.
+    pub(super) async fn open<T>(
+        &self,
+        path: &str,
+        body: &T,
+    ) -> Result<(Incoming, Duration), Failure>
+    where
+        T: Serialize + Sync,
+    {
+        self.place(Kind::Read).await?;
+        let limit = self.options.timeout;
+        let answer = timeout(limit, async {
+            let response = self.send(path, body).await?;
+            if response.status().is_success() {
+                return Ok((response.into_body(), limit));
+            }
+            whole(response).await.and(Err(Failure::Broken))
+        });
+        let answer = answer.await.unwrap_or(Err(Failure::TimedOut(limit)));
+        self.learn(&answer);
+        answer
+    }
+
+    fn now(&self) -> Moment {
+        Moment::START + self.start.elapsed()
+    }
+
+    /// Waits for a place in the budget.
+    async fn place(&self, kind: Kind) -> Result<(), Failure> {
+        let (now, patience) = (self.now(), self.options.timeout);
+        let place = match kind {
+            Kind::Read => lock(&self.budget).read(now, patience),
+            Kind::Write => lock(&self.budget).write(now, patience),
+        };
+        let place = place.map_err(Failure::OverBudget)?;
+        tokio::time::sleep(place.since(now)).await;
+        Ok(())
+    }
+
+    /// Sends to the first address that takes a connection.
+    async fn send<T>(&self, path: &str, body: &T) -> Result<Response<Incoming>, Failure>
+    where
+        T: Serialize + Sync,
+    {
+        let body = serde_json::to_vec(body).map_err(|_| Failure::Unsent)?;
+        let body = Bytes::from(body);
+        let count = self.options.addresses.len();
+        let first = self.preferred.load(Relaxed);
+        for turn in 0..count {
+            let index = (first + turn) % count;
+            let uri = format!("http://{}{path}", self.options.addresses[index]);
+            let request = Request::post(uri).header(CONTENT_TYPE, "application/json");
+            let request = request.body(Full::new(body.clone()));
+            let request = request.map_err(|_| Failure::Unsent)?;
+            let pool = lock(&self.pool).clone();
+            match pool.request(request).await {
+                Ok(response) => {
+                    self.preferred.store(index, Relaxed);
+                    return Ok(response);
+                }
+                // Only a connection that was never made proves that nothing was sent.
+                Err(error) if error.is_connect() => {}
+                Err(_) => return Err(Failure::Broken),
+            }
+        }
+        Err(Failure::Unsent)
+    }
+
+    /// Leaves the connections and the address that failed.
+    fn learn<T>(&self, answer: &Result<T, Failure>) {
+        match answer {
+            Err(Failure::TimedOut(_)) => {
+                // Idle connections may have gone silent as well; none is used again.
+                *lock(&self.pool) = pool();
+                self.preferred.fetch_add(1, Relaxed);
+            }
+            Err(Failure::Broken) => {
+                self.preferred.fetch_add(1, Relaxed);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn pool() -> Pool {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .build(connector)
+}
+
+async fn whole(response: Response<Incoming>) -> Result<Bytes, Failure> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|_| Failure::Broken)?;
+    let body = body.to_bytes();
+    if status.is_success() {
+        return Ok(body);
+    }
+    Err(Failure::Refused {
+        status: status.as_u16(),
+        refusal: Refusal::parse(&body),
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/azurestand_store/src/lib.rs
+++ b/crates/azurestand_store/src/lib.rs
@@ -1,1 +1,52 @@
 //! Client of the platform's key-value service.
+//!
+//! The crate decides how often a process may call the store, what a lost
+//! answer means, how long a lease may be trusted and who holds a permit. The
+//! decisions are pure: events and the present [`Moment`] go in, actions come
+//! out. Only [`HttpStore`] and [`Follower`] open sockets.
+//! [docs/STORE.md](../../../docs/STORE.md) tells what was weighed.
+//!
+//! ```
+//! use std::time::Duration;
+//! use azurestand_store::{Grant, Lease, LeaseId, LeaseTiming};
+//! use azurestand_types::Moment;
+//!
+//! let timing = LeaseTiming::try_from(Duration::from_secs(10)).unwrap();
+//! let grant = Grant { lease: LeaseId(1), ttl: Duration::from_secs(10) };
+//! let asked = Moment::from_millis(500);
+//! let lease = Lease::granted(timing, asked, grant);
+//! assert!(lease.is_held(Moment::from_millis(9_000)));
+//! // The store lapses the lease at 10.5 s or later; its holder stops before.
+//! assert!(!lease.is_held(Moment::from_millis(9_600)));
+//! ```
+//!
+//! [`Moment`]: azurestand_types::Moment
+
+mod backoff;
+mod budget;
+mod error;
+mod follow;
+mod follower;
+mod http;
+mod key;
+mod lease;
+mod semaphore;
+mod settle;
+mod store;
+mod transaction;
+
+pub use backoff::{Backoff, BackoffLimits};
+pub use budget::{Bucket, Budget, OverBudget, Rates, Share};
+pub use error::StoreError;
+pub use follow::{Follow, FollowAction, FollowEvent, FollowTiming, News};
+pub use follower::Follower;
+pub use http::{HttpOptions, HttpStore};
+pub use key::{Key, KeyError, Scope};
+pub use lease::{Lease, LeaseError, LeaseTiming, Warrant};
+pub use semaphore::{PermitAction, PermitEvent, PermitNews, Semaphore, SemaphoreOptions};
+pub use settle::{Settle, SettleAction, SettleEvent, Settled, commit_settled};
+pub use store::{
+    Change, Entry, Grant, Kept, KeyVersion, LeaseId, Listing, Store, Versioned, Versions, Watch,
+    WatchEvent,
+};
+pub use transaction::{Cause, Commit, Condition, Transaction, Version, Write};
--- /dev/null
+++ b/crates/azurestand_store/src/semaphore.rs
@@ -0,0 +1,344 @@
+//! Leased permits: at most so many holders at once, agreed through the store.
+//!
+//! The permits of one semaphore live below one key: `KEY/fence` counts the
+//! permits ever given, `KEY/holders/NAME` is one holder. A permit is taken by
+//! a transaction on the condition that the count is as it was listed, so two
+//! takers never both see the last free place. Holders only vanish in between,
+//! which makes room and never less.
+
+mod attempt;
+
+use azurestand_types::{Fence, Moment};
+
+use crate::backoff::{Backoff, BackoffLimits};
+use crate::error::StoreError;
+use crate::key::{Key, KeyError, Scope};
+use crate::lease::{Lease, LeaseTiming, Warrant};
+use crate::store::{Grant, Kept, LeaseId, Listing};
+use crate::transaction::{Cause, Commit, Transaction};
+
+use attempt::{Finding, Keys};
+
+/// Which permits, who wants one, and how.
+#[derive(Debug, Clone)]
+pub struct SemaphoreOptions {
+    /// The key that the semaphore lives below.
+    pub key: Key,
+    /// The holder's name, which no other process or earlier life may use.
+    pub holder: String,
+    /// How many permits there are.
+    pub limit: u32,
+    /// How long a permit outlives its holder.
+    pub timing: LeaseTiming,
+    /// The delays between tries, while full or while the store fails.
+    pub retry: BackoffLimits,
+    /// Draws the delays.
+    pub seed: u64,
+}
+
+/// What a holder wants or has learned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PermitEvent {
+    /// The holder wants a permit.
+    Wanted,
+    /// The holder is done with its permit, or wants none any more.
+    Done,
+    /// The number of permits changed; held ones stay.
+    LimitChanged(u32),
+    /// Somebody has seen this fencing number; later ones must be higher.
+    FenceSeen(Fence),
+    /// The answer to [`PermitAction::List`].
+    Listed(Result<Listing, StoreError>),
+    /// The answer to [`PermitAction::Grant`].
+    Granted(Result<Grant, StoreError>),
+    /// The answer to [`PermitAction::Commit`].
+    Committed(Commit),
+    /// The answer to [`PermitAction::Keep`].
+    Kept {
+        /// The lease that was to be kept; an answer about an earlier one is ignored.
+        lease: LeaseId,
+        /// The answer.
+        kept: Result<Kept, StoreError>,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What to do for the holder; each call's answer comes back as an event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PermitAction {
+    /// List this scope.
+    List(Scope),
+    /// Ask for a lease.
+    Grant(LeaseTiming),
+    /// Apply this transaction.
+    Commit(Transaction),
+    /// Keep this lease.
+    Keep(LeaseId),
+    /// Release this lease; its answer isn't needed.
+    Release(LeaseId),
+    /// Tell the holder.
+    Report(PermitNews),
+}
+
+/// What the holder has to know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitNews {
+    /// The permit is held; ask [`Semaphore::warrant`] before each act.
+    Held(Warrant),
+    /// The permit is gone, without the holder's doing; stop what it allowed.
+    Lost,
+}
+
+#[derive(Debug)]
+enum State {
+    /// No permit, and none wanted.
+    Idle,
+    /// Waiting to try again.
+    Waiting { until: Moment },
+    /// Looking for room, perhaps with a lease of an attempt whose outcome is unknown.
+    Listing { lease: Option<Lease> },
+    /// Asking for a lease.
+    Granting { asked: Moment, finding: Finding },
+    /// Taking the permit.
+    Committing { lease: Lease, fence: Fence },
+    /// Holding it.
+    Held { lease: Lease, fence: Fence },
+}
+
+/// One holder's side of the semaphore.
+#[derive(Debug)]
+pub struct Semaphore {
+    keys: Keys,
+    limit: u32,
+    timing: LeaseTiming,
+    backoff: Backoff,
+    floor: Fence,
+    wanted: bool,
+    state: State,
+}
+
+impl Semaphore {
+    /// A holder that wants no permit yet.
+    ///
+    /// # Errors
+    /// Fails when the holder's name can't be part of a key.
+    pub fn new(options: SemaphoreOptions) -> Result<Self, KeyError> {
+        Ok(Self {
+            keys: Keys::new(options.key, &options.holder)?,
+            limit: options.limit,
+            timing: options.timing,
+            backoff: Backoff::new(options.retry, options.seed),
+            floor: Fence(0),
+            wanted: false,
+            state: State::Idle,
+        })
+    }
+
+    /// The right to act now; none when no permit is held or its time has run out.
+    pub fn warrant(&self, now: Moment) -> Option<Warrant> {
+        match &self.state {
+            State::Held { lease, fence } if lease.is_held(now) => Some(Warrant {
+                fence: *fence,
+                until: lease.until(),
+            }),
+            _ => None,
+        }
+    }
+
+    /// When to send [`PermitEvent::Tick`] at the latest; none while only an
+    /// answer or a wish can change anything.
+    pub fn wake(&self) -> Option<Moment> {
+        match &self.state {
+            State::Waiting { until } => Some(*until),
+            State::Held { lease, .. } => Some(lease.wake()),
+            _ => None,
+        }
+    }
+
+    /// Takes an event and tells what to do.
+    pub fn step(&mut self, now: Moment, event: PermitEvent) -> Vec<PermitAction> {
+        let mut actions = Vec::new();
+        match event {
+            PermitEvent::Wanted => self.want(&mut actions),
+            PermitEvent::Done => self.finish(&mut actions),
+            PermitEvent::LimitChanged(limit) => self.limit = limit,
+            PermitEvent::FenceSeen(fence) => self.floor = self.floor.max(fence),
+            PermitEvent::Listed(listed) => self.listed(now, listed, &mut actions),
+            PermitEvent::Granted(granted) => self.granted(now, granted.ok(), &mut actions),
+            PermitEvent::Committed(commit) => self.committed(now, commit, &mut actions),
+            PermitEvent::Kept { lease, kept } => self.kept(now, lease, kept.ok()),
+            PermitEvent::Tick => {}
+        }
+        self.tick(now, &mut actions);
+        actions
+    }
+
+    fn want(&mut self, actions: &mut Vec<PermitAction>) {
+        self.wanted = true;
+        if matches!(self.state, State::Idle) {
+            self.look(None, actions);
+        }
+    }
+
+    fn finish(&mut self, actions: &mut Vec<PermitAction>) {
+        self.wanted = false;
+        match &self.state {
+            State::Held { lease, .. } => {
+                actions.push(PermitAction::Release(lease.id()));
+                self.state = State::Idle;
+            }
+            State::Waiting { .. } => self.state = State::Idle,
+            // An answer is still due; it ends the attempt.
+            State::Idle
+            | State::Listing { .. }
+            | State::Granting { .. }
+            | State::Committing { .. } => {}
+        }
+    }
+
+    fn look(&mut self, lease: Option<Lease>, actions: &mut Vec<PermitAction>) {
+        self.state = State::Listing { lease };
+        actions.push(PermitAction::List(self.keys.scope()));
+    }
+
+    fn listed(
+        &mut self,
+        now: Moment,
+        listed: Result<Listing, StoreError>,
+        actions: &mut Vec<PermitAction>,
+    ) {
+        let State::Listing { lease } = &self.state else {
+            return;
+        };
+        let lease = lease.filter(|lease| lease.is_held(now));
+        let finding = listed.map(|listing| self.keys.find(&listing, lease.map(|held| held.id())));
+        match (finding, lease) {
+            (_, lease) if !self.wanted => self.give_up(lease, actions),
+            (Err(_), lease) => self.withdraw(now, lease, actions),
+            (Ok(Finding::Own { fence }), Some(lease)) => self.hold(now, lease, fence, actions),
+            (Ok(finding), lease) if !finding.has_room(self.limit) => {
+                self.withdraw(now, lease, actions);
+            }
+            (Ok(finding), Some(lease)) => self.take(lease, &finding, actions),
+            (Ok(finding), None) => {
+                self.state = State::Granting {
+                    asked: now,
+                    finding,
+                };
+                actions.push(PermitAction::Grant(self.timing));
+            }
+        }
+    }
+
+    /// Ends an attempt and tries again later.
+    ///
+    /// Releasing the lease voids a commit that is still on its way: the store
+    /// refuses to write under a lease that is gone.
+    fn withdraw(&mut self, now: Moment, lease: Option<Lease>, actions: &mut Vec<PermitAction>) {
+        if let Some(lease) = lease {
+            actions.push(PermitAction::Release(lease.id()));
+        }
+        self.wait(now);
+    }
+
+    fn give_up(&mut self, lease: Option<Lease>, actions: &mut Vec<PermitAction>) {
+        if let Some(lease) = lease {
+            actions.push(PermitAction::Release(lease.id()));
+        }
+        self.state = State::Idle;
+    }
+
+    fn granted(&mut self, now: Moment, granted: Option<Grant>, actions: &mut Vec<PermitAction>) {
+        let State::Granting { asked, finding } = &self.state else {
+            return;
+        };
+        let (asked, finding) = (*asked, finding.clone());
+        match granted {
+            None => self.wait(now),
+            Some(grant) => {
+                let lease = Lease::granted(self.timing, asked, grant);
+                if self.wanted && lease.is_held(now) {
+                    self.take(lease, &finding, actions);
+                } else {
+                    self.give_up(Some(lease), actions);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, lease: Lease, finding: &Finding, actions: &mut Vec<PermitAction>) {
+        let (transaction, fence) = self.keys.transaction(finding, lease.id(), self.floor);
+        self.state = State::Committing { lease, fence };
+        actions.push(PermitAction::Commit(transaction));
+    }
+
+    fn committed(&mut self, now: Moment, commit: Commit, actions: &mut Vec<PermitAction>) {
+        let State::Committing { lease, fence } = &self.state else {
+            return;
+        };
+        let (lease, fence) = (*lease, *fence);
+        match commit {
+            _ if !self.wanted => self.give_up(Some(lease), actions),
+            Commit::Applied { .. } => self.hold(now, lease, fence, actions),
+            // Another taker was faster: look again at once, with the same lease.
+            Commit::NotApplied(Cause::Conflict) | Commit::Unknown => {
+                self.look(Some(lease), actions);
+            }
+            Commit::NotApplied(_) => self.withdraw(now, Some(lease), actions),
+        }
+    }
+
+    fn hold(&mut self, now: Moment, lease: Lease, fence: Fence, actions: &mut Vec<PermitAction>) {
+        if !lease.is_held(now) {
+            return self.withdraw(now, Some(lease), actions);
+        }
+        self.backoff.reset();
+        self.state = State::Held { lease, fence };
+        let until = lease.until();
+        let warrant = Warrant { fence, until };
+        actions.push(PermitAction::Report(PermitNews::Held(warrant)));
+    }
+
+    fn kept(&mut self, now: Moment, id: LeaseId, kept: Option<Kept>) {
+        let State::Held { lease, .. } = &mut self.state else {
+            return;
+        };
+        if lease.id() != id {
+            return;
+        }
+        match kept {
+            Some(kept) => {
+                self.backoff.reset();
+                lease.kept(kept);
+            }
+            None => lease.failed(now, self.backoff.delay()),
+        }
+    }
+
+    fn wait(&mut self, now: Moment) {
+        self.state = if self.wanted {
+            State::Waiting {
+                until: now + self.backoff.delay(),
+            }
+        } else {
+            State::Idle
+        };
+    }
+
+    fn tick(&mut self, now: Moment, actions: &mut Vec<PermitAction>) {
+        match &mut self.state {
+            State::Waiting { until } if now >= *until => self.look(None, actions),
+            State::Held { lease, .. } if !lease.is_held(now) => {
+                actions.push(PermitAction::Release(lease.id()));
+                actions.push(PermitAction::Report(PermitNews::Lost));
+                self.wait(now);
+            }
+            State::Held { lease, .. } => {
+                let keep = lease.renews(now).then(|| PermitAction::Keep(lease.id()));
+                actions.extend(keep);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurestand_store/src/store.rs
@@ -0,0 +1,192 @@
+//! What a process asks of the store, whatever serves it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, From, Into};
+use tokio::sync::mpsc;
+
+use crate::error::StoreError;
+use crate::key::{Key, Scope};
+use crate::transaction::{Commit, Transaction, Version};
+
+/// Names a lease in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Into)]
+pub struct LeaseId(pub u64);
+
+/// A value and the change that wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Versioned {
+    /// The value.
+    pub value: Bytes,
+    /// The version of its last write.
+    pub version: Version,
+}
+
+/// One value of a listing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The key.
+    pub key: Key,
+    /// The value.
+    pub value: Bytes,
+    /// The version of its last write.
+    pub version: Version,
+    /// The lease that the value vanishes with.
+    pub lease: Option<LeaseId>,
+}
+
+/// All values of a scope at one moment, in the order of their keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The values.
+    pub entries: Vec<Entry>,
+    /// The store's version at that moment; a watch goes on from the next.
+    pub version: Version,
+}
+
+/// One key of a scope without its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyVersion {
+    /// The key.
+    pub key: Key,
+    /// The version of its last write.
+    pub version: Version,
+}
+
+/// The versions of a scope at one moment, for a cheap look whether anything moved.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Versions {
+    /// The keys, in order.
+    pub keys: Vec<KeyVersion>,
+    /// The store's version at that moment.
+    pub version: Version,
+}
+
+/// A lease that the store has granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grant {
+    /// The lease.
+    pub lease: LeaseId,
+    /// How long it lasts from the moment that the store granted it.
+    pub ttl: Duration,
+}
+
+/// What became of a lease that was to be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kept {
+    /// It lasts this long from the moment that the store answered.
+    Kept {
+        /// The lease's time to live.
+        ttl: Duration,
+    },
+    /// It had lapsed; its values are gone.
+    Lapsed,
+}
+
+/// One change under a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A value was set.
+    Put(Entry),
+    /// A value was removed, or vanished with its lease.
+    Deleted {
+        /// The key.
+        key: Key,
+        /// The version of the removal.
+        version: Version,
+    },
+}
+
+impl Change {
+    /// The key that changed.
+    pub fn key(&self) -> &Key {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
+    /// The version that the change made.
+    pub fn version(&self) -> Version {
+        match self {
+            Self::Put(entry) => entry.version,
+            Self::Deleted { version, .. } => *version,
+        }
+    }
+}
+
+/// What a watch tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WatchEvent {
+    /// Changes in the order of their versions.
+    Changed(Vec<Change>),
+    /// Changes before `oldest` are forgotten: there is a gap, so read again.
+    Compacted {
+        /// The oldest version that can still be watched from.
+        oldest: Version,
+    },
+    /// The watch has ended.
+    Closed,
+}
+
+/// An open watch; dropping it closes its connection.
+#[derive(Debug)]
+pub struct Watch {
+    version: Version,
+    events: mpsc::Receiver<WatchEvent>,
+}
+
+impl Watch {
+    /// A watch opened while the store was at `version`, fed by `events`.
+    pub fn new(version: Version, events: mpsc::Receiver<WatchEvent>) -> Self {
+        Self { version, events }
+    }
+
+    /// The store's version when the watch was opened.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The next event; `Closed` for ever once the watch has ended.
+    ///
+    /// Dropping the future before it is done loses no event.
+    pub async fn next(&mut self) -> WatchEvent {
+        self.events.recv().await.unwrap_or(WatchEvent::Closed)
+    }
+}
+
+/// The platform's key-value service, as the edge of a process sees it.
+///
+/// Every method counts as one call against the store's rates, whether it
+/// succeeds or not.
+pub trait Store: Send + Sync {
+    /// Reads one value; none when the key has no value.
+    fn read(&self, key: &Key)
+    -> impl Future<Output = Result<Option<Versioned>, StoreError>> + Send;
+
+    /// Reads all values of a scope at one moment.
+    fn list(&self, scope: &Scope) -> impl Future<Output = Result<Listing, StoreError>> + Send;
+
+    /// Reads the versions of a scope at one moment, without the values.
+    fn versions(&self, scope: &Scope) -> impl Future<Output = Result<Versions, StoreError>> + Send;
+
+    /// Applies a transaction at most once.
+    fn commit(&self, transaction: &Transaction) -> impl Future<Output = Commit> + Send;
+
+    /// Asks for a lease of about `ttl`; the store counts in whole seconds.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Grant, StoreError>> + Send;
+
+    /// Extends a lease by its whole time.
+    fn keep(&self, lease: LeaseId) -> impl Future<Output = Result<Kept, StoreError>> + Send;
+
+    /// Ends a lease and removes its values; a lapsed lease counts as released.
+    fn release(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Opens a watch on the changes from version `from` on.
+    fn watch(
+        &self,
+        scope: &Scope,
+        from: Version,
+    ) -> impl Future<Output = Result<Watch, StoreError>> + Send;
+}
