Add claims of idempotency keys and orders to engines

Cause: the daemons need the public signatures; a doubled run or an unfenced order must be impossible. Change: claims per shard with compare-and-swap fencing and a retry window; orders with rights, permits and a Verified token. Before: only life, admission and exchanges. Conclusion: all public signatures of azurestand_target are in place.

--- /dev/null
+++ b/crates/azurestand_target/src/claim/codec.rs
@@ -0,0 +1,171 @@
+//! Records and batches as the store's values.
+
+use std::time::Duration;
+
+use azurestand_types::{Epoch, HostName, Incarnation};
+use bytes::Bytes;
+use prost::Message;
+use quick_error::quick_error;
+
+use super::key::ClaimKey;
+use super::record::{Claim, ClaimState, Holder, Record};
+
+quick_error! {
+    /// Why a value of the store can't be read.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum CodecError {
+        /// The bytes are no message.
+        Bytes(error: String) {
+            display("a claim value can't be decoded ({error}); delete it only after the retry window")
+        }
+        /// The message holds a value that makes no sense.
+        Field(name: &'static str) {
+            display("field {name} of a claim value is invalid; delete the value only after the retry window")
+        }
+    }
+}
+
+impl From<prost::DecodeError> for CodecError {
+    fn from(error: prost::DecodeError) -> Self {
+        Self::Bytes(error.to_string())
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct RecordValue {
+    #[prost(uint64, tag = "1")]
+    epoch: u64,
+    #[prost(string, tag = "2")]
+    host: String,
+    #[prost(uint64, tag = "3")]
+    life: u64,
+    #[prost(uint64, tag = "4")]
+    beat: u64,
+    #[prost(bool, tag = "5")]
+    proved: bool,
+    #[prost(uint64, tag = "6")]
+    lease_micros: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct BatchValue {
+    #[prost(message, repeated, tag = "1")]
+    claims: Vec<ClaimValue>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ClaimValue {
+    #[prost(bytes = "bytes", tag = "1")]
+    key: Bytes,
+    #[prost(bytes = "bytes", tag = "2")]
+    print: Bytes,
+    #[prost(uint32, tag = "3")]
+    state: u32,
+    #[prost(bytes = "bytes", optional, tag = "4")]
+    body: Option<Bytes>,
+}
+
+const CLAIMED: u32 = 1;
+const ANSWERED: u32 = 2;
+const UNKNOWN: u32 = 3;
+const RELEASED: u32 = 4;
+
+impl Record {
+    /// The record as a value of the store.
+    pub fn encode(&self) -> Vec<u8> {
+        let (host, life) = match &self.holder {
+            Some(holder) => (holder.host.to_string(), holder.life.0),
+            None => (String::new(), 0),
+        };
+        RecordValue {
+            epoch: self.epoch.0,
+            host,
+            life,
+            beat: self.beat,
+            proved: self.proved,
+            lease_micros: u64::try_from(self.lease.as_micros()).unwrap_or(u64::MAX),
+        }
+        .encode_to_vec()
+    }
+
+    /// Reads a value of the store.
+    ///
+    /// # Errors
+    ///
+    /// When the value is no record. The shard then refuses keyed requests.
+    pub fn decode(value: &[u8]) -> Result<Self, CodecError> {
+        let value = RecordValue::decode(value)?;
+        let holder = if value.host.is_empty() {
+            None
+        } else {
+            let host = HostName::try_from(value.host).map_err(|_| CodecError::Field("host"))?;
+            let life = Incarnation(value.life);
+            Some(Holder { host, life })
+        };
+        Ok(Self {
+            epoch: Epoch(value.epoch),
+            holder,
+            beat: value.beat,
+            proved: value.proved,
+            lease: Duration::from_micros(value.lease_micros),
+        })
+    }
+}
+
+impl Claim {
+    /// A batch of claims as a value of the store.
+    pub fn encode(claims: &[Self]) -> Vec<u8> {
+        let claims = claims.iter().map(ClaimValue::from).collect();
+        BatchValue { claims }.encode_to_vec()
+    }
+
+    /// Reads a batch from a value of the store.
+    ///
+    /// # Errors
+    ///
+    /// When the value is no batch. The shard's claims then aren't known.
+    pub fn decode(value: Bytes) -> Result<Vec<Self>, CodecError> {
+        let batch = BatchValue::decode(value)?;
+        batch.claims.into_iter().map(Self::try_from).collect()
+    }
+}
+
+impl From<&Claim> for ClaimValue {
+    fn from(claim: &Claim) -> Self {
+        let (state, body) = match &claim.state {
+            ClaimState::Claimed => (CLAIMED, None),
+            ClaimState::Answered(body) => (ANSWERED, body.clone()),
+            ClaimState::Unknown => (UNKNOWN, None),
+            ClaimState::Released => (RELEASED, None),
+        };
+        Self {
+            key: Bytes::copy_from_slice(&claim.key.0.to_be_bytes()),
+            print: Bytes::copy_from_slice(&claim.print.to_be_bytes()),
+            state,
+            body,
+        }
+    }
+}
+
+impl TryFrom<ClaimValue> for Claim {
+    type Error = CodecError;
+
+    fn try_from(value: ClaimValue) -> Result<Self, CodecError> {
+        let state = match value.state {
+            CLAIMED => ClaimState::Claimed,
+            ANSWERED => ClaimState::Answered(value.body),
+            UNKNOWN => ClaimState::Unknown,
+            RELEASED => ClaimState::Released,
+            _ => return Err(CodecError::Field("state")),
+        };
+        Ok(Self {
+            key: ClaimKey(half(&value.key).ok_or(CodecError::Field("key"))?),
+            print: half(&value.print).ok_or(CodecError::Field("print"))?,
+            state,
+        })
+    }
+}
+
+fn half(bytes: &[u8]) -> Option<u128> {
+    bytes.try_into().ok().map(u128::from_be_bytes)
+}
--- a/crates/azurestand_target/src/lib.rs
+++ b/crates/azurestand_target/src/lib.rs
@@ -39,9 +39,19 @@
 //! ```
 
 mod admission;
+mod claim;
 mod exchange;
 mod life;
+mod order;
 
 pub use admission::{Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, Arrival};
+pub use claim::{
+    Ask, Batch, Claim, ClaimKey, ClaimState, CodecError, Committed, Holder, HomeAction, HomeEvent,
+    HomeSettings, Homes, Loaded, Outage, Record, SHARDS, Shard, Version,
+};
 pub use exchange::{Ending, ExchangeSettings, Exchanges, Keep, Read, RevokeAnswer, Sent};
 pub use life::{Kind, Life, LifeEvent, LifeSettings, Phase, Report, Weights};
+pub use order::{
+    EngineState, Order, OrderAction, OrderEvent, OrderPhase, OrderReply, OrderSettings, Orders,
+    Verified, VerifyError,
+};
