--- a/crates/azurestand_server/src/agent/spread.rs
+++ b/crates/azurestand_server/src/agent/spread.rs
@@ -1,6 +1,6 @@
 //! Runs the transfer machine of one host: feeds it events and carries out its actions.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use azurestand_config::Document;
@@ -60,7 +60,7 @@
     manifests: Manifests,
     inputs: mpsc::Receiver<SpreadInput>,
     own: mpsc::Sender<SpreadInput>,
-    running: HashMap<(Digest, Source), CancellationToken>,
+    running: BTreeMap<(Digest, Source), CancellationToken>,
     completed: latest::Sender<Completed>,
     progress: latest::Sender<Vec<Progress>>,
 }
@@ -98,7 +98,7 @@
         origin: parts.origin,
         inputs,
         own: own.clone(),
-        running: HashMap::new(),
+        running: BTreeMap::new(),
         completed,
         progress,
     };
--- a/crates/azurestand_server/src/client.rs
+++ b/crates/azurestand_server/src/client.rs
@@ -19,7 +19,7 @@
 quick_error! {
     /// Why a call failed.
     #[derive(Debug)]
-    pub(crate) enum CallError {
+    pub enum CallError {
         /// No connection came about, so the call certainly did not run.
         Refused(reason: String) {
             display("no connection could be opened ({reason}); check that the process runs")
--- /dev/null
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -0,0 +1,332 @@
+//! What an entry knows of the targets in its data centre and of other entries.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use azurestand_membership::{Role, State};
+use azurestand_route::{AccountLimits, Choice, Load, Report, RetryBudget, Table, Wanted};
+use azurestand_types::{
+    DataCentre, Digest, HostName, Incarnation, Moment, RequestId, TargetName,
+};
+use azurestand_wire::{Identity, Outbox, TargetLoad};
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::agent::status::HostStatus;
+use crate::node::Node;
+use crate::node::links::Links;
+
+const TEND_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What comes back for one request.
+#[derive(Debug)]
+pub(super) enum Answer {
+    /// A message about the request.
+    Message(azurestand_wire::Body),
+    /// The link to the target's host ended.
+    Lost,
+}
+
+/// The agent that a request was sent to.
+#[derive(Debug, Clone)]
+pub(super) struct Agent {
+    pub(super) host: HostName,
+    pub(super) incarnation: Incarnation,
+    pub(super) address: SocketAddr,
+    pub(super) outbox: Outbox,
+    /// The newest moment heard of the agent's clock.
+    pub(super) clock: Moment,
+}
+
+#[derive(Debug)]
+struct Outstanding {
+    host: HostName,
+    answers: mpsc::UnboundedSender<Answer>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    table: Table,
+    agents: BTreeMap<HostName, Agent>,
+    outstanding: BTreeMap<RequestId, Outstanding>,
+    accounts: AccountLimits,
+    retries: RetryBudget,
+    rng: fastrand::Rng,
+}
+
+/// The entry's shared knowledge.
+#[derive(Debug, Clone)]
+pub(super) struct Fleet(Arc<Mutex<Inner>>);
+
+/// Where an entry of another data centre takes requests.
+#[derive(Debug, Clone)]
+pub(super) struct OtherEntry {
+    pub(super) centre: DataCentre,
+    pub(super) web: SocketAddr,
+}
+
+impl Fleet {
+    pub(super) fn new(node: &Node) -> Self {
+        let own = node.links.own();
+        let share = node.document().limits().retry_share;
+        Self(Arc::new(Mutex::new(Inner {
+            table: Table::default(),
+            agents: BTreeMap::new(),
+            outstanding: BTreeMap::new(),
+            accounts: AccountLimits::default(),
+            retries: RetryBudget::new(share),
+            rng: fastrand::Rng::with_seed(own.incarnation.0),
+        })))
+    }
+
+    fn inner(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an agent's report in.
+    pub(super) fn report(
+        &self,
+        now: Moment,
+        peer: &Identity,
+        outbox: &Outbox,
+        report: azurestand_wire::Report,
+    ) {
+        let mut inner = self.inner();
+        let known = inner.agents.get(&peer.host);
+        if known.is_some_and(|agent| agent.incarnation > peer.incarnation) {
+            return;
+        }
+        let agent = Agent {
+            host: peer.host.clone(),
+            incarnation: peer.incarnation,
+            address: peer.address,
+            outbox: outbox.clone(),
+            clock: Moment::from_micros(report.moment),
+        };
+        inner.agents.insert(peer.host.clone(), agent);
+        let loads = report.targets.into_iter().filter_map(check_load);
+        let report = Report {
+            host: peer.host.clone(),
+            incarnation: peer.incarnation,
+            sequence: report.sequence,
+            leaving: report.leaving,
+            loads: loads.collect(),
+        };
+        inner.table.report(now, report);
+    }
+
+    /// Forgets a host whose link ended, and tells the requests that wait for it.
+    pub(super) fn lose(&self, peer: &Identity, outbox: &Outbox) {
+        let mut inner = self.inner();
+        let current = inner.agents.get(&peer.host);
+        if !current.is_some_and(|agent| agent.outbox.is_same(outbox)) {
+            return;
+        }
+        inner.agents.remove(&peer.host);
+        inner.table.lose(&peer.host);
+        let waiting = inner.outstanding.values();
+        for outstanding in waiting.filter(|outstanding| outstanding.host == peer.host) {
+            let _ = outstanding.answers.send(Answer::Lost);
+        }
+    }
+
+    /// Hands a message to the request that it answers, if that waits for this host.
+    pub(super) fn deliver(&self, peer: &HostName, id: RequestId, body: azurestand_wire::Body) {
+        let inner = self.inner();
+        let Some(outstanding) = inner.outstanding.get(&id) else {
+            return;
+        };
+        if outstanding.host == *peer {
+            let _ = outstanding.answers.send(Answer::Message(body));
+        }
+    }
+
+    /// Chooses a target.
+    pub(super) fn choose(&self, now: Moment, wanted: &Wanted) -> Option<Choice> {
+        let mut inner = self.inner();
+        let Inner { table, rng, .. } = &mut *inner;
+        table.choose(now, wanted, rng)
+    }
+
+    /// Counts a send and expects its answers.
+    pub(super) fn expect(
+        &self,
+        id: RequestId,
+        choice: &Choice,
+        answers: mpsc::UnboundedSender<Answer>,
+    ) -> Option<Agent> {
+        let mut inner = self.inner();
+        let agent = inner.agents.get(&choice.host).cloned()?;
+        inner.table.sent(&choice.target);
+        let host = choice.host.clone();
+        let outstanding = Outstanding { host, answers };
+        inner.outstanding.insert(id, outstanding);
+        Some(agent)
+    }
+
+    /// Expects no more answers.
+    pub(super) fn settle(&self, id: RequestId, target: &TargetName) {
+        let mut inner = self.inner();
+        if inner.outstanding.remove(&id).is_some() {
+            inner.table.done(target);
+        }
+    }
+
+    /// A target that refused is passed over for a moment.
+    pub(super) fn refused(&self, now: Moment, target: &TargetName) {
+        self.inner().table.refused(now, target);
+    }
+
+    /// The agent of `host`, if its link is open.
+    pub(super) fn agent(&self, host: &HostName) -> Option<Agent> {
+        self.inner().agents.get(host).cloned()
+    }
+
+    /// The host of `target`, if it is known.
+    pub(super) fn host(&self, target: &TargetName) -> Option<HostName> {
+        self.inner().table.host(target).cloned()
+    }
+
+    /// Does something with the account limits.
+    pub(super) fn accounts<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut AccountLimits) -> T,
+    {
+        act(&mut self.inner().accounts)
+    }
+
+    /// Does something with the retry budget.
+    pub(super) fn retries<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut RetryBudget) -> T,
+    {
+        act(&mut self.inner().retries)
+    }
+
+    /// A random number below `bound`.
+    pub(super) fn draw(&self, bound: usize) -> usize {
+        self.inner().rng.usize(..bound.max(1))
+    }
+
+    /// A fresh request id.
+    pub(super) fn draw_id(&self) -> RequestId {
+        RequestId(self.inner().rng.u128(..))
+    }
+
+    /// Loads of all targets known here, for status pages.
+    pub(super) fn loads(&self) -> Vec<(HostName, Load)> {
+        let inner = self.inner();
+        let loads = inner.table.loads();
+        loads.map(|(host, load)| (host.clone(), load.clone())).collect()
+    }
+}
+
+fn check_load(load: TargetLoad) -> Option<Load> {
+    Some(Load {
+        target: TargetName::try_from(load.target).ok()?,
+        subject: load.subject.into(),
+        weights: Digest::try_from(&load.weights[..]).ok(),
+        limit: load.limit,
+        running: load.running,
+        waiting: load.waiting,
+    })
+}
+
+/// Keeps a link to each agent of the data centre, and says where callers are taken.
+pub(super) fn start(node: &Node, fleet: Fleet, web: SocketAddr) {
+    let status = HostStatus {
+        callers: web.to_string(),
+        ..HostStatus::default()
+    };
+    node.publish(status.encode_to_vec().into());
+    tokio::spawn(
+        node.stop
+            .clone()
+            .run_until_cancelled_owned(tend(node.clone(), fleet)),
+    );
+}
+
+async fn tend(node: Node, fleet: Fleet) {
+    let mut ticks = interval(TEND_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut views = node.neighbours.clone();
+    let dialling = Arc::new(Mutex::new(BTreeSet::new()));
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => (),
+            Ok(()) = views.changed() => (),
+        }
+        let share = node.document().limits().retry_share;
+        fleet.retries(|retries| retries.set_share(share));
+        for address in agents(&node) {
+            if node.links.known(address).is_none() {
+                dial(&node.links, address, &dialling);
+            }
+        }
+    }
+}
+
+fn agents(node: &Node) -> Vec<SocketAddr> {
+    let centre = node.links.own().centre.clone();
+    let neighbours = node.neighbours();
+    let near = neighbours.0.values().filter(|neighbour| {
+        let identity = &neighbour.record.identity;
+        identity.role == Role::Agent && identity.centre == centre && neighbour.state.is_present()
+    });
+    near.map(|neighbour| neighbour.record.identity.address).collect()
+}
+
+type Dialling = Arc<Mutex<BTreeSet<SocketAddr>>>;
+
+fn dial(links: &Links, address: SocketAddr, dialling: &Dialling) {
+    let fresh = dialling
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .insert(address);
+    if !fresh {
+        return;
+    }
+    let (links, dialling) = (links.clone(), dialling.clone());
+    tokio::spawn(async move {
+        let _ = links.control(address).await;
+        dialling
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&address);
+    });
+}
+
+/// The entries of other data centres in service, by what membership says.
+pub(super) fn others(node: &Node) -> Vec<OtherEntry> {
+    let document = node.document();
+    let own = node.links.own().centre.clone();
+    let neighbours = node.neighbours();
+    let entries = neighbours.0.values().filter(|neighbour| {
+        let identity = &neighbour.record.identity;
+        identity.role == Role::Entry
+            && neighbour.state == State::Alive
+            && identity.centre != own
+            && document.in_service(&identity.centre)
+    });
+    entries
+        .filter_map(|neighbour| {
+            let status = HostStatus::read(&neighbour.record.status.blob);
+            Some(OtherEntry {
+                centre: neighbour.record.identity.centre.clone(),
+                web: status.callers.parse().ok()?,
+            })
+        })
+        .collect()
+}
+
+/// How many entries share an account's allowance.
+pub(super) fn count_entries(node: &Node) -> usize {
+    let neighbours = node.neighbours();
+    let live = neighbours.0.values().filter(|neighbour| {
+        neighbour.record.identity.role == Role::Entry && neighbour.state == State::Alive
+    });
+    live.count().max(1)
+}
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -14,6 +14,7 @@
 
 use azurestand_config::Document;
 use azurestand_membership::{Record, State};
+use azurestand_store::{HttpOptions, HttpStore};
 use azurestand_types::{HostName, Incarnation};
 use azurestand_wire::{Identity, Role};
 use bytes::Bytes;
@@ -52,6 +53,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) clock: Clock,
     pub(crate) links: Links,
+    pub(crate) store: Arc<HttpStore>,
     pub(crate) metrics: Metrics,
     pub(crate) document: latest::Receiver<Document>,
     pub(crate) neighbours: latest::Receiver<Neighbours>,
@@ -93,11 +95,13 @@
         let (views, neighbours) = latest::channel(Neighbours::default());
         let (gossip, events) = mpsc::channel(1_024);
         let stop = CancellationToken::new();
+        let store = HttpStore::new(HttpOptions::alone(settings.store.clone()));
         let node = Self {
             metrics: Metrics::open(settings.metrics),
             settings: Arc::new(settings),
             clock: Clock::start(),
             links,
+            store: Arc::new(store),
             document,
             neighbours,
             gossip,
@@ -126,7 +130,9 @@
     /// Takes gossip that came over a link in.
     pub(crate) fn hear(&self, bytes: &Bytes) {
         if let Ok(gossip) = azurestand_membership::Gossip::decode(bytes) {
-            let _ = self.gossip.try_send(GossipEvent::Received(gossip));
+            let _ = self
+                .gossip
+                .try_send(GossipEvent::Received(Box::new(gossip)));
         }
     }
 
--- a/crates/azurestand_server/src/node/document.rs
+++ b/crates/azurestand_server/src/node/document.rs
@@ -8,15 +8,13 @@
 use azurestand_types::{ChangeId, Digest, Revision};
 use quick_error::quick_error;
 
-/// Where the document stands in the store.
-pub(crate) const DOCUMENT_KEY: &str = "azurestand/config";
 /// The piece that carries the whole document's digest.
 const HEAD: &str = "document";
 
 quick_error! {
     /// Why what a peer or the store holds can't be put in force.
     #[derive(Debug)]
-    pub(crate) enum DocumentError {
+    pub enum DocumentError {
         /// The pieces don't make a document.
         Pieces(reason: String) {
             display("the document's pieces don't fit together ({reason}); run the same version on all hosts")
--- a/crates/azurestand_server/src/node/post.rs
+++ b/crates/azurestand_server/src/node/post.rs
@@ -66,7 +66,7 @@
             continue;
         };
         if let Ok(gossip) = Gossip::decode(&payload) {
-            let _ = events.try_send(GossipEvent::Received(gossip));
+            let _ = events.try_send(GossipEvent::Received(Box::new(gossip)));
         }
     }
 }
