--- a/crates/azurestand_target/src/claim.rs
+++ b/crates/azurestand_target/src/claim.rs
@@ -123,8 +123,9 @@
     Loaded(Shard, Loaded),
     /// A `Read` got no answer.
     ReadFailed(Shard),
-    /// The answer to `Commit`.
-    Committed(Shard, Committed),
+    /// The answer to the `Commit` of the batch whose record has this beat. A
+    /// late answer to an earlier batch changes nothing.
+    Committed(Shard, u64, Committed),
     /// This process stops: hand the shards on once nothing runs.
     Leave,
     /// Time passed.
@@ -222,8 +223,8 @@
                 self.shard(shard).loaded(now, loaded, &mut actions);
             }
             HomeEvent::ReadFailed(shard) => self.shard(shard).read_failed(now),
-            HomeEvent::Committed(shard, result) => {
-                self.shard(shard).committed(now, result, &mut actions);
+            HomeEvent::Committed(shard, beat, result) => {
+                self.shard(shard).committed(now, beat, result, &mut actions);
             }
             HomeEvent::Revoke(id) => actions.push(self.revoke(id)),
             HomeEvent::Listed(homes) => self.each(|home| home.list(now, &homes)),
--- a/crates/azurestand_target/src/claim/home.rs
+++ b/crates/azurestand_target/src/claim/home.rs
@@ -226,9 +226,17 @@
     pub(crate) fn committed(
         &mut self,
         now: Moment,
+        beat: u64,
         result: Committed,
         actions: &mut Vec<HomeAction>,
     ) {
+        let awaited = self
+            .sending
+            .as_ref()
+            .is_some_and(|sending| sending.batch.record.beat == beat);
+        if !awaited {
+            return;
+        }
         self.asked = false;
         match result {
             Committed::Applied(version) => self.applied(now, version, actions),
--- /dev/null
+++ b/crates/azurestand_target/tests/claims/cases.rs
@@ -0,0 +1,1 @@
+//! Single failures, each caused on purpose.
