--- a/crates/azurestand_route/src/delivery.rs
+++ b/crates/azurestand_route/src/delivery.rs
@@ -158,6 +158,11 @@
         self.offset
     }
 
+    /// Whether the answer's head was passed on.
+    pub fn has_begun(&self) -> bool {
+        self.began
+    }
+
     /// Whether the request has ended.
     pub fn is_done(&self) -> bool {
         self.stage == Stage::Done
@@ -345,10 +350,12 @@
         actions
     }
 
+    /// A call that may not be repeated goes on without its caller: broken off,
+    /// nobody could tell any more whether it ran.
     fn leave(&mut self) -> Vec<DeliveryAction> {
-        let asked = self.choice.is_some();
+        let cancel = self.choice.is_some() && self.idempotent;
         let mut actions = self.finish(Outcome::Unknown(Uncertainty::Unreachable));
-        if asked {
+        if cancel {
             actions.insert(0, DeliveryAction::Cancel);
         }
         actions
--- a/crates/azurestand_server/src/agent.rs
+++ b/crates/azurestand_server/src/agent.rs
@@ -30,6 +30,7 @@
 
 use origin::Origin;
 use target::{Handle, Input};
+pub(crate) use target::{failed, raw, refused};
 use vault::Vault;
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -24,7 +24,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use self::answers::Request;
-pub(crate) use self::asks::refused;
+pub(crate) use self::asks::{failed, raw, refused};
 use self::orders::Loader;
 use self::run::RunEvent;
 use super::engine::{Engine, EngineReport, EngineState, Ordered};
--- a/crates/azurestand_server/src/entry.rs
+++ b/crates/azurestand_server/src/entry.rs
@@ -110,7 +110,11 @@
         sleep(LEAVE_NOTICE).await;
         self.node.leaving.cancel();
         let drained = timeout(self.node.settings.drain, self.served).await.is_ok();
-        let event = if drained { Event::Stopped } else { Event::StopCut };
+        let event = if drained {
+            Event::Stopped
+        } else {
+            Event::StopCut
+        };
         event.log(&self.node.settings.host);
         self.node.end().await;
         drained
--- a/crates/azurestand_server/src/entry/filter.rs
+++ b/crates/azurestand_server/src/entry/filter.rs
@@ -13,13 +13,13 @@
 use axum::response::Response;
 use azurestand_types::{Outcome, Refusal, RequestId};
 
-use super::{Service, answer, send, spill};
+use super::{Service, answer, send};
 use crate::event::Event;
 use crate::metrics::Counter;
 
 pub(super) use classify::{Classified, Subject};
 pub(super) use identify::Identified;
-pub(super) use limit::Allowed;
+pub(super) use limit::{Allowed, Slot};
 
 /// A refusal at some filter.
 #[derive(Debug)]
@@ -63,10 +63,7 @@
     let read = read::read(&service.node.settings.input, identified).await?;
     let classified = classify::classify(&document, id, read)?;
     let allowed = limit::limit(service, &document, classified)?;
-    if spill::is_out(service) {
-        return spill::pass_on(service, allowed).await;
-    }
-    Ok(send::send(service.clone(), allowed).await)
+    Ok(send::answer(service.clone(), allowed).await)
 }
 
 fn refuse(service: &Service, id: RequestId, stop: &Stop) -> Response {
--- a/crates/azurestand_server/src/entry/filter/classify.rs
+++ b/crates/azurestand_server/src/entry/filter/classify.rs
@@ -17,7 +17,6 @@
 
 const KEY_HEADER: &str = "idempotency-key";
 const DEADLINE_HEADER: &str = "x-azurestand-deadline-ms";
-const HOPS_HEADER: &str = "x-azurestand-hops";
 const RESUME_HEADER: &str = "last-event-id";
 
 /// What a request asks for.
@@ -87,7 +86,11 @@
     model: String,
 }
 
-pub(super) fn classify(document: &Document, id: RequestId, whole: Whole) -> Result<Classified, Stop> {
+pub(super) fn classify(
+    document: &Document,
+    id: RequestId,
+    whole: Whole,
+) -> Result<Classified, Stop> {
     let request = &whole.from.request;
     let headers = request.headers();
     let path = request.uri().path();
@@ -109,8 +112,10 @@
         idempotent,
         key: find_key(headers)?,
         patience: find_patience(document, headers)?,
-        hops: number(headers, HOPS_HEADER)?.unwrap_or(0).try_into().unwrap_or(u32::MAX),
-        place: text(headers, RESUME_HEADER).map(Place::try_from).transpose()?,
+        hops: 0,
+        place: text(headers, RESUME_HEADER)
+            .map(Place::try_from)
+            .transpose()?,
         method: request.method().clone(),
         path,
         headers: keep_headers(headers),
@@ -122,7 +127,10 @@
 
 fn find_model(document: &Document, body: &[u8]) -> Result<ModelName, Stop> {
     let completion: Completion = serde_json::from_slice(body).map_err(|error| {
-        Stop::with(Refusal::Malformed, format!("the body isn't a completion: {error}"))
+        Stop::with(
+            Refusal::Malformed,
+            format!("the body isn't a completion: {error}"),
+        )
     })?;
     let name = ModelName::try_from(completion.model.as_str())
         .map_err(|error| Stop::with(Refusal::Malformed, error.to_string()))?;
@@ -162,7 +170,12 @@
     let Some(raw) = text(headers, name) else {
         return Ok(None);
     };
-    let wrong = |_| Stop::with(Refusal::Malformed, format!("header {name} isn't a number; send digits"));
+    let wrong = |_| {
+        Stop::with(
+            Refusal::Malformed,
+            format!("header {name} isn't a number; send digits"),
+        )
+    };
     raw.parse().map(Some).map_err(wrong)
 }
 
@@ -184,10 +197,16 @@
 
 /// The account's key stays here, and headers about the connection concern nobody else.
 fn keep_headers(headers: &HeaderMap) -> Vec<Header> {
-    let dropped: [HeaderName; 5] = [AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING];
-    let kept = headers.iter().filter(|(name, _)| {
-        !dropped.contains(name) && !name.as_str().starts_with("x-azurestand-")
-    });
+    let dropped: [HeaderName; 5] = [
+        AUTHORIZATION,
+        CONNECTION,
+        CONTENT_LENGTH,
+        HOST,
+        TRANSFER_ENCODING,
+    ];
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !dropped.contains(name) && !name.as_str().starts_with("x-azurestand-"));
     kept.map(|(name, value)| Header {
         name: name.as_str().to_owned(),
         value: Bytes::copy_from_slice(value.as_bytes()),
--- a/crates/azurestand_server/src/entry/filter/limit.rs
+++ b/crates/azurestand_server/src/entry/filter/limit.rs
@@ -19,14 +19,13 @@
 #[derive(Debug)]
 pub(in crate::entry) struct Slot {
     fleet: Fleet,
-    account: Option<AccountName>,
+    account: AccountName,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if let Some(account) = &self.account {
-            self.fleet.accounts(|accounts| accounts.release(account));
-        }
+        self.fleet
+            .accounts(|accounts| accounts.release(&self.account));
     }
 }
 
@@ -36,14 +35,6 @@
     request: Classified,
 ) -> Result<Allowed, Stop> {
     let fleet = service.fleet.clone();
-    // The entry that passed it on has counted it.
-    if request.hops > 0 {
-        let slot = Slot {
-            fleet,
-            account: None,
-        };
-        return Ok(Allowed { request, slot });
-    }
     let Some(account) = document.accounts().get(&request.account) else {
         return Err(Stop::new(Refusal::Unauthorised));
     };
@@ -59,7 +50,7 @@
         .map_err(Stop::new)?;
     let slot = Slot {
         fleet,
-        account: Some(request.account.clone()),
+        account: request.account.clone(),
     };
     Ok(Allowed { request, slot })
 }
--- a/crates/azurestand_server/src/entry/filter/read.rs
+++ b/crates/azurestand_server/src/entry/filter/read.rs
@@ -39,7 +39,10 @@
 
 fn describe(error: &(dyn std::error::Error + 'static), limits: &InputLimits) -> Stop {
     if error.downcast_ref::<LengthLimitError>().is_some() {
-        let detail = format!("the body is too long; send at most {} bytes", limits.body_bytes);
+        let detail = format!(
+            "the body is too long; send at most {} bytes",
+            limits.body_bytes
+        );
         return Stop::with(Refusal::Malformed, detail);
     }
     Stop::with(Refusal::Malformed, "the body broke off; send it whole")
--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -7,9 +7,7 @@
 
 use azurestand_membership::{Role, State};
 use azurestand_route::{AccountLimits, Choice, Load, Report, RetryBudget, Table, Wanted};
-use azurestand_types::{
-    DataCentre, Digest, HostName, Incarnation, Moment, RequestId, TargetName,
-};
+use azurestand_types::{Digest, HostName, Incarnation, Moment, RequestId, TargetName};
 use azurestand_wire::{Identity, Outbox, TargetLoad};
 use prost::Message;
 use tokio::sync::mpsc;
@@ -61,13 +59,6 @@
 #[derive(Debug, Clone)]
 pub(super) struct Fleet(Arc<Mutex<Inner>>);
 
-/// Where an entry of another data centre takes requests.
-#[derive(Debug, Clone)]
-pub(super) struct OtherEntry {
-    pub(super) centre: DataCentre,
-    pub(super) web: SocketAddr,
-}
-
 impl Fleet {
     pub(super) fn new(node: &Node) -> Self {
         let own = node.links.own();
@@ -122,7 +113,8 @@
     pub(super) fn lose(&self, peer: &Identity, outbox: &Outbox) {
         let mut inner = self.inner();
         let current = inner.agents.get(&peer.host);
-        if !current.is_some_and(|agent| agent.outbox.is_same(outbox)) {
+        // Another link may have taken this one's place already.
+        if current.is_some_and(|agent| !agent.outbox.is_same(outbox)) {
             return;
         }
         inner.agents.remove(&peer.host);
@@ -151,20 +143,18 @@
         table.choose(now, wanted, rng)
     }
 
-    /// Counts a send and expects its answers.
+    /// Counts a send and expects its answers from `host`.
     pub(super) fn expect(
         &self,
         id: RequestId,
         choice: &Choice,
         answers: mpsc::UnboundedSender<Answer>,
-    ) -> Option<Agent> {
+    ) {
         let mut inner = self.inner();
-        let agent = inner.agents.get(&choice.host).cloned()?;
         inner.table.sent(&choice.target);
         let host = choice.host.clone();
         let outstanding = Outstanding { host, answers };
         inner.outstanding.insert(id, outstanding);
-        Some(agent)
     }
 
     /// Expects no more answers.
@@ -220,7 +210,9 @@
     pub(super) fn loads(&self) -> Vec<(HostName, Load)> {
         let inner = self.inner();
         let loads = inner.table.loads();
-        loads.map(|(host, load)| (host.clone(), load.clone())).collect()
+        loads
+            .map(|(host, load)| (host.clone(), load.clone()))
+            .collect()
     }
 }
 
@@ -276,7 +268,8 @@
         let identity = &neighbour.record.identity;
         identity.role == Role::Agent && identity.centre == centre && neighbour.state.is_present()
     });
-    near.map(|neighbour| neighbour.record.identity.address).collect()
+    near.map(|neighbour| neighbour.record.identity.address)
+        .collect()
 }
 
 type Dialling = Arc<Mutex<BTreeSet<SocketAddr>>>;
@@ -300,7 +293,7 @@
 }
 
 /// The entries of other data centres in service, by what membership says.
-pub(super) fn others(node: &Node) -> Vec<OtherEntry> {
+pub(super) fn others(node: &Node) -> Vec<SocketAddr> {
     let document = node.document();
     let own = node.links.own().centre.clone();
     let neighbours = node.neighbours();
@@ -312,13 +305,7 @@
             && document.in_service(&identity.centre)
     });
     entries
-        .filter_map(|neighbour| {
-            let status = HostStatus::read(&neighbour.record.status.blob);
-            Some(OtherEntry {
-                centre: neighbour.record.identity.centre.clone(),
-                web: status.callers.parse().ok()?,
-            })
-        })
+        .map(|neighbour| neighbour.record.identity.address)
         .collect()
 }
 
--- /dev/null
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -0,0 +1,472 @@
+//! Carries out what the delivery of one request decides.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Wanted};
+use azurestand_types::{Incarnation, Moment, Outcome, Refusal, TargetName};
+use azurestand_wire::{Ack, Ask, Begin, Body, Cancel, Release, Resume, Revoke};
+use bytes::{Buf, Bytes};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::Sink;
+use crate::agent::raw;
+use crate::codes;
+use crate::entry::filter::{Classified, Slot, Subject};
+use crate::entry::fleet::{Agent, Answer};
+use crate::entry::{Service, spill};
+use crate::event::Event;
+use crate::metrics::{Counter, Timer};
+
+/// How long a request waits for room before it is refused.
+const ROOM_LIMIT: Duration = Duration::from_secs(1);
+const ROOM_POLL: Duration = Duration::from_millis(25);
+/// How long an entry tries to reach a host again that has one of its requests.
+const REACH_LIMIT: Duration = Duration::from_secs(3);
+const REACH_POLL: Duration = Duration::from_millis(50);
+/// How long a revoke may stay unanswered.
+const REVOKE_LIMIT: Duration = Duration::from_secs(2);
+/// Bytes passed on between two acknowledgements.
+const ACK_BYTES: u64 = 32 * 1024;
+
+/// Who sent the request.
+#[derive(Debug)]
+pub(in crate::entry) enum Origin {
+    /// A caller, whose account's slot is held until the end.
+    Caller(#[expect(dead_code, reason = "held for its drop")] Slot),
+    /// Another entry, which holds the slot.
+    Entry,
+}
+
+/// The agent, or other entry, that has the request.
+#[derive(Debug)]
+struct Holder {
+    agent: Agent,
+    /// The moment of the holder's clock that every send of the request carries.
+    stamp: Moment,
+}
+
+/// One request on its way.
+#[derive(Debug)]
+pub(in crate::entry) struct Carrier {
+    service: Arc<Service>,
+    request: Classified,
+    delivery: Delivery,
+    origin: Origin,
+    sink: Sink,
+    holder: Option<Holder>,
+    answers: mpsc::UnboundedReceiver<Answer>,
+    sender: mpsc::UnboundedSender<Answer>,
+    begin: Option<Begin>,
+    part: Bytes,
+    acked: u64,
+    start: Instant,
+    deadline: Instant,
+}
+
+impl Carrier {
+    pub(in crate::entry) fn new(
+        service: Arc<Service>,
+        request: Classified,
+        origin: Origin,
+        sink: Sink,
+    ) -> Self {
+        let (sender, answers) = mpsc::unbounded_channel();
+        let start = Instant::now();
+        service.fleet.retries(azurestand_route::RetryBudget::earn);
+        Self {
+            delivery: Delivery::new(request.idempotent),
+            deadline: start + request.patience,
+            service,
+            request,
+            origin,
+            sink,
+            holder: None,
+            answers,
+            sender,
+            begin: None,
+            part: Bytes::new(),
+            acked: 0,
+            start,
+        }
+    }
+
+    /// Carries the request to its end.
+    pub(in crate::entry) async fn run(mut self) {
+        let mut actions = VecDeque::from(self.first());
+        let outcome = loop {
+            match actions.pop_front() {
+                Some(DeliveryAction::Finish(outcome)) => break outcome,
+                Some(action) => {
+                    if let Some(event) = self.act(action).await {
+                        actions.extend(self.decide(event));
+                    }
+                }
+                None => {
+                    let event = self.next().await;
+                    actions.extend(self.decide(event));
+                }
+            }
+        };
+        self.finish(outcome).await;
+    }
+
+    /// A caller that takes a stream up again names the target that has it.
+    fn first(&mut self) -> Vec<DeliveryAction> {
+        let Some(place) = self.request.place.clone() else {
+            return vec![DeliveryAction::Choose];
+        };
+        let Some(host) = self.service.fleet.host(&place.target) else {
+            return vec![DeliveryAction::Finish(Outcome::NotRun(Refusal::NotServed))];
+        };
+        self.request.id = place.id;
+        let choice = Choice {
+            target: place.target,
+            host,
+            weights: None,
+        };
+        self.delivery = Delivery::resumed(choice.clone(), place.offset);
+        self.acked = place.offset;
+        self.expect(&choice);
+        self.holder = self.service.fleet.agent(&choice.host).map(hold);
+        vec![DeliveryAction::Resume {
+            offset: place.offset,
+        }]
+    }
+
+    fn decide(&mut self, event: DeliveryEvent) -> Vec<DeliveryAction> {
+        let delivery = &mut self.delivery;
+        let fleet = &self.service.fleet;
+        fleet.retries(|retries| delivery.handle(event, retries))
+    }
+
+    async fn act(&mut self, action: DeliveryAction) -> Option<DeliveryEvent> {
+        match action {
+            DeliveryAction::Choose => Some(self.choose().await),
+            DeliveryAction::Send(choice) => self.send(&choice).await,
+            DeliveryAction::Begin => {
+                if let Some(begin) = self.begin.take() {
+                    self.sink.begin(begin).await;
+                }
+                None
+            }
+            DeliveryAction::Pass { skip } => self.pass(skip).await,
+            DeliveryAction::Reach => Some(self.reach().await),
+            DeliveryAction::Resume { offset } => self.resume(offset).await,
+            DeliveryAction::Revoke => {
+                self.deadline = Instant::now() + REVOKE_LIMIT;
+                self.revoke().await;
+                None
+            }
+            DeliveryAction::Cancel => {
+                let (id, target) = (raw(self.request.id), self.target());
+                self.tell(Body::Cancel(Cancel { id, target })).await;
+                self.settle();
+                None
+            }
+            DeliveryAction::Release => {
+                let (id, target) = (raw(self.request.id), self.target());
+                self.tell(Body::Release(Release { id, target })).await;
+                None
+            }
+            DeliveryAction::Finish(_) => None,
+        }
+    }
+
+    async fn choose(&mut self) -> DeliveryEvent {
+        self.settle();
+        if !self.delivery.refused().is_empty() {
+            Event::Retried.log(self.request.id);
+            self.service.node.metrics.count(Counter::Retried, 1);
+        }
+        let until = (Instant::now() + ROOM_LIMIT).min(self.deadline);
+        loop {
+            if !spill::is_out(&self.service)
+                && let Some(choice) = self.choose_here()
+            {
+                self.holder = self.service.fleet.agent(&choice.host).map(hold);
+                return DeliveryEvent::Chosen(choice);
+            }
+            if let Some(entry) = spill::find(&self.service, &self.request).await {
+                return self.pass_on(entry);
+            }
+            if Instant::now() >= until {
+                return DeliveryEvent::NoTarget(self.refusal());
+            }
+            sleep(ROOM_POLL).await;
+        }
+    }
+
+    fn choose_here(&self) -> Option<Choice> {
+        let now = self.service.node.clock.now();
+        let wanted = Wanted {
+            avoid: self
+                .delivery
+                .refused()
+                .iter()
+                .cloned()
+                .collect::<BTreeSet<_>>(),
+            ..Wanted::subject(self.request.subject.as_str())
+        };
+        self.service.fleet.choose(now, &wanted)
+    }
+
+    fn refusal(&self) -> Refusal {
+        if spill::is_out(&self.service) {
+            Refusal::OutOfService
+        } else {
+            Refusal::Busy
+        }
+    }
+
+    /// Another data centre's entry stands in for a target.
+    fn pass_on(&mut self, entry: Agent) -> DeliveryEvent {
+        self.service.node.metrics.count(Counter::Spilled, 1);
+        let name = entry.host.as_str();
+        let target = TargetName::try_from(name).ok();
+        let Some(target) = target else {
+            return DeliveryEvent::NoTarget(Refusal::Busy);
+        };
+        let host = entry.host.clone();
+        self.holder = Some(hold(entry));
+        DeliveryEvent::Chosen(Choice {
+            target,
+            host,
+            weights: None,
+        })
+    }
+
+    fn expect(&self, choice: &Choice) {
+        let fleet = &self.service.fleet;
+        fleet.expect(self.request.id, choice, self.sender.clone());
+    }
+
+    fn settle(&self) {
+        if let Some(choice) = self.delivery.choice() {
+            let fleet = &self.service.fleet;
+            fleet.settle(self.request.id, &choice.target);
+        }
+    }
+
+    async fn send(&mut self, choice: &Choice) -> Option<DeliveryEvent> {
+        self.expect(choice);
+        let Some(ask) = self.ask(choice) else {
+            // Nothing was sent, since the host's link has ended in between.
+            return Some(DeliveryEvent::Refused(Refusal::Busy));
+        };
+        self.tell(Body::Ask(Box::new(ask))).await
+    }
+
+    fn ask(&self, choice: &Choice) -> Option<Ask> {
+        let holder = self.holder.as_ref()?;
+        let request = &self.request;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        Some(Ask {
+            id: raw(request.id),
+            target: choice.target.to_string(),
+            account: request.account.to_string(),
+            priority: u32::from(request.priority.0),
+            patience: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            method: request.method.to_string(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+            key: request
+                .key
+                .as_ref()
+                .map_or_else(String::new, ToString::to_string),
+            idempotent: request.idempotent,
+            weights: choice.weights.map_or_else(Bytes::new, |digest| {
+                Bytes::copy_from_slice(digest.as_bytes())
+            }),
+            hops: request.hops + 1,
+            subject: request.subject.as_str().to_owned(),
+            service: matches!(request.subject, Subject::Service(_)),
+            stamp: holder.stamp.as_micros(),
+            incarnation: holder.agent.incarnation.0,
+        })
+    }
+
+    fn target(&self) -> String {
+        let choice = self.delivery.choice();
+        choice.map_or_else(String::new, |choice| choice.target.to_string())
+    }
+
+    /// Sends to the holder; a link that takes nothing any more is lost.
+    async fn tell(&self, body: Body) -> Option<DeliveryEvent> {
+        let holder = self.holder.as_ref()?;
+        match holder.agent.outbox.send(body).await {
+            Ok(()) => None,
+            Err(_) => Some(DeliveryEvent::Lost),
+        }
+    }
+
+    /// Before the head came it isn't known that the request arrived, so it is
+    /// sent again under its id and stamp; the agent runs it once.
+    async fn resume(&mut self, offset: u64) -> Option<DeliveryEvent> {
+        let taken_up = self.request.place.is_some();
+        if !self.delivery.has_begun() && !taken_up {
+            let choice = self.delivery.choice().cloned()?;
+            let ask = self.ask(&choice)?;
+            return self.tell(Body::Ask(Box::new(ask))).await;
+        }
+        Event::Resumed.log(self.request.id);
+        self.service.node.metrics.count(Counter::Resumed, 1);
+        let resume = Resume {
+            id: raw(self.request.id),
+            offset,
+            account: self.request.account.to_string(),
+            target: self.target(),
+        };
+        self.tell(Body::Resume(resume)).await
+    }
+
+    async fn revoke(&self) {
+        let Some(holder) = &self.holder else { return };
+        let revoke = Revoke {
+            id: raw(self.request.id),
+            stamp: holder.stamp.as_micros(),
+            incarnation: holder.agent.incarnation.0,
+            target: self.target(),
+        };
+        self.tell(Body::Revoke(revoke)).await;
+    }
+
+    /// Waits for a link to the same life of the host that has the request.
+    async fn reach(&mut self) -> DeliveryEvent {
+        let Some(holder) = &mut self.holder else {
+            return DeliveryEvent::Unreachable;
+        };
+        let until = (Instant::now() + REACH_LIMIT).min(self.deadline);
+        while Instant::now() < until {
+            let links = &self.service.node.links;
+            let dialled = links.control(holder.agent.address).await;
+            if let Ok(outbox) = dialled
+                && !outbox.is_closed()
+            {
+                let incarnation = self.service.incarnation(&holder.agent);
+                if incarnation.is_some_and(|found| found != holder.agent.incarnation) {
+                    return DeliveryEvent::Failed(azurestand_types::Uncertainty::TargetFailed);
+                }
+                holder.agent.outbox = outbox;
+                return DeliveryEvent::Reached;
+            }
+            sleep(REACH_POLL).await;
+        }
+        DeliveryEvent::Unreachable
+    }
+
+    async fn pass(&mut self, skip: u64) -> Option<DeliveryEvent> {
+        let mut part = std::mem::take(&mut self.part);
+        part.advance(usize::try_from(skip).unwrap_or(usize::MAX).min(part.len()));
+        if !self.sink.pass(part).await {
+            return Some(DeliveryEvent::Left);
+        }
+        let offset = self.delivery.offset();
+        if offset - self.acked >= ACK_BYTES {
+            self.acked = offset;
+            let ack = Ack {
+                id: raw(self.request.id),
+                offset,
+                target: self.target(),
+            };
+            self.tell(Body::Ack(ack)).await;
+        }
+        None
+    }
+
+    async fn next(&mut self) -> DeliveryEvent {
+        loop {
+            let answer = tokio::select! {
+                biased;
+                Some(answer) = self.answers.recv() => answer,
+                () = sleep_until(self.deadline) => return DeliveryEvent::Expired,
+                () = self.sink.left() => return DeliveryEvent::Left,
+            };
+            match answer {
+                Answer::Lost => return DeliveryEvent::Lost,
+                Answer::Message(body) => {
+                    if let Some(event) = self.read(body) {
+                        return event;
+                    }
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, body: Body) -> Option<DeliveryEvent> {
+        Some(match body {
+            Body::Begin(begin) => {
+                let metrics = &self.service.node.metrics;
+                metrics.time(Timer::FirstByte, self.start.elapsed());
+                self.begin = Some(begin);
+                DeliveryEvent::Began
+            }
+            Body::Part(part) => {
+                let length = part.bytes.len() as u64;
+                self.part = part.bytes;
+                DeliveryEvent::Part {
+                    offset: part.offset,
+                    length,
+                }
+            }
+            Body::End(end) => DeliveryEvent::Ended { length: end.length },
+            Body::Refused(refused) => {
+                self.note_refusal();
+                DeliveryEvent::Refused(codes::to_refusal(refused.reason))
+            }
+            Body::Failed(failed) => DeliveryEvent::Failed(codes::to_uncertainty(failed.reason)),
+            Body::Revoked(revoked) => DeliveryEvent::Revoked {
+                started: revoked.started,
+            },
+            _ => return None,
+        })
+    }
+
+    fn note_refusal(&self) {
+        if let Some(choice) = self.delivery.choice() {
+            let now = self.service.node.clock.now();
+            self.service.fleet.refused(now, &choice.target);
+        }
+    }
+
+    async fn finish(self, outcome: Outcome) {
+        self.settle();
+        let metrics = &self.service.node.metrics;
+        metrics.time(Timer::Whole, self.start.elapsed());
+        if matches!(self.origin, Origin::Caller(_)) {
+            match outcome {
+                Outcome::Answered => metrics.count(Counter::Answered, 1),
+                Outcome::NotRun(refusal) => {
+                    metrics.count(Counter::NotRun, 1);
+                    Event::Refused.log(format_args!("{}: {refusal}", self.request.id));
+                }
+                Outcome::Unknown(why) => {
+                    metrics.count(Counter::Unknown, 1);
+                    Event::Unknown.log(format_args!("{}: {why}", self.request.id));
+                }
+            }
+        }
+        self.sink.finish(outcome).await;
+    }
+}
+
+fn hold(agent: Agent) -> Holder {
+    Holder {
+        stamp: agent.clock,
+        agent,
+    }
+}
+
+impl Service {
+    /// The life of the agent's host that is known now.
+    fn incarnation(&self, agent: &Agent) -> Option<Incarnation> {
+        let neighbours = self.node.neighbours();
+        let known = neighbours.0.get(&agent.host);
+        let gossip = known.map(|neighbour| neighbour.record.identity.incarnation);
+        let report = self.fleet.agent(&agent.host).map(|agent| agent.incarnation);
+        gossip.max(report)
+    }
+}
--- /dev/null
+++ b/crates/azurestand_server/src/entry/send/sink.rs
@@ -0,0 +1,221 @@
+//! Where an answer goes: to a caller, or to the entry that passed the request on.
+
+use std::io;
+
+use axum::body::Body;
+use axum::response::Response;
+use azurestand_types::{Outcome, RequestId};
+use azurestand_wire::{Begin, Body as Message, End, Outbox, Part};
+use bytes::{Bytes, BytesMut};
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderName, HeaderValue, StatusCode};
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::agent::{failed, raw, refused};
+use crate::entry::answer::{self, OUTCOME_HEADER, REQUEST_HEADER};
+
+/// A whole answer up to this length is held back until its end is known, so
+/// that a caller never takes a cut one for whole.
+const MAX_HELD_BYTES: usize = 4 * 1024 * 1024;
+const BODY_QUEUE: usize = 32;
+
+/// Where the answer goes.
+#[derive(Debug)]
+pub(in crate::entry) enum Sink {
+    /// To a caller.
+    Caller(Box<CallerSink>),
+    /// To the entry that passed the request on.
+    Entry(EntrySink),
+}
+
+/// The answer to a caller, as far as it has come.
+#[derive(Debug)]
+pub(in crate::entry) struct CallerSink {
+    id: RequestId,
+    head: Option<oneshot::Sender<Response>>,
+    begin: Option<Begin>,
+    held: BytesMut,
+    body: Option<mpsc::Sender<io::Result<Bytes>>>,
+    stream: bool,
+}
+
+/// The way back to another entry.
+#[derive(Debug)]
+pub(in crate::entry) struct EntrySink {
+    id: RequestId,
+    outbox: Outbox,
+    offset: u64,
+}
+
+impl Sink {
+    /// A sink for a caller and the answer that its handler waits for.
+    pub(in crate::entry) fn caller(id: RequestId) -> (Self, oneshot::Receiver<Response>) {
+        let (head, answer) = oneshot::channel();
+        let sink = CallerSink {
+            id,
+            head: Some(head),
+            begin: None,
+            held: BytesMut::new(),
+            body: None,
+            stream: false,
+        };
+        (Self::Caller(Box::new(sink)), answer)
+    }
+
+    /// A sink for the entry behind `outbox`, which has everything before `offset`.
+    pub(in crate::entry) fn entry(id: RequestId, outbox: Outbox, offset: u64) -> Self {
+        Self::Entry(EntrySink { id, outbox, offset })
+    }
+
+    /// Passes the head on.
+    pub(super) async fn begin(&mut self, begin: Begin) {
+        match self {
+            Self::Caller(sink) => sink.begin(begin),
+            Self::Entry(sink) => {
+                let _ = sink.outbox.send(Message::Begin(begin)).await;
+            }
+        }
+    }
+
+    /// Passes a part of the body on; false when nobody takes it any more.
+    pub(super) async fn pass(&mut self, bytes: Bytes) -> bool {
+        match self {
+            Self::Caller(sink) => sink.pass(bytes).await,
+            Self::Entry(sink) => sink.pass(bytes).await,
+        }
+    }
+
+    /// Ends the answer.
+    pub(super) async fn finish(self, outcome: Outcome) {
+        match self {
+            Self::Caller(sink) => sink.finish(outcome).await,
+            Self::Entry(sink) => {
+                let _ = sink.outbox.send(sink.end(outcome)).await;
+            }
+        }
+    }
+
+    /// Completes when nobody waits for the answer any more.
+    pub(super) async fn left(&mut self) {
+        match self {
+            Self::Caller(sink) => sink.left().await,
+            Self::Entry(sink) => sink.outbox.closed().await,
+        }
+    }
+}
+
+impl CallerSink {
+    fn begin(&mut self, begin: Begin) {
+        let kind = begin
+            .headers
+            .iter()
+            .find(|header| header.name == CONTENT_TYPE.as_str());
+        self.stream = kind.is_some_and(|kind| kind.value.starts_with(b"text/event-stream"));
+        self.begin = Some(begin);
+        if self.stream {
+            self.open();
+        }
+    }
+
+    /// Answers with a body that is still on its way.
+    fn open(&mut self) {
+        let (body, parts) = mpsc::channel(BODY_QUEUE);
+        self.body = Some(body);
+        let body = Body::from_stream(ReceiverStream::new(parts));
+        self.answer(body, None);
+    }
+
+    fn answer(&mut self, body: Body, outcome: Option<&'static str>) {
+        let (Some(head), Some(begin)) = (self.head.take(), &self.begin) else {
+            return;
+        };
+        let mut response = Response::new(body);
+        let status = u16::try_from(begin.status).ok();
+        let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+        *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = response.headers_mut();
+        for header in &begin.headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes());
+            let value = HeaderValue::from_bytes(&header.value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                headers.append(name, value);
+            }
+        }
+        if let Ok(id) = HeaderValue::from_str(&self.id.to_string()) {
+            headers.insert(REQUEST_HEADER, id);
+        }
+        if let Some(outcome) = outcome {
+            headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
+        }
+        if self.stream {
+            headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        }
+        let _ = head.send(response);
+    }
+
+    async fn pass(&mut self, bytes: Bytes) -> bool {
+        if let Some(body) = &self.body {
+            return body.send(Ok(bytes)).await.is_ok();
+        }
+        self.held.extend_from_slice(&bytes);
+        if self.held.len() > MAX_HELD_BYTES {
+            self.open();
+            let held = self.held.split().freeze();
+            return Box::pin(self.pass(held)).await;
+        }
+        true
+    }
+
+    async fn finish(mut self, outcome: Outcome) {
+        if let Some(body) = self.body.take() {
+            if outcome != Outcome::Answered {
+                if self.stream {
+                    let event = answer::stream_error(outcome, self.id);
+                    let _ = body.send(Ok(event.into())).await;
+                }
+                // Breaking the connection off is the only mark a half-sent body can carry.
+                let _ = body.send(Err(io::ErrorKind::BrokenPipe.into())).await;
+            }
+            return;
+        }
+        if outcome == Outcome::Answered {
+            let held = self.held.split().freeze();
+            self.answer(Body::from(held), Some("answered"));
+        } else if let Some(head) = self.head.take() {
+            let _ = head.send(answer::error(outcome, self.id, None));
+        }
+    }
+
+    async fn left(&mut self) {
+        if let Some(body) = &self.body {
+            body.closed().await;
+        } else if let Some(head) = &mut self.head {
+            head.closed().await;
+        }
+    }
+}
+
+impl EntrySink {
+    async fn pass(&mut self, bytes: Bytes) -> bool {
+        let length = bytes.len() as u64;
+        let part = Part {
+            id: raw(self.id),
+            offset: self.offset,
+            bytes,
+        };
+        self.offset += length;
+        self.outbox.send(Message::Part(part)).await.is_ok()
+    }
+
+    fn end(&self, outcome: Outcome) -> Message {
+        match outcome {
+            Outcome::Answered => Message::End(End {
+                id: raw(self.id),
+                length: self.offset,
+            }),
+            Outcome::NotRun(refusal) => refused(self.id, refusal),
+            Outcome::Unknown(why) => failed(self.id, why),
+        }
+    }
+}
--- a/crates/azurestand_server/src/lib.rs
+++ b/crates/azurestand_server/src/lib.rs
@@ -4,6 +4,7 @@
 mod client;
 mod clock;
 mod codes;
+mod entry;
 mod error;
 mod event;
 mod logs;
@@ -14,6 +15,8 @@
 
 pub use agent::Agent;
 pub use clock::Clock;
+pub use entry::Entry;
 pub use error::ServerError;
 pub use event::Event;
+pub use logs::start as start_logs;
 pub use metrics::{Counter, Gauge, Metrics, Timer};
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -58,6 +58,8 @@
     pub(crate) document: latest::Receiver<Document>,
     pub(crate) neighbours: latest::Receiver<Neighbours>,
     pub(crate) gossip: mpsc::Sender<GossipEvent>,
+    /// Cancelled when the balancer is to send no more callers.
+    pub(crate) unready: CancellationToken,
     /// Cancelled when no new work is to be taken.
     pub(crate) leaving: CancellationToken,
     /// Cancelled when everything ends.
@@ -105,6 +107,7 @@
             document,
             neighbours,
             gossip,
+            unready: stop.child_token(),
             leaving: stop.child_token(),
             stop,
         };
--- a/crates/azurestand_wire/src/message.rs
+++ b/crates/azurestand_wire/src/message.rs
@@ -173,6 +173,9 @@
     /// The agent's incarnation that the stamp belongs to.
     #[prost(uint64, tag = "16")]
     pub incarnation: u64,
+    /// Whether the subject is a plain service.
+    #[prost(bool, tag = "17")]
+    pub service: bool,
 }
 
 /// The head of an answer.
