--- a/crates/azurestand_server/src/agent/inbound.rs
+++ b/crates/azurestand_server/src/agent/inbound.rs
@@ -32,7 +32,7 @@
             News::Opened if peer.role == Role::Entry => {
                 let _ = self.entries.send(EntryLink { outbox }).await;
             }
-            News::Opened | News::Ended(_) => (),
+            News::Opened | News::Ended => (),
             News::Message(Body::Gossip(gossip)) => self.node.hear(&gossip.bytes),
             News::Message(Body::Transfer(transfer)) => {
                 let _ = self.spread.try_send(SpreadInput::Received(transfer.bytes));
--- a/crates/azurestand_server/src/agent/status.rs
+++ b/crates/azurestand_server/src/agent/status.rs
@@ -1,6 +1,6 @@
 //! The short status of a host that membership carries to everyone.
 
-use azurestand_types::{ModelName, TargetName};
+use azurestand_types::ModelName;
 use bytes::Bytes;
 use prost::Message;
 
@@ -27,11 +27,6 @@
 }
 
 impl TargetStatus {
-    /// The target's name, if it is one.
-    pub(crate) fn name(&self) -> Option<TargetName> {
-        TargetName::try_from(self.target.as_str()).ok()
-    }
-
     /// The life state as a word.
     pub(crate) fn phase(&self) -> String {
         codes::to_phase(self.state).to_string()
--- a/crates/azurestand_server/src/entry.rs
+++ b/crates/azurestand_server/src/entry.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod filter;
 mod fleet;
+mod relay;
 mod send;
 mod spill;
 
@@ -25,7 +26,6 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::client::HttpClient;
 use crate::error::ServerError;
 use crate::event::Event;
 use crate::node::{GossipEvent, Node, Started};
@@ -53,7 +53,6 @@
 struct Service {
     node: Node,
     fleet: Fleet,
-    client: HttpClient,
 }
 
 impl Entry {
@@ -72,13 +71,12 @@
             .await
             .map_err(|error| ServerError::Bind(peers, error))?;
         let fleet = Fleet::new(&node);
-        dispatch::start(&node, fleet.clone(), arrivals);
         fleet::start(&node, fleet.clone(), web);
-        let service = Service {
+        let service = Arc::new(Service {
             node: node.clone(),
             fleet,
-            client: HttpClient::new(),
-        };
+        });
+        dispatch::start(service.clone(), arrivals);
         let served = tokio::spawn(serve(listener, routes(service), node.clone()));
         Event::Started.log(format_args!("entry of {} at {web}", node.settings.host));
         Ok(Self { node, web, served })
@@ -128,13 +126,13 @@
     }
 }
 
-fn routes(service: Service) -> Router {
+fn routes(service: Arc<Service>) -> Router {
     Router::new()
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(admin::ready))
         .route("/admin/status", get(admin::status))
         .fallback(any(take))
-        .with_state(Arc::new(service))
+        .with_state(service)
 }
 
 async fn take(State(service): State<Arc<Service>>, request: axum::extract::Request) -> Response {
--- a/crates/azurestand_server/src/entry/dispatch.rs
+++ b/crates/azurestand_server/src/entry/dispatch.rs
@@ -1,22 +1,22 @@
 //! Hands what comes over control links to the requests that wait for it.
 
+use std::sync::Arc;
+
 use azurestand_types::RequestId;
 use azurestand_wire::{Body, Role};
 use bytes::Bytes;
 
-use super::fleet::Fleet;
-use crate::node::Node;
+use super::{Service, relay};
 use crate::node::links::{Arrivals, Inbound, News};
 
-pub(super) fn start(node: &Node, fleet: Fleet, arrivals: Arrivals) {
+pub(super) fn start(service: Arc<Service>, arrivals: Arrivals) {
     let Arrivals {
         mut inbound,
         mut bulk,
     } = arrivals;
-    let clock = node.clone();
     tokio::spawn(async move {
         while let Some(message) = inbound.recv().await {
-            take(&clock, &fleet, message);
+            take(&service, message);
         }
     });
     // An entry has no weights; whoever pushes some here is refused.
@@ -27,28 +27,31 @@
     });
 }
 
-fn take(node: &Node, fleet: &Fleet, message: Inbound) {
+fn take(service: &Arc<Service>, message: Inbound) {
     let Inbound { peer, outbox, news } = message;
+    let fleet = &service.fleet;
     match news {
         News::Opened => (),
-        News::Ended(_) => fleet.lose(&peer, &outbox),
-        News::Message(Body::Gossip(gossip)) => node.hear(&gossip.bytes),
-        // Only agents answer requests and report loads.
-        News::Message(_) if peer.role != Role::Agent => (),
+        News::Ended => fleet.lose(&peer, &outbox),
+        News::Message(Body::Gossip(gossip)) => service.node.hear(&gossip.bytes),
         News::Message(Body::Report(report)) => {
-            if peer.centre == node.links.own().centre {
-                fleet.report(node.clock.now(), &peer, &outbox, report);
+            let own = service.node.links.own();
+            if peer.role == Role::Agent && peer.centre == own.centre {
+                fleet.report(service.node.clock.now(), &peer, &outbox, report);
             }
         }
         News::Message(body) => {
-            if let Some(id) = id(&body) {
+            if let Some(id) = answered(&body) {
                 fleet.deliver(&peer.host, id, body);
+            } else if peer.role == Role::Entry {
+                relay::take(service, body, outbox);
             }
         }
     }
 }
 
-fn id(body: &Body) -> Option<RequestId> {
+/// The request that a message answers; none for a message that asks something.
+fn answered(body: &Body) -> Option<RequestId> {
     let raw: &Bytes = match body {
         Body::Begin(begin) => &begin.id,
         Body::Part(part) => &part.id,
--- a/crates/azurestand_server/src/entry/filter.rs
+++ b/crates/azurestand_server/src/entry/filter.rs
@@ -17,7 +17,7 @@
 use crate::event::Event;
 use crate::metrics::Counter;
 
-pub(super) use classify::{Classified, Subject};
+pub(super) use classify::{Classified, Place, Subject};
 pub(super) use identify::Identified;
 pub(super) use limit::{Allowed, Slot};
 
--- a/crates/azurestand_server/src/entry/filter/classify.rs
+++ b/crates/azurestand_server/src/entry/filter/classify.rs
@@ -26,6 +26,8 @@
     Model(ModelName),
     /// A call of a plain service.
     Service(ServiceName),
+    /// Nothing new: the rest of an answer.
+    None,
 }
 
 impl Subject {
@@ -33,6 +35,7 @@
         match self {
             Self::Model(model) => model.as_str(),
             Self::Service(service) => service.as_str(),
+            Self::None => "",
         }
     }
 }
--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::relay::Relays;
 use crate::agent::status::HostStatus;
 use crate::node::Node;
 use crate::node::links::Links;
@@ -26,6 +27,10 @@
     Message(azurestand_wire::Body),
     /// The link to the target's host ended.
     Lost,
+    /// The entry that passed the request on wants it no longer.
+    Left,
+    /// The entry that passed the request on takes it back.
+    Expired,
 }
 
 /// The agent that a request was sent to.
@@ -50,6 +55,7 @@
     table: Table,
     agents: BTreeMap<HostName, Agent>,
     outstanding: BTreeMap<RequestId, Outstanding>,
+    relays: Relays,
     accounts: AccountLimits,
     retries: RetryBudget,
     rng: fastrand::Rng,
@@ -67,6 +73,7 @@
             table: Table::default(),
             agents: BTreeMap::new(),
             outstanding: BTreeMap::new(),
+            relays: Relays::default(),
             accounts: AccountLimits::default(),
             retries: RetryBudget::new(share),
             rng: fastrand::Rng::with_seed(own.incarnation.0),
@@ -180,6 +187,14 @@
         self.inner().table.host(target).cloned()
     }
 
+    /// Does something with the requests of other entries.
+    pub(super) fn relays<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Relays) -> T,
+    {
+        act(&mut self.inner().relays)
+    }
+
     /// Does something with the account limits.
     pub(super) fn accounts<F, T>(&self, act: F) -> T
     where
@@ -205,15 +220,6 @@
     pub(super) fn draw_id(&self) -> RequestId {
         RequestId(self.inner().rng.u128(..))
     }
-
-    /// Loads of all targets known here, for status pages.
-    pub(super) fn loads(&self) -> Vec<(HostName, Load)> {
-        let inner = self.inner();
-        let loads = inner.table.loads();
-        loads
-            .map(|(host, load)| (host.clone(), load.clone()))
-            .collect()
-    }
 }
 
 fn check_load(load: TargetLoad) -> Option<Load> {
@@ -253,6 +259,8 @@
         }
         let share = node.document().limits().retry_share;
         fleet.retries(|retries| retries.set_share(share));
+        let now = node.clock.now();
+        fleet.relays(|relays| relays.forget_old(now));
         for address in agents(&node) {
             if node.links.known(address).is_none() {
                 dial(&node.links, address, &dialling);
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// The way to tell the carrier what comes back for its request.
+    pub(in crate::entry) fn answers(&self) -> mpsc::UnboundedSender<Answer> {
+        self.sender.clone()
+    }
+
     /// Carries the request to its end.
     pub(in crate::entry) async fn run(mut self) {
         let mut actions = VecDeque::from(self.first());
@@ -241,6 +246,7 @@
     fn expect(&self, choice: &Choice) {
         let fleet = &self.service.fleet;
         fleet.expect(self.request.id, choice, self.sender.clone());
+        fleet.relays(|relays| relays.choose(self.request.id, choice));
     }
 
     fn settle(&self) {
@@ -387,6 +393,8 @@
             };
             match answer {
                 Answer::Lost => return DeliveryEvent::Lost,
+                Answer::Left => return DeliveryEvent::Left,
+                Answer::Expired => return DeliveryEvent::Expired,
                 Answer::Message(body) => {
                     if let Some(event) = self.read(body) {
                         return event;
--- a/crates/azurestand_server/src/node/links.rs
+++ b/crates/azurestand_server/src/node/links.rs
@@ -32,7 +32,7 @@
     /// A message came.
     Message(Body),
     /// The link ended.
-    Ended(LinkEnd),
+    Ended,
 }
 
 /// An accepted or dialled bulk link, handed whole to whoever moves chunks.
@@ -155,7 +155,7 @@
             LinkEnd::Refused(error) => Event::LinkFrame.log(format_args!("{}: {error}", peer.host)),
             end => Event::LinkLost.log(format_args!("{}: {end}", peer.host)),
         }
-        let _ = self.inbound.send(inbound(News::Ended(end))).await;
+        let _ = self.inbound.send(inbound(News::Ended)).await;
     }
 
     fn forget(&self, address: SocketAddr, ended: &Outbox) {
