--- a/crates/azurestand_standin/src/engine.rs
+++ b/crates/azurestand_standin/src/engine.rs
@@ -132,6 +132,14 @@
         self.shared.lock().record.clone()
     }
 
+    /// The digest of the bytes that it serves from; none while it has no weights.
+    pub fn loaded_weights(&self) -> Option<azurestand_types::Digest> {
+        let state = self.shared.lock();
+        let serves = matches!(state.phase, EngineState::Cold | EngineState::Warm);
+        let loaded = state.loaded.as_ref().filter(|_| serves);
+        loaded.map(|loaded| loaded.weights)
+    }
+
     /// What the engine is doing now, without the report's lag.
     pub fn state(&self) -> EngineState {
         self.shared.lock().phase
--- a/crates/azurestand_standin/src/lib.rs
+++ b/crates/azurestand_standin/src/lib.rs
@@ -17,13 +17,19 @@
 //! # });
 //! ```
 
+mod deployment;
 mod engine;
 mod origin;
+mod plan;
 mod serve;
 mod service;
 mod store;
+mod traffic;
 
+pub use deployment::{Booth, Deployment, DeploymentError, Door, Record, Runner, Settled};
 pub use engine::{Engine, EngineOptions, EngineRecord, EngineRun, EngineState};
 pub use origin::{Origin, OriginOptions, Served};
+pub use plan::{CentrePlan, Plan};
 pub use service::{Service, ServiceOptions, ServiceRun};
 pub use store::{Calls, Losses, Snapshot, Store, StoreOptions};
+pub use traffic::{Caller, Tally, Told, Traffic};
