--- a/crates/azurestand/src/args.rs
+++ b/crates/azurestand/src/args.rs
@@ -129,10 +129,16 @@
     /// Lists in variables are separated by commas; options go before them.
     fn add_environment(&mut self) -> Result<(), Failure> {
         if self.stores.is_empty() {
-            self.stores = variable(STORE_VARIABLE).iter().map(|raw| store(raw)).collect::<Result<_, _>>()?;
+            self.stores = variable(STORE_VARIABLE)
+                .iter()
+                .map(|raw| store(raw))
+                .collect::<Result<_, _>>()?;
         }
         if self.entries.is_empty() {
-            self.entries = variable(ENTRY_VARIABLE).iter().map(|raw| entry(raw)).collect::<Result<_, _>>()?;
+            self.entries = variable(ENTRY_VARIABLE)
+                .iter()
+                .map(|raw| entry(raw))
+                .collect::<Result<_, _>>()?;
         }
         Ok(())
     }
@@ -156,7 +162,12 @@
         return Err(usage(message));
     }
     let operands: Vec<&str> = words[count..].iter().map(String::as_str).collect();
-    let wrong = || usage(format!("write `azurestand {} {}`", verb.name, verb.operands));
+    let wrong = || {
+        usage(format!(
+            "write `azurestand {} {}`",
+            verb.name, verb.operands
+        ))
+    };
     Ok(match (verb.name, &operands[..]) {
         ("config show", []) => Command::ConfigShow(None),
         ("config show", [section]) => Command::ConfigShow(Some(Section::try_from(*section)?)),
@@ -190,7 +201,9 @@
     match raw {
         "text" => Ok(Format::Text),
         "json" => Ok(Format::Json),
-        _ => Err(usage(format!("there is no format {raw:?}; give text or json"))),
+        _ => Err(usage(format!(
+            "there is no format {raw:?}; give text or json"
+        ))),
     }
 }
 
@@ -216,7 +229,10 @@
 
 fn variable(name: &str) -> Vec<String> {
     let raw = std::env::var(name).unwrap_or_default();
-    let items = raw.split(',').map(str::trim).filter(|item| !item.is_empty());
+    let items = raw
+        .split(',')
+        .map(str::trim)
+        .filter(|item| !item.is_empty());
     items.map(str::to_owned).collect()
 }
 
--- a/crates/azurestand/src/failure.rs
+++ b/crates/azurestand/src/failure.rs
@@ -16,7 +16,7 @@
 quick_error! {
     /// Why a command failed. Each message tells what to do.
     #[derive(Debug)]
-    pub(crate) enum Failure {
+    pub enum Failure {
         /// The command line is wrong.
         Usage(message: String) {
             display("{message}; see `azurestand help`")
--- a/crates/azurestand/src/progress.rs
+++ b/crates/azurestand/src/progress.rs
@@ -83,9 +83,17 @@
         for (name, centre) in &self.centres {
             let total = centre.reached + centre.missing.len();
             let reached = centre.reached;
-            write!(f, "{name}: {reached} of {total} nodes at revision {}", self.revision)?;
+            write!(
+                f,
+                "{name}: {reached} of {total} nodes at revision {}",
+                self.revision
+            )?;
             for node in &centre.missing {
-                write!(f, "\n  missing: {} at revision {}", node.host, node.revision)?;
+                write!(
+                    f,
+                    "\n  missing: {} at revision {}",
+                    node.host, node.revision
+                )?;
             }
             writeln!(f)?;
         }
--- a/crates/azurestand/src/section_file.rs
+++ b/crates/azurestand/src/section_file.rs
@@ -41,7 +41,9 @@
         };
         let (line, text) = rest.split_once('\n').unwrap_or((rest, ""));
         let damaged = || {
-            let message = format!("the first line {line:?} is damaged; write it anew with `azurestand config edit`");
+            let message = format!(
+                "the first line {line:?} is damaged; write it anew with `azurestand config edit`"
+            );
             Failure::Usage(message)
         };
         let (revision, section) = line.trim_end().split_once(" of ").ok_or_else(damaged)?;
@@ -49,25 +51,30 @@
         let section = Section::try_from(section).map_err(|_| damaged())?;
         Ok(Self {
             base: Some((section, Revision(revision))),
-            text: text.to_owned(),
+            text: format!("\n{text}"),
         })
     }
 
     /// What to write for editing `section`.
     pub(crate) fn text_of(document: &Document, section: Section) -> String {
         let base = document.stamp(section).revision;
-        let text = document.section_text(section).trim_start_matches('\n');
+        let text = document.section_text(section);
         format!("{BASE_MARK}{base} of {section}\n{text}")
     }
 
     /// The revision on which the edit of `section` builds.
     ///
     /// A file that doesn't name one is taken to build on the present text.
-    pub(crate) fn base_of(&self, section: Section, document: &Document) -> Result<Revision, Failure> {
+    pub(crate) fn base_of(
+        &self,
+        section: Section,
+        document: &Document,
+    ) -> Result<Revision, Failure> {
         match self.base {
             Some((named, revision)) if named == section => Ok(revision),
             Some((named, _)) => {
-                let message = format!("the file holds section {named}, not {section}; apply it as {named}");
+                let message =
+                    format!("the file holds section {named}, not {section}; apply it as {named}");
                 Err(Failure::Usage(message))
             }
             None => Ok(document.stamp(section).revision),
--- a/crates/azurestand/src/verbs.rs
+++ b/crates/azurestand/src/verbs.rs
@@ -50,13 +50,19 @@
     pub(crate) fn help(self) -> &'static str {
         match self {
             Self::Author => "--author NAME    who makes the change (AZURESTAND_AUTHOR, else USER)",
-            Self::Change => "--change ID      names the change; repeat it to repeat a command safely",
-            Self::Entry => "--entry URL      an entry to ask, such as http://10.0.0.1:8080; repeatable (AZURESTAND_ENTRY)",
+            Self::Change => {
+                "--change ID      names the change; repeat it to repeat a command safely"
+            }
+            Self::Entry => {
+                "--entry URL      an entry to ask, such as http://10.0.0.1:8080; repeatable (AZURESTAND_ENTRY)"
+            }
             Self::Force => "--force          does it despite the warning",
             Self::Limit => "--limit N        the most changes to look at",
             Self::Out => "--out FILE       the file to write",
             Self::Settings => "--settings FILE  the settings of a daemon",
-            Self::Store => "--store URL      the store, such as http://10.0.0.9:2379; repeatable (AZURESTAND_STORE)",
+            Self::Store => {
+                "--store URL      the store, such as http://10.0.0.9:2379; repeatable (AZURESTAND_STORE)"
+            }
             Self::Timeout => "--timeout SECS   how long --wait waits; 10 unless given",
             Self::Wait => "--wait           waits until every node has the change; needs --entry",
         }
--- a/crates/azurestand_config/src/delta.rs
+++ b/crates/azurestand_config/src/delta.rs
@@ -103,7 +103,7 @@
             part.stamp = changed.stamp.clone();
         }
         if errors.as_slice().is_empty() {
-            errors = draft.cross_check(1);
+            errors = draft.cross_check(None);
         }
         errors.verdict(())?;
         let document = draft.close()?;
--- a/crates/azurestand_config/src/document.rs
+++ b/crates/azurestand_config/src/document.rs
@@ -82,8 +82,7 @@
             draft.read(*section, *block, &mut errors);
         }
         if errors.as_slice().is_empty() {
-            let line = layout.sections.get(&Section::Accounts);
-            errors = draft.cross_check(line.map_or(1, |block| block.line));
+            errors = draft.cross_check(layout.sections.get(&Section::Accounts).copied());
         }
         errors.verdict(())?;
         draft.close()
@@ -214,11 +213,17 @@
         part.text = layout::normalise(block.text).into();
     }
 
-    /// Checks what the sections say of each other; `line` is where the accounts start.
-    pub(crate) fn cross_check(&self, line: usize) -> ConfigErrors {
+    /// Checks what the sections say of each other.
+    ///
+    /// `accounts` is the accounts' block if it was just read; errors name its lines.
+    pub(crate) fn cross_check(&self, accounts: Option<Block<'_>>) -> ConfigErrors {
         let part = self.parts.get(&Section::Accounts);
-        let text = part.map_or("", |part| &*part.text);
-        let source = Source::new(Section::Accounts, text, line);
+        let held = Block {
+            text: part.map_or("", |part| &*part.text),
+            line: 1,
+        };
+        let block = accounts.unwrap_or(held);
+        let source = Source::new(Section::Accounts, block.text, block.line);
         cross::check(&self.checked, &source)
     }
 
--- a/crates/azurestand_config/src/edit.rs
+++ b/crates/azurestand_config/src/edit.rs
@@ -171,7 +171,8 @@
             };
         }
         if errors.as_slice().is_empty() {
-            errors = draft.cross_check(1);
+            let accounts = (edit.section == Section::Accounts).then_some(block);
+            errors = draft.cross_check(accounts);
         }
         errors.verdict(())?;
         draft.close()
--- a/crates/azurestand_config/src/layout.rs
+++ b/crates/azurestand_config/src/layout.rs
@@ -58,9 +58,9 @@
     text
 }
 
-/// Ends a section's text with one line break, so that texts can be joined.
+/// Cuts blank lines off both ends and leaves one line break, so that texts can be joined.
 pub(crate) fn normalise(text: &str) -> String {
-    let body = text.trim_end();
+    let body = text.trim_end().trim_start_matches(['\r', '\n']);
     if body.is_empty() {
         return String::new();
     }
