--- a/crates/azurestand_store/src/budget.rs
+++ b/crates/azurestand_store/src/budget.rs
@@ -51,38 +51,60 @@
     }
 }
 
+/// What a bucket gives after it has not been used for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Shape {
+    /// Several calls at once, this many intervals deep.
+    Burst { depth: Duration },
+    /// One call after a random part of an interval, so that processes that are
+    /// woken by one cause don't call together.
+    Spread,
+}
+
 /// A token bucket, kept as the moment at which it will be full again.
 #[derive(Debug, Clone)]
 pub struct Bucket {
     interval: Duration,
-    depth: Duration,
+    shape: Shape,
     full: Moment,
+    /// The place that a refused caller was told to wait for.
+    promised: Option<Moment>,
+    rng: fastrand::Rng,
 }
 
 impl Bucket {
     /// A bucket of `rate` calls a second and `burst` calls at once.
     ///
     /// It starts empty but for a random part of one call, so that processes
-    /// that start together don't call together.
-    pub fn new(rate: f64, burst: u32, now: Moment, rng: &mut fastrand::Rng) -> Self {
+    /// that start together don't call together. With a `burst` of 0 that also
+    /// holds after each time of rest, at the cost of half an interval's wait.
+    pub fn new(rate: f64, burst: u32, now: Moment, mut rng: fastrand::Rng) -> Self {
         let interval = interval(rate);
-        let depth = interval * burst.saturating_sub(1);
-        let full = now + depth + interval.mul_f64(rng.f64());
+        let phase = interval.mul_f64(rng.f64());
+        let (shape, full) = if burst == 0 {
+            (Shape::Spread, now + phase)
+        } else {
+            let depth = interval * (burst - 1);
+            (Shape::Burst { depth }, now + depth + phase)
+        };
         Self {
             interval,
-            depth,
+            shape,
             full,
+            promised: None,
+            rng,
         }
     }
 
     /// Changes the rate from now on and keeps the present fill.
     pub fn set_rate(&mut self, rate: f64, now: Moment) {
-        let old = self.interval;
-        let missing = self.full.since(now).div_duration_f64(old);
-        let burst = self.depth.div_duration_f64(old);
+        let factor = interval(rate).div_duration_f64(self.interval);
+        self.full = now + self.full.since(now).mul_f64(factor);
         self.interval = interval(rate);
-        self.depth = self.interval.mul_f64(burst);
-        self.full = now + self.interval.mul_f64(missing);
+        self.promised = None;
+        if let Shape::Burst { depth } = &mut self.shape {
+            *depth = depth.mul_f64(factor);
+        }
     }
 
     /// Takes the next free place and tells when it comes, unless that is more
@@ -91,15 +113,30 @@
     /// # Errors
     /// Fails without taking a place when the wait would be too long.
     pub fn reserve(&mut self, now: Moment, patience: Duration) -> Result<Moment, OverBudget> {
-        let full = self.full.max(now);
-        let start = (full - self.depth).max(now);
+        let start = self.start(now);
         let wait = start.since(now);
         if wait > patience {
+            self.promised = Some(start);
             return Err(OverBudget { wait });
         }
-        self.full = full + self.interval;
+        self.promised = None;
+        self.full = match self.shape {
+            Shape::Burst { .. } => self.full.max(now) + self.interval,
+            Shape::Spread => start + self.interval,
+        };
         Ok(start)
     }
+
+    /// When the next call may start.
+    fn start(&mut self, now: Moment) -> Moment {
+        match (self.shape, self.promised) {
+            (Shape::Burst { depth }, _) => (self.full.max(now) - depth).max(now),
+            // A caller that comes much later may have been woken with others.
+            (Shape::Spread, Some(promised)) if promised + self.interval > now => promised.max(now),
+            (Shape::Spread, _) if self.full > now => self.full,
+            (Shape::Spread, _) => now + self.interval.mul_f64(self.rng.f64()),
+        }
+    }
 }
 
 fn interval(rate: f64) -> Duration {
@@ -117,14 +154,15 @@
 }
 
 impl Budget {
-    /// Calls at `rates`, with up to `burst` at once of either kind.
+    /// Calls at `rates`, with up to `burst` at once of either kind; 0 spreads
+    /// calls that have one cause, as [`Bucket::new`] tells.
     ///
-    /// `seed` spreads the first calls of processes that start together.
+    /// `seed` spreads the calls of processes that start or wake together.
     pub fn new(rates: Rates, burst: u32, now: Moment, seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         Self {
-            reads: Bucket::new(rates.reads, burst, now, &mut rng),
-            writes: Bucket::new(rates.writes, burst, now, &mut rng),
+            reads: Bucket::new(rates.reads, burst, now, rng.fork()),
+            writes: Bucket::new(rates.writes, burst, now, rng.fork()),
         }
     }
 
--- a/crates/azurestand_store/src/follow.rs
+++ b/crates/azurestand_store/src/follow.rs
@@ -1,100 +1,48 @@
 //! Follows a scope of the store and never misses its newest values.
 //!
 //! A watch alone isn't enough: it ends, it meets compacted history, and it can
-//! go silent for good while new connections work. So the follower lists after
-//! every end of a watch, and looks at the versions from time to time while
-//! one is open; what doesn't fit makes it list again.
+//! go silent for good while new connections work. So the follower opens a
+//! watch first and lists then, which leaves no gap between the two, and looks
+//! at the versions from time to time; what doesn't fit makes it start again.
+//! So does every end of a watch, since a restore of the store is one of its
+//! causes. Now and then it starts again without a cause, for what versions
+//! alone can't show.
+
+mod message;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use azurestand_types::Moment;
+use bytes::Bytes;
 
-use crate::backoff::{Backoff, BackoffLimits};
+use crate::backoff::Backoff;
 use crate::error::StoreError;
 use crate::key::Key;
 use crate::store::{Change, Listing, Versions, WatchEvent};
 use crate::transaction::Version;
 
-/// How often the store is asked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FollowTiming {
-    /// The time between two looks at the versions while a watch is open.
-    pub probe: Duration,
-    /// The delays between tries.
-    pub retry: BackoffLimits,
-}
-
-impl Default for FollowTiming {
-    fn default() -> Self {
-        Self {
-            probe: Duration::from_secs(2),
-            retry: BackoffLimits::default(),
-        }
-    }
-}
+pub use message::{FollowAction, FollowEvent, FollowTiming, News};
 
-/// What the store answered.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FollowEvent {
-    /// The answer to [`FollowAction::List`].
-    Listed(Result<Listing, StoreError>),
-    /// The answer to [`FollowAction::Open`]: the store's version then.
-    Opened(Result<Version, StoreError>),
-    /// The answer to [`FollowAction::Probe`].
-    Probed(Result<Versions, StoreError>),
-    /// What the open watch told.
-    Watched(WatchEvent),
-    /// Time has passed.
-    Tick,
-}
-
-/// What to do next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FollowAction {
-    /// List the scope.
-    List,
-    /// Open a watch from this version on, in place of any other.
-    Open(Version),
-    /// Read the versions of the scope; events of the open watch go on meanwhile.
-    Probe,
-    /// Close the open watch.
-    Close,
-    /// Tell the owner.
-    Report(News),
-}
-
-/// What the owner of a follower learns.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum News {
-    /// All values, in place of everything told before.
-    Snapshot(Listing),
-    /// Later changes, each newer than what was told of its key.
-    Changed(Vec<Change>),
-    /// The store answered and holds nothing newer.
-    Current {
-        /// The store's version.
-        version: Version,
+enum Phase {
+    Waiting {
+        until: Moment,
+    },
+    Opening,
+    /// What the watch tells before the listing has come.
+    Listing {
+        early: Vec<Change>,
+    },
+    Watching {
+        probe: Moment,
     },
-    /// The store went back to an older state; a snapshot of it follows.
-    Restored {
-        /// The newest version seen before.
-        had: Version,
-        /// The version found.
-        found: Version,
+    /// The store's version can't be below `floor` unless it was restored.
+    Probing {
+        floor: Version,
     },
-    /// The store can't be followed now; what was told may be old.
-    Unreachable(StoreError),
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Listing,
-    Opening,
-    Watching { probe: Moment },
-    Probing { floor: Version },
-    Waiting { until: Moment },
-}
+type Known = BTreeMap<Key, (Version, Bytes)>;
 
 /// The state of one follower.
 #[derive(Debug)]
@@ -104,7 +52,8 @@
     phase: Phase,
     /// The highest version that the store has shown.
     version: Version,
-    known: Option<BTreeMap<Key, Version>>,
+    known: Option<Known>,
+    refresh: Moment,
 }
 
 impl Follow {
@@ -117,6 +66,7 @@
             phase: Phase::Waiting { until: start },
             version: Version(0),
             known: None,
+            refresh: start,
         }
     }
 
@@ -125,50 +75,70 @@
         match self.phase {
             Phase::Waiting { until } => Some(until),
             Phase::Watching { probe } => Some(probe),
-            Phase::Listing | Phase::Opening | Phase::Probing { .. } => None,
+            Phase::Listing { .. } | Phase::Opening | Phase::Probing { .. } => None,
         }
     }
 
     /// Takes an event and tells what to do.
     pub fn step(&mut self, now: Moment, event: FollowEvent) -> Vec<FollowAction> {
-        match (self.phase, event) {
-            (Phase::Waiting { until }, FollowEvent::Tick) if now >= until => self.list(),
-            (Phase::Watching { probe }, FollowEvent::Tick) if now >= probe => {
+        match event {
+            FollowEvent::Tick => self.tick(now),
+            FollowEvent::Opened(Ok(_)) if self.phase == Phase::Opening => {
+                self.phase = Phase::Listing { early: Vec::new() };
+                vec![FollowAction::List]
+            }
+            FollowEvent::Opened(Err(error)) if self.phase == Phase::Opening => {
+                self.fail(now, error)
+            }
+            FollowEvent::Opened(_) => Vec::new(),
+            FollowEvent::Listed(listed) => self.listed(now, listed),
+            FollowEvent::Probed(probed) => self.probed(now, probed),
+            FollowEvent::Watched(event) => self.watched(now, event),
+        }
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<FollowAction> {
+        match self.phase {
+            Phase::Waiting { until } if now >= until => self.open(),
+            Phase::Watching { .. } if now >= self.refresh => self.open(),
+            Phase::Watching { probe } if now >= probe => {
                 let floor = self.version;
                 self.phase = Phase::Probing { floor };
                 vec![FollowAction::Probe]
             }
-            (Phase::Listing, FollowEvent::Listed(Ok(listing))) => self.listed(listing),
-            (Phase::Listing, FollowEvent::Listed(Err(error)))
-            | (Phase::Opening, FollowEvent::Opened(Err(error))) => self.fail(now, error),
-            (Phase::Opening, FollowEvent::Opened(Ok(version))) => self.opened(now, version),
-            (Phase::Probing { floor }, FollowEvent::Probed(Ok(found))) => {
-                self.probed(now, floor, &found)
-            }
-            (Phase::Probing { .. }, FollowEvent::Probed(Err(error))) => {
-                let probe = now + self.backoff.delay();
-                self.phase = Phase::Watching { probe };
-                vec![FollowAction::Report(News::Unreachable(error))]
-            }
-            (Phase::Watching { .. } | Phase::Probing { .. }, FollowEvent::Watched(event)) => {
-                self.watched(now, event)
-            }
             _ => Vec::new(),
         }
     }
 
-    fn list(&mut self) -> Vec<FollowAction> {
-        self.phase = Phase::Listing;
-        vec![FollowAction::List]
+    fn open(&mut self) -> Vec<FollowAction> {
+        self.phase = Phase::Opening;
+        vec![FollowAction::Close, FollowAction::Open]
     }
 
-    fn listed(&mut self, listing: Listing) -> Vec<FollowAction> {
+    fn listed(&mut self, now: Moment, listed: Result<Listing, StoreError>) -> Vec<FollowAction> {
+        let Phase::Listing { early } = &mut self.phase else {
+            return Vec::new();
+        };
+        let early = std::mem::take(early);
+        let listing = match listed {
+            Ok(listing) => listing,
+            Err(error) => return self.fail(now, error),
+        };
+        let mut actions = self.compare(listing);
+        actions.extend(self.changed(early));
+        self.backoff.reset();
+        self.refresh = now + self.timing.refresh;
+        self.watch(now);
+        actions
+    }
+
+    /// Takes a listing in place of everything known.
+    fn compare(&mut self, listing: Listing) -> Vec<FollowAction> {
         let mut actions = Vec::new();
         let found = listing.version;
-        let keys: BTreeMap<_, _> = listing
-            .entries
-            .iter()
-            .map(|entry| (entry.key.clone(), entry.version))
+        let entries = listing.entries.iter();
+        let keys: Known = entries
+            .map(|entry| (entry.key.clone(), (entry.version, entry.value.clone())))
             .collect();
         if self.is_older(&keys, found) {
             let had = self.version;
@@ -182,31 +152,19 @@
         actions.push(FollowAction::Report(news));
         self.known = Some(keys);
         self.version = found;
-        self.phase = Phase::Opening;
-        actions.push(FollowAction::Open(found.next()));
         actions
     }
 
-    /// Whether the store shows an older state than before.
+    /// Whether the store shows another history than before.
     ///
     /// A restored store may have grown past the version seen before; then a
-    /// value with an older version than the one known gives it away.
-    fn is_older(&self, keys: &BTreeMap<Key, Version>, found: Version) -> bool {
-        let older = |(key, known): (&Key, &Version)| keys.get(key).is_some_and(|now| now < known);
-        let known = self.known.iter().flatten();
-        found < self.version || known.into_iter().any(older)
-    }
-
-    fn opened(&mut self, now: Moment, version: Version) -> Vec<FollowAction> {
-        if version < self.version {
-            // The store was restored since the listing.
-            let mut actions = vec![FollowAction::Close];
-            actions.extend(self.list());
-            return actions;
-        }
-        self.backoff.reset();
-        self.watch(now);
-        Vec::new()
+    /// value of an older version, or another value of the same, gives it away.
+    fn is_older(&self, keys: &Known, found: Version) -> bool {
+        let older = |(key, (version, value)): (&Key, &(Version, Bytes))| {
+            keys.get(key)
+                .is_some_and(|(now, text)| now < version || now == version && text != value)
+        };
+        found < self.version || self.known.iter().flatten().any(older)
     }
 
     fn watch(&mut self, now: Moment) {
@@ -214,16 +172,24 @@
         self.phase = Phase::Watching { probe };
     }
 
-    fn probed(&mut self, now: Moment, floor: Version, found: &Versions) -> Vec<FollowAction> {
-        if found.version < floor || self.differs(found) {
-            let mut actions = vec![FollowAction::Close];
-            actions.extend(self.list());
-            return actions;
+    fn probed(&mut self, now: Moment, probed: Result<Versions, StoreError>) -> Vec<FollowAction> {
+        let Phase::Probing { floor } = self.phase else {
+            return Vec::new();
+        };
+        match probed {
+            Err(error) => {
+                let probe = now + self.backoff.delay();
+                self.phase = Phase::Watching { probe };
+                vec![FollowAction::Report(News::Unreachable(error))]
+            }
+            Ok(found) if found.version < floor || self.differs(&found) => self.open(),
+            Ok(Versions { version, .. }) => {
+                self.backoff.reset();
+                self.version = self.version.max(version);
+                self.watch(now);
+                vec![FollowAction::Report(News::Current { version })]
+            }
         }
-        self.version = self.version.max(found.version);
-        self.watch(now);
-        let version = found.version;
-        vec![FollowAction::Report(News::Current { version })]
     }
 
     /// Whether the versions show a change that the watch has not told.
@@ -236,23 +202,24 @@
         let now: BTreeMap<_, _> = found.keys.iter().map(|kv| (&kv.key, kv.version)).collect();
         let newer = now
             .iter()
-            .any(|(key, version)| known.get(*key).is_none_or(|seen| seen < version));
+            .any(|(key, version)| known.get(*key).is_none_or(|(seen, _)| seen < version));
         let gone = known
             .iter()
-            .filter(|(_, seen)| **seen <= found.version)
-            .any(|(key, seen)| now.get(key).is_none_or(|version| version < seen));
+            .filter(|(_, (seen, _))| *seen <= found.version)
+            .any(|(key, (seen, _))| now.get(key).is_none_or(|version| version < seen));
         newer || gone
     }
 
     fn watched(&mut self, now: Moment, event: WatchEvent) -> Vec<FollowAction> {
-        match event {
-            WatchEvent::Changed(changes) => self.changed(changes),
-            WatchEvent::Compacted { .. } => {
-                let mut actions = vec![FollowAction::Close];
-                actions.extend(self.list());
-                actions
+        match (&mut self.phase, event) {
+            (Phase::Waiting { .. } | Phase::Opening, _) => Vec::new(),
+            (Phase::Listing { early }, WatchEvent::Changed(changes)) => {
+                early.extend(changes);
+                Vec::new()
             }
-            WatchEvent::Closed => {
+            (_, WatchEvent::Changed(changes)) => self.changed(changes),
+            (_, WatchEvent::Compacted { .. }) => self.open(),
+            (_, WatchEvent::Closed) => {
                 let until = now + self.backoff.delay();
                 self.phase = Phase::Waiting { until };
                 vec![FollowAction::Close]
@@ -266,13 +233,20 @@
         for change in changes {
             let version = change.version();
             self.version = self.version.max(version);
-            if known.get(change.key()).is_some_and(|seen| *seen >= version) {
+            if known
+                .get(change.key())
+                .is_some_and(|(seen, _)| *seen >= version)
+            {
                 continue;
             }
             match &change {
-                Change::Put(entry) => known.insert(entry.key.clone(), version),
-                Change::Deleted { key, .. } => known.remove(key),
-            };
+                Change::Put(entry) => {
+                    known.insert(entry.key.clone(), (version, entry.value.clone()));
+                }
+                Change::Deleted { key, .. } => {
+                    known.remove(key);
+                }
+            }
             fresh.push(change);
         }
         if fresh.is_empty() {
@@ -284,6 +258,9 @@
     fn fail(&mut self, now: Moment, error: StoreError) -> Vec<FollowAction> {
         let until = now + self.backoff.delay();
         self.phase = Phase::Waiting { until };
-        vec![FollowAction::Report(News::Unreachable(error))]
+        vec![
+            FollowAction::Close,
+            FollowAction::Report(News::Unreachable(error)),
+        ]
     }
 }
--- a/crates/azurestand_store/src/follower.rs
+++ b/crates/azurestand_store/src/follower.rs
@@ -13,6 +13,7 @@
 use crate::follow::{Follow, FollowAction, FollowEvent, FollowTiming, News};
 use crate::key::Scope;
 use crate::store::{Store, Watch, WatchEvent};
+use crate::transaction::Version;
 
 const NEWS_QUEUED: usize = 64;
 
@@ -135,10 +136,9 @@
                     Answer::Event(FollowEvent::Probed(store.versions(&scope).await))
                 }));
             }
-            FollowAction::Open(from) => {
-                self.watch = None;
+            FollowAction::Open => {
                 self.call = Some(Box::pin(async move {
-                    Answer::Watch(store.watch(&scope, from).await)
+                    Answer::Watch(store.watch(&scope, Version(0)).await)
                 }));
             }
             FollowAction::Close => self.watch = None,
--- a/crates/azurestand_store/src/http.rs
+++ b/crates/azurestand_store/src/http.rs
@@ -29,9 +29,11 @@
     pub timeout: Duration,
     /// This process's part of the rates.
     pub share: Share,
-    /// Calls that may be made at once.
+    /// How long a call may wait for its place in the budget.
+    pub patience: Duration,
+    /// Calls that may be made at once; 0 spreads calls that have one cause.
     pub burst: u32,
-    /// Spreads the first calls of processes that start together.
+    /// Spreads the calls of processes that start or wake together.
     pub seed: u64,
 }
 
@@ -46,6 +48,7 @@
         Self {
             addresses,
             timeout: Duration::from_secs(5),
+            patience: Duration::from_secs(5),
             share: Share {
                 centre,
                 weight: 1,
@@ -66,7 +69,7 @@
 impl HttpStore {
     /// A client that connects with its first call.
     ///
-    /// A call over budget waits for its place, up to the timeout.
+    /// A call over budget waits for its place, up to the patience.
     pub fn new(options: HttpOptions) -> Self {
         Self {
             caller: Arc::new(Caller::new(options)),
--- a/crates/azurestand_store/src/http/call.rs
+++ b/crates/azurestand_store/src/http/call.rs
@@ -155,7 +155,7 @@
 
     /// Waits for a place in the budget.
     async fn place(&self, kind: Kind) -> Result<(), Failure> {
-        let (now, patience) = (self.now(), self.options.timeout);
+        let (now, patience) = (self.now(), self.options.patience);
         let place = match kind {
             Kind::Read => lock(&self.budget).read(now, patience),
             Kind::Write => lock(&self.budget).write(now, patience),
--- a/crates/azurestand_store/src/semaphore.rs
+++ b/crates/azurestand_store/src/semaphore.rs
@@ -7,88 +7,19 @@
 //! which makes room and never less.
 
 mod attempt;
+mod message;
 
 use azurestand_types::{Fence, Moment};
 
-use crate::backoff::{Backoff, BackoffLimits};
+use crate::backoff::Backoff;
 use crate::error::StoreError;
-use crate::key::{Key, KeyError, Scope};
+use crate::key::KeyError;
 use crate::lease::{Lease, LeaseTiming, Warrant};
 use crate::store::{Grant, Kept, LeaseId, Listing};
-use crate::transaction::{Cause, Commit, Transaction};
+use crate::transaction::{Cause, Commit};
 
 use attempt::{Finding, Keys};
-
-/// Which permits, who wants one, and how.
-#[derive(Debug, Clone)]
-pub struct SemaphoreOptions {
-    /// The key that the semaphore lives below.
-    pub key: Key,
-    /// The holder's name, which no other process or earlier life may use.
-    pub holder: String,
-    /// How many permits there are.
-    pub limit: u32,
-    /// How long a permit outlives its holder.
-    pub timing: LeaseTiming,
-    /// The delays between tries, while full or while the store fails.
-    pub retry: BackoffLimits,
-    /// Draws the delays.
-    pub seed: u64,
-}
-
-/// What a holder wants or has learned.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PermitEvent {
-    /// The holder wants a permit.
-    Wanted,
-    /// The holder is done with its permit, or wants none any more.
-    Done,
-    /// The number of permits changed; held ones stay.
-    LimitChanged(u32),
-    /// Somebody has seen this fencing number; later ones must be higher.
-    FenceSeen(Fence),
-    /// The answer to [`PermitAction::List`].
-    Listed(Result<Listing, StoreError>),
-    /// The answer to [`PermitAction::Grant`].
-    Granted(Result<Grant, StoreError>),
-    /// The answer to [`PermitAction::Commit`].
-    Committed(Commit),
-    /// The answer to [`PermitAction::Keep`].
-    Kept {
-        /// The lease that was to be kept; an answer about an earlier one is ignored.
-        lease: LeaseId,
-        /// The answer.
-        kept: Result<Kept, StoreError>,
-    },
-    /// Time has passed.
-    Tick,
-}
-
-/// What to do for the holder; each call's answer comes back as an event.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PermitAction {
-    /// List this scope.
-    List(Scope),
-    /// Ask for a lease.
-    Grant(LeaseTiming),
-    /// Apply this transaction.
-    Commit(Transaction),
-    /// Keep this lease.
-    Keep(LeaseId),
-    /// Release this lease; its answer isn't needed.
-    Release(LeaseId),
-    /// Tell the holder.
-    Report(PermitNews),
-}
-
-/// What the holder has to know.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PermitNews {
-    /// The permit is held; ask [`Semaphore::warrant`] before each act.
-    Held(Warrant),
-    /// The permit is gone, without the holder's doing; stop what it allowed.
-    Lost,
-}
+pub use message::{PermitAction, PermitEvent, PermitNews, SemaphoreOptions};
 
 #[derive(Debug)]
 enum State {
@@ -214,7 +145,7 @@
         let lease = lease.filter(|lease| lease.is_held(now));
         let finding = listed.map(|listing| self.keys.find(&listing, lease.map(|held| held.id())));
         match (finding, lease) {
-            (_, lease) if !self.wanted => self.give_up(lease, actions),
+            (_, lease) if !self.wanted => self.withdraw(now, lease, actions),
             (Err(_), lease) => self.withdraw(now, lease, actions),
             (Ok(Finding::Own { fence }), Some(lease)) => self.hold(now, lease, fence, actions),
             (Ok(finding), lease) if !finding.has_room(self.limit) => {
@@ -231,7 +162,7 @@
         }
     }
 
-    /// Ends an attempt and tries again later.
+    /// Ends an attempt, and tries again later while a permit is wanted.
     ///
     /// Releasing the lease voids a commit that is still on its way: the store
     /// refuses to write under a lease that is gone.
@@ -242,13 +173,6 @@
         self.wait(now);
     }
 
-    fn give_up(&mut self, lease: Option<Lease>, actions: &mut Vec<PermitAction>) {
-        if let Some(lease) = lease {
-            actions.push(PermitAction::Release(lease.id()));
-        }
-        self.state = State::Idle;
-    }
-
     fn granted(&mut self, now: Moment, granted: Option<Grant>, actions: &mut Vec<PermitAction>) {
         let State::Granting { asked, finding } = &self.state else {
             return;
@@ -261,7 +185,7 @@
                 if self.wanted && lease.is_held(now) {
                     self.take(lease, &finding, actions);
                 } else {
-                    self.give_up(Some(lease), actions);
+                    self.withdraw(now, Some(lease), actions);
                 }
             }
         }
@@ -279,7 +203,7 @@
         };
         let (lease, fence) = (*lease, *fence);
         match commit {
-            _ if !self.wanted => self.give_up(Some(lease), actions),
+            _ if !self.wanted => self.withdraw(now, Some(lease), actions),
             Commit::Applied { .. } => self.hold(now, lease, fence, actions),
             // Another taker was faster: look again at once, with the same lease.
             Commit::NotApplied(Cause::Conflict) | Commit::Unknown => {
--- a/crates/azurestand_store/src/store.rs
+++ b/crates/azurestand_store/src/store.rs
@@ -183,7 +183,7 @@
     /// Ends a lease and removes its values; a lapsed lease counts as released.
     fn release(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Opens a watch on the changes from version `from` on.
+    /// Opens a watch on the changes from version `from` on; 0 is from now on.
     fn watch(
         &self,
         scope: &Scope,
