Divide links between regions by what each drawing agent still has to draw

Change: shares go by backlog; searches run over bitmaps; subscriptions are looked over once a second.

--- a/crates/azurestand_spread/src/bitmap.rs
+++ b/crates/azurestand_spread/src/bitmap.rs
@@ -44,6 +44,36 @@
         true
     }
 
+    /// Adds the bits of `other`.
+    pub(crate) fn join(&mut self, other: &Self) {
+        for (own, other) in self.bytes.iter_mut().zip(&other.bytes) {
+            *own |= other;
+        }
+    }
+
+    /// Removes the bits of `other`.
+    pub(crate) fn subtract(&mut self, other: &Self) {
+        for (own, other) in self.bytes.iter_mut().zip(&other.bytes) {
+            *own &= !other;
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes.iter().all(|byte| *byte == 0)
+    }
+
+    /// The set bits, beginning at `start` and wrapping around.
+    pub(crate) fn ones(&self, start: usize) -> impl Iterator<Item = usize> + '_ {
+        let first = start / 8;
+        let order = (first..self.bytes.len()).chain(0..first);
+        order.flat_map(|byte| {
+            let value = self.bytes[byte];
+            let bits = if value == 0 { 0..0 } else { 0..8 };
+            bits.filter(move |bit| value & (1 << bit) != 0)
+                .map(move |bit| byte * 8 + bit)
+        })
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.bytes
             .iter()
--- a/crates/azurestand_spread/src/transfer.rs
+++ b/crates/azurestand_spread/src/transfer.rs
@@ -1,7 +1,8 @@
 //! The state machine that runs on each host.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use azurestand_types::{Digest, HostName, Moment, Region, rendezvous};
 
@@ -9,8 +10,9 @@
 use self::goal::Goal;
 use self::peers::{Neighbour, Place};
 use self::serve::Uploads;
+use self::share::CrossLink;
 use self::upstream::Upstream;
-use crate::bucket::{Bucket, Rate};
+use crate::bucket::Bucket;
 use crate::event::{Action, Event, Load, Note, Peer, Site, Source};
 use crate::limits::Limits;
 use crate::manifest::Manifest;
@@ -25,21 +27,21 @@
 mod peers;
 mod pick;
 mod serve;
+mod share;
 mod upstream;
 
 /// Chunks' worth of tokens that a host link's bucket saves up.
 const BURST_CHUNKS: u64 = 2;
 
+/// How often subscriptions are looked over.
+const LISTEN_EVERY: Duration = Duration::from_secs(1);
+
+/// How often the shares of links are worked out.
+const SHARE_EVERY: Duration = Duration::from_millis(500);
+
 /// What transfers may use however busy live traffic is, in percent of a host's link.
 const MIN_SHARE: u64 = 1;
 
-/// The link from another region, as far as this host may use it.
-#[derive(Debug)]
-pub(crate) struct CrossLink {
-    bucket: Bucket,
-    flights: usize,
-}
-
 /// One host's part in spreading versions: what to fetch, from whom, when and how fast.
 #[derive(Debug)]
 pub struct Transfer {
@@ -58,6 +60,10 @@
     load: Load,
     sequence: u64,
     turn: usize,
+    /// When subscriptions were last looked over.
+    listened: Moment,
+    /// When the shares of links were last worked out.
+    shared: Moment,
     /// Drawn afresh for each choice, to break ties.
     salt: u64,
     /// Spreads hosts that are no drawing agents over time when all of those are stalled.
@@ -86,6 +92,8 @@
             load: Load::default(),
             sequence: 0,
             turn: 0,
+            listened: Moment::START,
+            shared: Moment::START,
             salt: 0,
             out: Vec::new(),
         }
@@ -137,7 +145,12 @@
 
     fn tick(&mut self, now: Moment) {
         self.expire(now);
-        self.subscribe(now);
+        if now.since(self.listened) >= LISTEN_EVERY {
+            self.subscribe(now);
+        }
+        if now.since(self.shared) >= SHARE_EVERY {
+            self.share_links(now);
+        }
     }
 
     fn set_load(&mut self, load: Load, now: Moment) {
@@ -148,44 +161,7 @@
             .set_rate(rate.less(load.inbound).max(floor), now);
         self.egress
             .set_rate(rate.less(load.outbound).max(floor), now);
-        self.share_cross(now);
-    }
-
-    fn cross_rate(&self) -> Rate {
-        let rate = self.limits.cross.percent(self.limits.share);
-        rate.less(self.load.cross)
-    }
-
-    /// Divides the links into this region, and the weight store, over the drawing agents.
-    fn share_cross(&mut self, now: Moment) {
-        let drawers = self
-            .goals
-            .iter()
-            .map(|goal| goal.orders.region.drawers.len());
-        let drawers = drawers.max().unwrap_or(1);
-        let rate = self.cross_rate().split(drawers);
-        let regions: BTreeSet<_> = self
-            .peers
-            .values()
-            .filter(|neighbour| neighbour.place == Place::Cross)
-            .map(|neighbour| neighbour.peer.region.clone())
-            .collect();
-        self.cross.retain(|region, _| regions.contains(region));
-        let count = regions.len() + 1;
-        for region in regions {
-            let link = self.cross.entry(region).or_insert_with(|| CrossLink {
-                bucket: Bucket::new(rate, 0, now),
-                flights: 0,
-            });
-            link.bucket.set_rate(rate, now);
-        }
-        if let Some(store) = self.limits.store {
-            let rate = store.split(drawers * count);
-            let bucket = self.upstream.bucket.take();
-            let mut bucket = bucket.unwrap_or_else(|| Bucket::new(rate, 0, now));
-            bucket.set_rate(rate, now);
-            self.upstream.bucket = Some(bucket);
-        }
+        self.share_links(now);
     }
 
     fn want(&mut self, manifests: Vec<Arc<Manifest>>, now: Moment) {
@@ -321,7 +297,7 @@
         for index in 0..self.goals.len() {
             self.reorder_goal(index, now);
         }
-        self.share_cross(now);
+        self.share_links(now);
     }
 
     fn reorder_goal(&mut self, index: usize, now: Moment) {
--- a/crates/azurestand_spread/src/transfer/listen.rs
+++ b/crates/azurestand_spread/src/transfer/listen.rs
@@ -19,6 +19,7 @@
 impl Transfer {
     /// Subscribes to the hosts whose chunks matter for each unfinished version.
     pub(crate) fn subscribe(&mut self, now: Moment) {
+        self.listened = now;
         for index in 0..self.goals.len() {
             let goal = &self.goals[index];
             if goal.missing == 0 {
--- a/crates/azurestand_spread/src/transfer/peers.rs
+++ b/crates/azurestand_spread/src/transfer/peers.rs
@@ -82,15 +82,6 @@
         }
     }
 
-    /// Whether it may be asked for chunk `index` of a version now.
-    pub(crate) fn offers(&self, manifest: Digest, index: usize, now: Moment) -> bool {
-        self.is_ready(now)
-            && self
-                .heard
-                .get(&manifest)
-                .is_some_and(|heard| heard.bits.get(index))
-    }
-
     /// A rank among equals that differs with each `salt`.
     pub(crate) fn rank(&self, salt: u64) -> u64 {
         (self.mix ^ salt).wrapping_mul(SPREAD_FACTOR) >> 32
--- a/crates/azurestand_spread/src/transfer/pick.rs
+++ b/crates/azurestand_spread/src/transfer/pick.rs
@@ -9,6 +9,7 @@
 use super::goal::Goal;
 use super::order::Order;
 use super::peers::{Neighbour, Place};
+use crate::bitmap::Bitmap;
 use crate::event::{Action, Note, Source};
 use crate::limits::Policy;
 use crate::message::Message;
@@ -223,7 +224,8 @@
                 neighbour.place != Place::Cross
                     && source != Source::Peer(neighbour.peer.host.clone())
             };
-            if let Some(host) = self.holder(index, chunk, &other, now) {
+            let holders = self.holders(index, other, now);
+            if let Some(host) = self.holder(&holders, chunk) {
                 return self.request(index, Some((chunk, host)), now);
             }
         }
@@ -278,42 +280,43 @@
         U: Fn(&Neighbour) -> bool,
     {
         let goal = &self.goals[index];
-        let start = self.offset(goal.len());
-        let mut best: Option<(u16, usize, HostName)> = None;
-        for step in 0..goal.len() {
-            let chunk = (start + step) % goal.len();
-            let count = rarity(chunk);
-            let rarer = best.as_ref().is_none_or(|(least, ..)| count < *least);
-            if count == 0 || !rarer || !goal.open(chunk) || !wanted(chunk) {
-                continue;
-            }
-            if let Some(host) = self.holder(index, chunk, &usable, now) {
-                best = Some((count, chunk, host));
-            }
+        let holders = self.holders(index, usable, now);
+        let mut open = Bitmap::new(goal.len());
+        for (_, bits) in &holders {
+            open.join(bits);
         }
-        best.map(|(_, chunk, host)| (chunk, host))
+        open.subtract(&goal.have);
+        open.subtract(&goal.busy);
+        let chunks = open.ones(self.offset(goal.len()));
+        let chunk = chunks
+            .filter(|&chunk| wanted(chunk))
+            .min_by_key(|&chunk| rarity(chunk))?;
+        let host = self.holder(&holders, chunk)?;
+        Some((chunk, host))
     }
 
-    /// The usable host that offers a chunk, has failed least and is asked for least.
-    fn holder<U>(&self, index: usize, chunk: usize, usable: &U, now: Moment) -> Option<HostName>
+    /// The usable hosts that may be asked now, with what they hold.
+    fn holders<U>(&self, index: usize, usable: U, now: Moment) -> Vec<(&Neighbour, &Bitmap)>
     where
         U: Fn(&Neighbour) -> bool,
     {
         let id = self.goals[index].id();
-        let offers = |neighbour: &&Neighbour| {
-            neighbour.asked < ASKED_PER_HOST
-                && usable(neighbour)
-                && neighbour.offers(id, chunk, now)
-        };
-        let holders = self.peers.values().filter(offers);
-        let best = holders.min_by_key(|neighbour| {
-            (
-                neighbour.strikes,
-                neighbour.asked,
-                neighbour.rank(self.salt),
-            )
+        self.peers
+            .values()
+            .filter(|neighbour| neighbour.asked < ASKED_PER_HOST && neighbour.is_ready(now))
+            .filter_map(|neighbour| Some((neighbour, &neighbour.heard.get(&id)?.bits)))
+            .filter(|(neighbour, _)| usable(neighbour))
+            .collect()
+    }
+
+    /// The host that offers a chunk, has failed least and is asked for least.
+    fn holder(&self, holders: &[(&Neighbour, &Bitmap)], chunk: usize) -> Option<HostName> {
+        let offers = holders.iter().filter(|(_, bits)| bits.get(chunk));
+        let best = offers.min_by_key(|(neighbour, _)| {
+            let rank = neighbour.rank(self.salt);
+            (neighbour.strikes, neighbour.asked, rank)
         });
-        best.map(|neighbour| neighbour.peer.host.clone())
+        best.map(|(neighbour, _)| neighbour.peer.host.clone())
     }
 
     /// Where a search over the chunks starts, so that hosts don't all take the first.
--- /dev/null
+++ b/crates/azurestand_spread/src/transfer/share.rs
@@ -0,0 +1,70 @@
+//! Shares of the links that a region's drawing agents use together.
+
+use std::collections::BTreeSet;
+
+use azurestand_types::Moment;
+
+use super::Transfer;
+use super::peers::Place;
+use crate::bucket::{Bucket, Rate};
+
+/// The link from another region, as far as this host may use it.
+#[derive(Debug)]
+pub(crate) struct CrossLink {
+    pub(crate) bucket: Bucket,
+    pub(crate) flights: usize,
+}
+
+impl Transfer {
+    /// What transfers may use of one link into this region, all hosts together.
+    pub(crate) fn cross_rate(&self) -> Rate {
+        let rate = self.limits.cross.percent(self.limits.share);
+        rate.less(self.load.cross)
+    }
+
+    /// Divides the links into this region, and the weight store, over the drawing agents.
+    ///
+    /// Each takes a share by the number of chunks that it is the first to draw
+    /// and that the region lacks, so that all end at about the same time.
+    pub(crate) fn share_links(&mut self, now: Moment) {
+        self.shared = now;
+        let (own, all) = self.backlog();
+        let rate = Rate(self.cross_rate().0.saturating_mul(own) / all);
+        let regions: BTreeSet<_> = self
+            .peers
+            .values()
+            .filter(|neighbour| neighbour.place == Place::Cross)
+            .map(|neighbour| neighbour.peer.region.clone())
+            .collect();
+        self.cross.retain(|region, _| regions.contains(region));
+        let count = regions.len() as u64 + 1;
+        for region in regions {
+            let link = self.cross.entry(region).or_insert_with(|| CrossLink {
+                bucket: Bucket::new(rate, 0, now),
+                flights: 0,
+            });
+            link.bucket.set_rate(rate, now);
+        }
+        if let Some(store) = self.limits.store {
+            let rate = Rate(store.0.saturating_mul(own) / (all * count));
+            let bucket = self.upstream.bucket.take();
+            let mut bucket = bucket.unwrap_or_else(|| Bucket::new(rate, 0, now));
+            bucket.set_rate(rate, now);
+            self.upstream.bucket = Some(bucket);
+        }
+    }
+
+    /// Chunks that the region lacks: those that this host is to draw, and all.
+    fn backlog(&self) -> (u64, u64) {
+        let (mut own, mut all) = (0, 0);
+        for goal in &self.goals {
+            for index in 0..goal.len() {
+                if !goal.have.get(index) && goal.counts.near(index) == 0 {
+                    all += 1;
+                    own += u64::from(goal.orders.region.is_first(index));
+                }
+            }
+        }
+        (own.max(1), all.max(1))
+    }
+}
