--- a/crates/azurestand_server/src/agent/spread.rs
+++ b/crates/azurestand_server/src/agent/spread.rs
@@ -19,7 +19,6 @@
 use super::bulk::{Pushed, Pusher, Receiver, receive};
 use super::manifests::Manifests;
 use super::origin::Origin;
-use super::status::HostStatus;
 use super::vault::Vault;
 use crate::event::Event;
 use crate::metrics::{Counter, Gauge};
@@ -245,6 +244,7 @@
     /// Tells the machine which hosts take weights.
     fn see(&mut self) {
         let own = self.node.links.own().host.clone();
+        let models: Vec<_> = self.models.iter().cloned().collect();
         let neighbours = self.node.neighbours();
         let present = neighbours.0.values().filter(|neighbour| {
             let identity = &neighbour.record.identity;
@@ -257,10 +257,11 @@
                 incarnation: identity.incarnation,
                 centre: identity.centre.clone(),
                 region: identity.region.clone(),
-                models: HostStatus::read(&neighbour.record.status.blob).models(),
+                // Agents don't hear of each other's targets; who takes no part says so.
+                models: models.clone(),
             }
         });
-        let peers = peers.filter(|peer| !peer.models.is_empty()).collect();
+        let peers = peers.collect();
         self.feed(SpreadEvent::Peers(peers));
     }
 
--- a/crates/azurestand_server/src/agent/status.rs
+++ b/crates/azurestand_server/src/agent/status.rs
@@ -1,6 +1,5 @@
 //! The short status of a host that membership carries to everyone.
 
-use azurestand_types::ModelName;
 use bytes::Bytes;
 use prost::Message;
 
@@ -78,15 +77,4 @@
     pub(crate) fn read(blob: &Bytes) -> Self {
         Self::decode(blob.clone()).unwrap_or_default()
     }
-
-    /// The models that the host's engines serve.
-    pub(crate) fn models(&self) -> Vec<ModelName> {
-        let engines = self.targets.iter().filter(|target| target.engine);
-        let mut models: Vec<_> = engines
-            .filter_map(|target| ModelName::try_from(target.subject.as_str()).ok())
-            .collect();
-        models.sort();
-        models.dedup();
-        models
-    }
 }
--- /dev/null
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -0,0 +1,271 @@
+//! The calls to a target and the answers that they bring.
+
+use std::sync::Arc;
+
+use azurestand_target::{AdmissionEvent, Ending, LifeEvent, Read, Weights};
+use azurestand_types::{Moment, Outcome, RequestId, Uncertainty};
+use azurestand_wire::{Ask, Begin, Body, End, Outbox, Part};
+use bytes::Bytes;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use super::asks::{failed, raw, refused};
+use super::run::{Run, RunEnd, RunEvent};
+use super::{Controller, tell};
+use crate::agent::sse::Stamper;
+use crate::settings::TargetKind;
+
+/// Bytes of one answer that are read ahead of its reader.
+const WINDOW_BYTES: usize = 192 * 1024;
+const MAX_PART_BYTES: usize = 64 * 1024;
+
+/// Who reads an answer, and how far.
+#[derive(Debug)]
+pub(super) struct Reader {
+    outbox: Outbox,
+    offset: u64,
+    begun: bool,
+}
+
+impl Reader {
+    pub(super) fn new(outbox: Outbox, offset: u64) -> Self {
+        Self {
+            outbox,
+            offset,
+            begun: false,
+        }
+    }
+}
+
+/// A request that this agent knows.
+#[derive(Debug)]
+pub(super) struct Request {
+    ask: Ask,
+    deadline: Moment,
+    head: Option<Begin>,
+    started: Option<Moment>,
+    window: Arc<Semaphore>,
+    acked: u64,
+    stop: CancellationToken,
+    pub(super) reader: Option<Reader>,
+    pub(super) revoker: Option<Outbox>,
+}
+
+impl Request {
+    pub(super) fn new(ask: Ask, deadline: Moment, reader: Reader) -> Self {
+        Self {
+            ask,
+            deadline,
+            head: None,
+            started: None,
+            window: Arc::new(Semaphore::new(WINDOW_BYTES)),
+            acked: 0,
+            stop: CancellationToken::new(),
+            reader: Some(reader),
+            revoker: None,
+        }
+    }
+
+    pub(super) fn account(&self) -> &str {
+        &self.ask.account
+    }
+}
+
+impl Controller {
+    pub(super) fn start_run(&mut self, id: RequestId, weights: Weights) {
+        let now = self.now();
+        self.exchanges.start(now, id, weights);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.started = Some(now);
+        let mut ask = request.ask.clone();
+        // The body goes with the call; the request keeps what resumes need.
+        request.ask.body = Bytes::new();
+        request.ask.headers = Vec::new();
+        ask.patience = 0;
+        let run = Run {
+            id,
+            ask,
+            address: self.settings.address,
+            engine: matches!(self.settings.kind, TargetKind::Engine { .. }),
+            deadline: self.node.clock.instant(request.deadline),
+            stamper: Stamper::new(id, &self.settings.name),
+            window: request.window.clone(),
+            events: self.own.clone(),
+        };
+        let call = run.carry_out(self.client.clone());
+        tokio::spawn(request.stop.clone().run_until_cancelled_owned(call));
+    }
+
+    /// Breaks the call off, which tells the target that nobody waits.
+    pub(super) fn stop_run(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get(&id) {
+            request.stop.cancel();
+        }
+    }
+
+    pub(super) fn take_run(&mut self, id: RequestId, event: RunEvent) {
+        match event {
+            RunEvent::Head { status, headers } => {
+                let status = u32::from(status.as_u16());
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.head = Some(Begin {
+                        id: raw(id),
+                        status,
+                        headers,
+                    });
+                }
+                self.pump(id);
+            }
+            RunEvent::Bytes(bytes) => {
+                self.note_first(id);
+                self.exchanges.append(id, bytes);
+                self.pump(id);
+            }
+            RunEvent::Done(end) => self.finish_run(id, end),
+        }
+    }
+
+    /// The latency of the first byte is what warming is judged by.
+    fn note_first(&mut self, id: RequestId) {
+        let now = self.now();
+        let request = self.requests.get_mut(&id);
+        let Some(started) = request.and_then(|request| request.started.take()) else {
+            return;
+        };
+        self.live(LifeEvent::FirstToken {
+            latency: now.since(started),
+            running: super::small(self.admission.running()),
+        });
+    }
+
+    fn finish_run(&mut self, id: RequestId, end: RunEnd) {
+        let service = matches!(self.settings.kind, TargetKind::Service { .. });
+        let ending = match end {
+            RunEnd::Whole if service => Ending::Whole {
+                weights: self.life.reported(),
+            },
+            RunEnd::Whole => Ending::Whole { weights: None },
+            RunEnd::Unreached | RunEnd::Broken => Ending::Unknown(Uncertainty::TargetFailed),
+            RunEnd::Overloaded => Ending::Unknown(Uncertainty::TargetFailed),
+        };
+        match end {
+            RunEnd::Whole => (),
+            RunEnd::Overloaded => self.live(LifeEvent::Overloaded),
+            RunEnd::Unreached | RunEnd::Broken => self.live(LifeEvent::Failed),
+        }
+        self.end(id, ending);
+        self.admit(AdmissionEvent::Finished(id));
+        // The engine's next report confirms that its weights did not change under the answer.
+        self.poll();
+    }
+
+    pub(super) fn ack(&mut self, id: RequestId, offset: u64) {
+        self.exchanges.ack(id, offset);
+        if let Some(request) = self.requests.get_mut(&id) {
+            let fresh = offset.saturating_sub(request.acked);
+            request.acked += fresh;
+            let fresh = usize::try_from(fresh).unwrap_or(0).min(WINDOW_BYTES);
+            request.window.add_permits(fresh);
+        }
+    }
+
+    pub(super) fn release(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.reader = None;
+        }
+        if let Read::End { length, .. } = self.exchanges.read(id, u64::MAX) {
+            self.exchanges.ack(id, length);
+        }
+    }
+
+    /// Answers whose end has not been read yet.
+    pub(super) fn unread(&self) -> usize {
+        let open = |request: &&Request| {
+            let reader = request.reader.as_ref();
+            reader.is_some_and(|reader| !reader.outbox.is_closed())
+        };
+        self.requests.values().filter(open).count()
+    }
+
+    pub(super) fn pump_all(&mut self) {
+        let ids: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.reader.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.pump(id);
+        }
+    }
+
+    /// Sends the reader of `id` what it doesn't have yet, as far as its link takes it.
+    pub(super) fn pump(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(mut reader) = request.reader.take() else {
+            return;
+        };
+        if let Some(head) = request.head.clone().filter(|_| !reader.begun) {
+            reader.begun = reader.outbox.offer(Body::Begin(head));
+        }
+        let reader = self.pass(id, reader);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.reader = reader;
+        }
+    }
+
+    /// Gives the reader back as long as there is more to come.
+    fn pass(&mut self, id: RequestId, mut reader: Reader) -> Option<Reader> {
+        loop {
+            match self.exchanges.read(id, reader.offset) {
+                Read::Bytes(bytes) if reader.begun => {
+                    let bytes = bytes.slice(..bytes.len().min(MAX_PART_BYTES));
+                    let length = bytes.len() as u64;
+                    let part = Part {
+                        id: raw(id),
+                        offset: reader.offset,
+                        bytes,
+                    };
+                    if !reader.outbox.offer(Body::Part(part)) {
+                        return Some(reader);
+                    }
+                    reader.offset += length;
+                }
+                Read::Bytes(_) | Read::Pending => return Some(reader),
+                Read::End { outcome, length } => {
+                    if outcome == Outcome::Answered && !reader.begun {
+                        return Some(reader);
+                    }
+                    tell(&reader.outbox, end(id, outcome, length));
+                    return None;
+                }
+                Read::Gap { .. } | Read::Missing => {
+                    tell(&reader.outbox, failed(id, Uncertainty::Unreachable));
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Drops what the exchanges have forgotten.
+    pub(super) fn forget_old(&mut self) {
+        let exchanges = &self.exchanges;
+        self.requests
+            .retain(|id, _| !matches!(exchanges.read(*id, 0), Read::Missing));
+    }
+}
+
+fn end(id: RequestId, outcome: Outcome, length: u64) -> Body {
+    match outcome {
+        Outcome::Answered => Body::End(End {
+            id: raw(id),
+            length,
+        }),
+        Outcome::NotRun(refusal) => refused(id, refusal),
+        Outcome::Unknown(why) => failed(id, why),
+    }
+}
--- /dev/null
+++ b/crates/azurestand_server/src/agent/target/asks.rs
@@ -0,0 +1,161 @@
+//! What entries ask of a target.
+
+use azurestand_target::{AdmissionEvent, Arrival, Keep, RevokeAnswer, Sent};
+use azurestand_types::{AccountName, Digest, Moment, Priority, Refusal, RequestId, Uncertainty};
+use azurestand_wire::{Ask, Body, Failed, Outbox, Refused, Revoked};
+use bytes::Bytes;
+use quick_error::quick_error;
+
+use super::answers::{Reader, Request};
+use super::{Controller, tell};
+use crate::codes;
+use crate::event::Event;
+
+quick_error! {
+    /// Why an ask was refused unread.
+    #[derive(Debug)]
+    pub enum AskError {
+        /// A field can't be read.
+        Field(name: &'static str) {
+            display("the ask's {name} is malformed; run the same version on all hosts")
+        }
+    }
+}
+
+/// The parts of an ask that decisions need, checked.
+#[derive(Debug)]
+struct Checked {
+    id: RequestId,
+    account: AccountName,
+    priority: Priority,
+    stamp: Moment,
+    pinned: Option<Digest>,
+}
+
+impl TryFrom<&Ask> for Checked {
+    type Error = AskError;
+
+    fn try_from(ask: &Ask) -> Result<Self, AskError> {
+        let pinned = match ask.weights.len() {
+            0 => None,
+            _ => Some(Digest::try_from(&ask.weights[..]).map_err(|_| AskError::Field("weights"))?),
+        };
+        Ok(Self {
+            id: RequestId::try_from(&ask.id[..]).map_err(|_| AskError::Field("id"))?,
+            account: AccountName::try_from(ask.account.as_str())
+                .map_err(|_| AskError::Field("account"))?,
+            priority: Priority(u8::try_from(ask.priority).unwrap_or(u8::MAX)),
+            stamp: Moment::from_micros(ask.stamp),
+            pinned,
+        })
+    }
+}
+
+pub(crate) fn refused(id: RequestId, refusal: Refusal) -> Body {
+    Body::Refused(Refused {
+        id: raw(id),
+        reason: codes::from_refusal(refusal),
+        after: 0,
+    })
+}
+
+pub(crate) fn failed(id: RequestId, why: Uncertainty) -> Body {
+    Body::Failed(Failed {
+        id: raw(id),
+        reason: codes::from_uncertainty(why),
+    })
+}
+
+pub(crate) fn raw(id: RequestId) -> Bytes {
+    Bytes::copy_from_slice(&id.0.to_be_bytes())
+}
+
+impl Controller {
+    pub(super) fn ask(&mut self, ask: Ask, outbox: &Outbox) {
+        let checked = match Checked::try_from(&ask) {
+            Ok(checked) => checked,
+            Err(error) => {
+                Event::Refused.log(&error);
+                return;
+            }
+        };
+        let id = checked.id;
+        // The stamp is of an earlier life of this agent, which may have run the request.
+        if ask.incarnation != self.node.links.own().incarnation.0 {
+            tell(outbox, failed(id, Uncertainty::Unreachable));
+            return;
+        }
+        let now = self.now();
+        match self.exchanges.send(now, id, checked.stamp, Keep::Unread) {
+            Sent::Fresh => self.arrive(ask, checked, outbox),
+            Sent::Attached => self.attach(id, 0, outbox.clone()),
+            Sent::Revoked => tell(outbox, refused(id, Refusal::Revoked)),
+            Sent::Stale => tell(outbox, failed(id, Uncertainty::Unreachable)),
+            Sent::Full => tell(outbox, refused(id, Refusal::Busy)),
+        }
+    }
+
+    fn arrive(&mut self, ask: Ask, checked: Checked, outbox: &Outbox) {
+        let id = checked.id;
+        let patience = std::time::Duration::from_millis(ask.patience);
+        let deadline = self.now() + patience;
+        let reader = Reader::new(outbox.clone(), 0);
+        self.requests
+            .insert(id, Request::new(ask, deadline, reader));
+        self.admit(AdmissionEvent::Arrived(Arrival {
+            id,
+            account: checked.account,
+            weight: 1,
+            priority: checked.priority,
+            deadline,
+            pinned: checked.pinned,
+        }));
+    }
+
+    pub(super) fn resume(&mut self, id: RequestId, offset: u64, account: &str, outbox: Outbox) {
+        let known = self.requests.get(&id);
+        // A foreign account learns no more than that nothing is to be had.
+        if known.is_none_or(|request| request.account() != account) {
+            tell(&outbox, failed(id, Uncertainty::Unreachable));
+            return;
+        }
+        self.attach(id, offset, outbox);
+    }
+
+    fn attach(&mut self, id: RequestId, offset: u64, outbox: Outbox) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.reader = Some(Reader::new(outbox, offset));
+        }
+        self.pump(id);
+    }
+
+    pub(super) fn revoke(&mut self, id: RequestId, stamp: Moment, outbox: &Outbox) {
+        let now = self.now();
+        let started = match self.exchanges.revoke(now, id, stamp) {
+            RevokeAnswer::NeverRuns | RevokeAnswer::NotRun => false,
+            RevokeAnswer::Started | RevokeAnswer::Stale => true,
+            RevokeAnswer::Waiting => {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.revoker = Some(outbox.clone());
+                }
+                self.admit(AdmissionEvent::Revoke(id));
+                return;
+            }
+        };
+        tell(outbox, revoked(id, started));
+    }
+
+    pub(super) fn answer_revoke(&mut self, id: RequestId, started: bool) {
+        let request = self.requests.get_mut(&id);
+        if let Some(outbox) = request.and_then(|request| request.revoker.take()) {
+            tell(&outbox, revoked(id, started));
+        }
+    }
+}
+
+fn revoked(id: RequestId, started: bool) -> Body {
+    Body::Revoked(Revoked {
+        id: raw(id),
+        started,
+    })
+}
--- a/crates/azurestand_server/src/client.rs
+++ b/crates/azurestand_server/src/client.rs
@@ -48,6 +48,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_LIMIT));
         connector.set_nodelay(true);
+        connector.set_keepalive(None);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_LIMIT)
--- a/crates/azurestand_server/src/entry/send/sink.rs
+++ b/crates/azurestand_server/src/entry/send/sink.rs
@@ -170,12 +170,14 @@
     async fn finish(mut self, outcome: Outcome) {
         if let Some(body) = self.body.take() {
             if outcome != Outcome::Answered {
-                if self.stream {
-                    let event = answer::stream_error(outcome, self.id);
-                    let _ = body.send(Ok(event.into())).await;
-                }
-                // Breaking the connection off is the only mark a half-sent body can carry.
-                let _ = body.send(Err(io::ErrorKind::BrokenPipe.into())).await;
+                // A stream can say what happened. Another half-sent body can only be broken
+                // off, which would take a stream's last event along.
+                let last = if self.stream {
+                    Ok(answer::stream_error(outcome, self.id).into())
+                } else {
+                    Err(io::ErrorKind::BrokenPipe.into())
+                };
+                let _ = body.send(last).await;
             }
             return;
         }
--- a/crates/azurestand_standin/examples/local/main.rs
+++ b/crates/azurestand_standin/examples/local/main.rs
@@ -28,6 +28,9 @@
             return ExitCode::from(2);
         }
     };
+    if std::env::var_os("AZURESTAND_LOCAL_LOG").is_some() {
+        azurestand_server::start_logs(azurestand_server::settings::LogFormat::Text);
+    }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/azurestand_standin/src/plan.rs
+++ b/crates/azurestand_standin/src/plan.rs
@@ -147,11 +147,11 @@
         }
         let _ = writeln!(
             text,
-            "# Owned by the service desk.\n[priorities]\nurgent = 0\nnormal = 5\n"
+            "# Owned by the service desk.\n[priorities.urgent]\nlevel = 0\n\n[priorities.normal]\nlevel = 5\n"
         );
         text.push_str(&self.account_section());
         text.push_str(
-            "# Owned by operations.\n[limits]\ncold_slots = 2\nwarm_slots = 16\npermits = 1\n",
+            "# Owned by operations.\n[limits]\ncold_slots = 2\nwarm_slots = 8\npermits = 1\n",
         );
         text
     }
