--- a/crates/azurestand/src/commands/init.rs
+++ b/crates/azurestand/src/commands/init.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use azurestand_config::{Commit, Document, Transaction};
+use azurestand_config::{Commit, Document, EditingOutcome, Transaction};
 use serde::Serialize;
 
 use super::apply;
@@ -24,9 +24,20 @@
         .map_err(|errors| Failure::Invalid(path.display().to_string(), errors))?;
     let session = Session::open(options)?;
     let change = apply::change(options)?;
-    let transaction = Transaction::first(&document, options.author()?, change, author::seconds());
+    let transaction = Transaction::first(
+        &document,
+        options.author()?,
+        change.clone(),
+        author::seconds(),
+    );
     let commit = session.commit(&transaction).await;
-    let (present, _) = session.read_document().await?;
+    let present = match session.read_document().await {
+        Ok((present, _)) => present,
+        Err(_) if commit == Commit::Unknown => {
+            return Err(Failure::Editing(EditingOutcome::Unknown(change)));
+        }
+        Err(error) => return Err(error),
+    };
     // The read settles a lost answer, and a second run of the same command.
     if present.as_deref() == Some(document.text()) {
         let revision = document.revision().0;
--- a/crates/azurestand/src/commands/recover.rs
+++ b/crates/azurestand/src/commands/recover.rs
@@ -1,6 +1,6 @@
 //! `config recover`: brings back the newest document that the entries hold.
 
-use azurestand_config::{Commit, Document, Transaction};
+use azurestand_config::{Commit, Document, EditingOutcome, Transaction};
 use serde::Serialize;
 
 use super::apply;
@@ -38,8 +38,13 @@
         return Err(Failure::Refused(message));
     }
     let change = apply::change(options)?;
-    let transaction =
-        Transaction::recover(version, &held, options.author()?, change, author::seconds());
+    let transaction = Transaction::recover(
+        version,
+        &held,
+        options.author()?,
+        change.clone(),
+        author::seconds(),
+    );
     let revision = transaction.revision.0;
     let text = format!("the store holds the entries' document again, as revision {revision}");
     match session.commit(&transaction).await {
@@ -48,9 +53,6 @@
             let message = "the store's document changed meanwhile or the store refused; nothing was changed; run the command again";
             Err(Failure::Refused(message.to_owned()))
         }
-        Commit::Unknown => {
-            let message = "the answer was lost; run the command again, it recovers nothing twice";
-            Err(Failure::Refused(message.to_owned()))
-        }
+        Commit::Unknown => Err(Failure::Editing(EditingOutcome::Unknown(change))),
     }
 }
--- a/crates/azurestand/src/session.rs
+++ b/crates/azurestand/src/session.rs
@@ -12,17 +12,20 @@
 };
 use azurestand_types::Revision;
 use fastrand::Rng;
+use tokio::time::Instant;
 
 use crate::args::Options;
 use crate::author;
 use crate::failure::Failure;
 
-const READ_TRIES: u32 = 5;
+const READ_TRIES: u32 = 4;
+const EDIT_PATIENCE: Duration = Duration::from_mins(1);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
 /// One command's dealings with the store.
 pub(crate) struct Session {
     store: HttpStore,
+    patience: Duration,
 }
 
 impl Session {
@@ -34,7 +37,8 @@
             return Err(Failure::Usage(message.to_owned()));
         }
         let store = HttpStore::new(HttpOptions::alone(options.stores.clone()));
-        Ok(Self { store })
+        let patience = options.timeout.unwrap_or(EDIT_PATIENCE);
+        Ok(Self { store, patience })
     }
 
     /// The document in the store.
@@ -62,18 +66,17 @@
 
     /// Brings an edit into the store. `seen` is a revision known to have been in force.
     pub(crate) async fn edit(&self, edit: Edit, seen: Revision) -> EditingOutcome {
+        let deadline = Instant::now() + self.patience;
         let mut editing = Editing::new(edit, author::seconds(), seen, Rng::new());
         let mut action = editing.start();
         loop {
             let event = match action {
+                EditingAction::Read(_) if Instant::now() >= deadline => EditingEvent::TimedOut,
                 EditingAction::Read(pause) => {
                     tokio::time::sleep(pause).await;
                     self.read_event().await
                 }
-                EditingAction::ReadAudit(revision) => match self.audit(revision).await {
-                    Ok(record) => EditingEvent::ReadAudit(record),
-                    Err(_) => EditingEvent::ReadFailed,
-                },
+                EditingAction::ReadAudit(revision) => self.audit_event(revision).await,
                 EditingAction::Commit(transaction) => {
                     EditingEvent::Committed(self.commit(&transaction).await)
                 }
@@ -103,6 +106,13 @@
         }
     }
 
+    async fn audit_event(&self, revision: Revision) -> EditingEvent {
+        match self.audit(revision).await {
+            Ok(record) => EditingEvent::ReadAudit(record),
+            Err(_) => EditingEvent::ReadFailed,
+        }
+    }
+
     /// Reads a value, and tries again when the store doesn't answer.
     async fn read(&self, key: &Key) -> Result<(Option<String>, StoreVersion), StoreError> {
         let mut pause = FIRST_PAUSE;
--- a/crates/azurestand/src/verbs.rs
+++ b/crates/azurestand/src/verbs.rs
@@ -63,7 +63,9 @@
             Self::Store => {
                 "--store URL      the store, such as http://10.0.0.9:2379; repeatable (AZURESTAND_STORE)"
             }
-            Self::Timeout => "--timeout SECS   how long --wait waits; 10 unless given",
+            Self::Timeout => {
+                "--timeout SECS   how long to try the store (60), and how long --wait waits (10)"
+            }
             Self::Wait => "--wait           waits until every node has the change; needs --entry",
         }
     }
--- a/crates/azurestand_config/src/editing.rs
+++ b/crates/azurestand_config/src/editing.rs
@@ -32,6 +32,8 @@
     ReadFailed,
     /// A transaction ended.
     Committed(Commit),
+    /// The driver's patience is at an end; the loop stops.
+    TimedOut,
 }
 
 /// What the driver of the loop has to do next.
@@ -147,6 +149,10 @@
     pub fn handle(&mut self, event: EditingEvent) -> EditingAction {
         let state = std::mem::replace(&mut self.state, State::Done);
         match (state, event) {
+            (State::Committing(revision), EditingEvent::TimedOut) => {
+                self.pending = Some(revision);
+                self.give_up()
+            }
             (State::Reading, EditingEvent::Read(text, version)) => {
                 self.read(text.as_deref(), version)
             }
@@ -160,7 +166,7 @@
                 self.trace(error, steps, record)
             }
             (State::Committing(revision), _) => self.committed(revision, Commit::Unknown),
-            (State::Done, _) => self.give_up(),
+            (_, EditingEvent::TimedOut) | (State::Done, _) => self.give_up(),
             _ => self.again(),
         }
     }
--- a/crates/azurestand_config/tests/editing.rs
+++ b/crates/azurestand_config/tests/editing.rs
@@ -350,6 +350,24 @@
     assert_eq!(action, EditingAction::Done(EditingOutcome::Unknown(change)));
 }
 
+#[test]
+fn a_driver_out_of_patience_learns_whether_the_change_may_take_effect() {
+    let store = Store::with(&first());
+    let one = edit("one", 1, "[limits]\npermits = 2\n");
+    let editing = Editing::new(one, 7, Revision(0), Rng::with_seed(1));
+    let stopped = editing.clone().handle(EditingEvent::TimedOut);
+    assert_eq!(stopped, EditingAction::Done(EditingOutcome::Unreachable));
+    let (text, version) = store.get(DOCUMENT_KEY);
+    let mut committing = editing;
+    committing.handle(EditingEvent::Read(text, version));
+    let stopped = committing.handle(EditingEvent::TimedOut);
+    let change = "one".to_owned().try_into().unwrap();
+    assert_eq!(
+        stopped,
+        EditingAction::Done(EditingOutcome::Unknown(change))
+    );
+}
+
 #[test]
 fn the_first_document_and_a_recovered_one_are_written_with_a_record() {
     let mut store = Store {
