Refuse a target that is the home of two services

Cause: a target runs one service; listed as home of two it would hold the keys of one that it never sees. Change: the check across tables covers homes; an error that an edit causes in another section names no line of the edited file. Before: such a document was accepted; the foreign error named a wrong line. Conclusion: every list of homes is one that agents can serve.

--- a/crates/azurestand_config/src/cross.rs
+++ b/crates/azurestand_config/src/cross.rs
@@ -1,46 +1,82 @@
-//! Checks that span sections.
+//! Checks that span sections, or tables of one section.
 
 use std::collections::BTreeMap;
 
-use azurestand_types::AccountName;
+use azurestand_types::{AccountName, Digest, ServiceName, TargetName};
 use toml::de::DeTable;
 
-use crate::error::{ConfigErrors, Fault};
+use crate::Section;
+use crate::checked::Checked;
+use crate::error::{ConfigError, ConfigErrors, Fault};
+use crate::layout::Block;
 use crate::source::{Place, Source};
-use crate::{Section, checked::Checked};
 
-/// Checks what one section says of another. `source` is the text of the accounts.
-pub(crate) fn check(checked: &Checked, source: &Source<'_>) -> ConfigErrors {
-    let mut errors = ConfigErrors::default();
-    let mut owners: BTreeMap<_, &AccountName> = BTreeMap::new();
+/// The line of an error in a section that isn't being read.
+const NO_LINE: usize = 0;
+
+/// The sections that are being read, whose errors name lines.
+pub(crate) type Blocks<'a> = BTreeMap<Section, Block<'a>>;
+
+/// Checks what tables say of each other.
+pub(crate) fn check(checked: &Checked, blocks: &Blocks<'_>) -> ConfigErrors {
+    let mut errors = Vec::new();
+    check_priorities(checked, blocks, &mut errors);
+    check_keys(checked, blocks, &mut errors);
+    check_homes(checked, blocks, &mut errors);
+    errors.into()
+}
+
+fn check_priorities(checked: &Checked, blocks: &Blocks<'_>, errors: &mut Vec<ConfigError>) {
     for (name, account) in checked.accounts.iter() {
-        let place = place(source, name);
         if !checked.priorities.contains_key(&account.priority) {
             let fault = Fault::UnknownPriority(account.priority.to_string());
-            errors.add(place().error("priority", place().line, fault));
+            let place = place(Section::Accounts, name.as_str(), blocks);
+            errors.push(place.error("priority", place.line, fault));
         }
+    }
+}
+
+fn check_keys(checked: &Checked, blocks: &Blocks<'_>, errors: &mut Vec<ConfigError>) {
+    let mut owners: BTreeMap<Digest, &AccountName> = BTreeMap::new();
+    for (name, account) in checked.accounts.iter() {
         if let Some(other) = owners.insert(account.key, name) {
             let fault = Fault::SharedKey(other.to_string());
-            errors.add(place().error("key", place().line, fault));
+            let place = place(Section::Accounts, name.as_str(), blocks);
+            errors.push(place.error("key", place.line, fault));
+        }
+    }
+}
+
+/// A target runs one service, so it can't be a home of two.
+fn check_homes(checked: &Checked, blocks: &Blocks<'_>, errors: &mut Vec<ConfigError>) {
+    let mut owners: BTreeMap<&TargetName, &ServiceName> = BTreeMap::new();
+    for (name, service) in checked.services.iter() {
+        for home in &service.homes {
+            if let Some(other) = owners.insert(home, name) {
+                let fault = Fault::SharedHome(home.to_string(), other.to_string());
+                let place = place(Section::Services, name.as_str(), blocks);
+                errors.push(place.error("homes", place.line, fault));
+            }
         }
     }
-    errors
 }
 
-/// Where an account stands; looked up only once there is an error to report.
-fn place<'a>(source: &'a Source<'_>, name: &'a AccountName) -> impl Fn() -> Place + 'a {
-    move || Place {
-        section: Section::Accounts,
-        path: format!("{}.{name}", Section::Accounts),
-        line: source.line(offset(source.text, name).unwrap_or(0)),
+/// Where a table stands; looked up only once there is an error to report.
+fn place(section: Section, name: &str, blocks: &Blocks<'_>) -> Place {
+    let line = blocks.get(&section).map_or(NO_LINE, |block| {
+        let source = Source::new(section, block.text, block.line);
+        source.line(offset(&source, name).unwrap_or(0))
+    });
+    Place {
+        section,
+        path: format!("{section}.{name}"),
+        line,
     }
 }
 
-fn offset(text: &str, name: &AccountName) -> Option<usize> {
-    let root = DeTable::parse(text).ok()?.into_inner();
-    let accounts = root.get(Section::Accounts.as_str())?.get_ref().as_table()?;
-    let (key, _) = accounts
-        .iter()
-        .find(|(key, _)| key.get_ref() == name.as_str())?;
+fn offset(source: &Source<'_>, name: &str) -> Option<usize> {
+    let root = DeTable::parse(source.text).ok()?.into_inner();
+    let tables = root.get(source.section.as_str())?.get_ref().as_table()?;
+    let (key, _) = tables.iter().find(|(key, _)| key.get_ref() == name)?;
     Some(key.span().start)
 }
--- a/crates/azurestand_config/src/delta.rs
+++ b/crates/azurestand_config/src/delta.rs
@@ -5,6 +5,7 @@
 use azurestand_types::{Digest, Revision};
 use quick_error::quick_error;
 
+use crate::cross::Blocks;
 use crate::error::ConfigErrors;
 use crate::layout::Block;
 use crate::stamp::Stamp;
@@ -103,7 +104,7 @@
             part.stamp = changed.stamp.clone();
         }
         if errors.as_slice().is_empty() {
-            errors = draft.cross_check(None);
+            errors = draft.cross_check(&Blocks::new());
         }
         errors.verdict(())?;
         let document = draft.close()?;
--- a/crates/azurestand_config/src/document.rs
+++ b/crates/azurestand_config/src/document.rs
@@ -9,11 +9,12 @@
 };
 
 use crate::checked::Checked;
+use crate::cross::{self, Blocks};
 use crate::error::{ConfigError, ConfigErrors, Fault};
 use crate::layout::{self, Block};
 use crate::source::Source;
 use crate::stamp::{Stamp, Stamps};
-use crate::{Account, Centre, Limits, Model, Section, Service, account, cross};
+use crate::{Account, Centre, Limits, Model, Section, Service, account};
 
 /// The longest text of a document, in bytes. The store takes values up to a megabyte.
 pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
@@ -82,7 +83,7 @@
             draft.read(*section, *block, &mut errors);
         }
         if errors.as_slice().is_empty() {
-            errors = draft.cross_check(layout.sections.get(&Section::Accounts).copied());
+            errors = draft.cross_check(&layout.sections);
         }
         errors.verdict(())?;
         draft.close()
@@ -213,18 +214,9 @@
         part.text = layout::normalise(block.text).into();
     }
 
-    /// Checks what the sections say of each other.
-    ///
-    /// `accounts` is the accounts' block if it was just read; errors name its lines.
-    pub(crate) fn cross_check(&self, accounts: Option<Block<'_>>) -> ConfigErrors {
-        let part = self.parts.get(&Section::Accounts);
-        let held = Block {
-            text: part.map_or("", |part| &*part.text),
-            line: 1,
-        };
-        let block = accounts.unwrap_or(held);
-        let source = Source::new(Section::Accounts, block.text, block.line);
-        cross::check(&self.checked, &source)
+    /// Checks what tables say of each other; errors in `blocks` name their lines.
+    pub(crate) fn cross_check(&self, blocks: &Blocks<'_>) -> ConfigErrors {
+        cross::check(&self.checked, blocks)
     }
 
     /// Makes the document, unless it has grown too large.
--- a/crates/azurestand_config/src/edit.rs
+++ b/crates/azurestand_config/src/edit.rs
@@ -7,6 +7,7 @@
 use quick_error::quick_error;
 use similar::TextDiff;
 
+use crate::cross::Blocks;
 use crate::error::ConfigErrors;
 use crate::layout::{self, Block};
 use crate::stamp::Stamp;
@@ -171,8 +172,7 @@
             };
         }
         if errors.as_slice().is_empty() {
-            let accounts = (edit.section == Section::Accounts).then_some(block);
-            errors = draft.cross_check(accounts);
+            errors = draft.cross_check(&Blocks::from([(edit.section, block)]));
         }
         errors.verdict(())?;
         draft.close()
--- a/crates/azurestand_config/src/error.rs
+++ b/crates/azurestand_config/src/error.rs
@@ -88,6 +88,10 @@
         SharedKey(other: String) {
             display("account {other:?} has the same key; give each account a key of its own")
         }
+        /// A target is the home of two services.
+        SharedHome(target: String, other: String) {
+            display("target {target:?} is a home of service {other:?} too; a target runs one service, so list it in one")
+        }
         /// A version has no manifest.
         NoManifest(version: String) {
             display("version {version:?} has no manifest; publish it and add its digest to the model's versions table")
@@ -118,7 +122,7 @@
     pub section: Option<Section>,
     /// The dotted path of the key or table; empty for the whole text.
     pub key: String,
-    /// The line, counted from 1.
+    /// The line, counted from 1; 0 for an error that an edit causes in another section.
     pub line: usize,
     /// What is wrong, and the remedy.
     pub fault: Fault,
@@ -126,7 +130,9 @@
 
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: ", self.line)?;
+        if self.line > 0 {
+            write!(f, "line {}: ", self.line)?;
+        }
         if !self.key.is_empty() {
             write!(f, "{}: ", self.key)?;
         }
--- a/crates/azurestand_config/tests/dissemination.rs
+++ b/crates/azurestand_config/tests/dissemination.rs
@@ -237,6 +237,7 @@
         Fault::UnknownPriority("storm".into())
     );
     assert_eq!(errors.as_slice()[0].section, Some(Section::Accounts));
+    assert!(errors.to_string().starts_with("accounts.depot.priority: "));
 }
 
 #[test]
--- a/crates/azurestand_config/tests/document.rs
+++ b/crates/azurestand_config/tests/document.rs
@@ -201,6 +201,13 @@
     );
 }
 
+#[test]
+fn a_target_is_the_home_of_one_service() {
+    let text = "[services.a]\nhomes = [\"t1\", \"t2\"]\n[services.b]\nhomes = [\"t2\"]\n";
+    let fault = Fault::SharedHome("t2".into(), "a".into());
+    assert_eq!(errors(text), [(3, "services.b.homes".into(), fault)]);
+}
+
 #[test]
 fn texts_that_cannot_be_cut_into_sections_are_refused() {
     let split = "[data_centres.a]\nregion = \"r\"\n[limits]\n[data_centres.b]\nregion = \"r\"\n";
