--- a/crates/azurestand/src/args.rs
+++ b/crates/azurestand/src/args.rs
@@ -35,6 +35,7 @@
     Audit,
     CentreOut(DataCentre),
     CentreIn(DataCentre),
+    Check(PathBuf),
     Version,
     Help(Option<&'static Verb>),
 }
@@ -102,7 +103,7 @@
         let command = if help || words.is_empty() {
             Command::Help(verbs::find(&words).map(|(verb, _)| verb))
         } else {
-            command(&words, &given)?
+            command(&words, &given, options.settings.clone())?
         };
         options.add_environment()?;
         Ok(Self { command, options })
@@ -154,7 +155,11 @@
     }
 }
 
-fn command(words: &[String], given: &[Flag]) -> Result<Command, Failure> {
+fn command(
+    words: &[String],
+    given: &[Flag],
+    settings: Option<PathBuf>,
+) -> Result<Command, Failure> {
     let unknown = || usage(format!("there is no verb {:?}", words.join(" ")));
     let (verb, count) = verbs::find(words).ok_or_else(unknown)?;
     if let Some(flag) = given.iter().find(|flag| !verb.flags.contains(flag)) {
@@ -187,6 +192,9 @@
         ("audit", []) => Command::Audit,
         ("dc out", [name]) => Command::CentreOut(DataCentre::try_from(*name)?),
         ("dc in", [name]) => Command::CentreIn(DataCentre::try_from(*name)?),
+        ("check", []) => Command::Check(
+            settings.ok_or_else(|| usage("name the file with --settings".to_owned()))?,
+        ),
         ("version", []) => Command::Version,
         ("help", []) => Command::Help(None),
         ("help", _) => {
--- a/crates/azurestand/src/commands.rs
+++ b/crates/azurestand/src/commands.rs
@@ -11,6 +11,7 @@
 mod init;
 mod recover;
 mod revert;
+mod settings;
 mod show;
 mod status;
 mod trail;
@@ -38,6 +39,7 @@
         Command::Audit => audit::run(options).await,
         Command::CentreOut(centre) => centre::run(&centre, false, options).await,
         Command::CentreIn(centre) => centre::run(&centre, true, options).await,
+        Command::Check(file) => settings::run(&file),
         Command::Version => Ok(version::run()),
         Command::Help(verb) => Ok(help::run(verb)),
     }
--- a/crates/azurestand/src/failure.rs
+++ b/crates/azurestand/src/failure.rs
@@ -6,6 +6,7 @@
 use azurestand_config::{
     AuditError, ConfigErrors, EditError, EditingOutcome, RevertError, SectionError,
 };
+use azurestand_server::settings::SettingsError;
 use azurestand_store::{KeyError, StoreError};
 use azurestand_types::{ChangeIdError, NameError};
 use quick_error::quick_error;
@@ -37,6 +38,11 @@
         Invalid(source: String, errors: ConfigErrors) {
             display("{source} is invalid:\n{errors}")
         }
+        /// A daemon's settings are invalid.
+        Settings(error: SettingsError) {
+            from()
+            display("{error}")
+        }
         /// The process can't run.
         System(error: io::Error) {
             from()
@@ -86,7 +92,7 @@
     /// The status with which the process ends.
     pub(crate) fn status(&self) -> ExitStatus {
         match self {
-            Self::Usage(_) | Self::Invalid(..) => ExitStatus::Invalid,
+            Self::Usage(_) | Self::Invalid(..) | Self::Settings(_) => ExitStatus::Invalid,
             Self::File(..)
             | Self::System(_)
             | Self::Store(_)
--- a/crates/azurestand/src/verbs.rs
+++ b/crates/azurestand/src/verbs.rs
@@ -176,6 +176,12 @@
         flags: EDITING,
         about: "Brings a data centre back into service.",
     },
+    Verb {
+        name: "check",
+        operands: "--settings FILE",
+        flags: &[Flag::Settings],
+        about: "Checks the settings of a daemon and starts nothing.",
+    },
     Verb {
         name: "version",
         operands: "",
--- a/crates/azurestand/tests/verbs/main.rs
+++ b/crates/azurestand/tests/verbs/main.rs
@@ -317,3 +317,14 @@
     assert_eq!(bench.run("config init first.toml").await.code, 0);
     assert_eq!(bench.run("config init other.toml").await.code, 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_s_settings_are_checked_without_starting_it() {
+    let bench = Bench::start().await;
+    bench.write("settings.toml", "host = 7\n");
+    let run = bench.run("check --settings settings.toml").await;
+    assert_eq!(run.code, 2, "{run:?}");
+    assert!(run.err.contains("settings.toml:1:"), "{run:?}");
+    assert_eq!(bench.run("check").await.code, 2);
+    assert_eq!(bench.run("check --settings absent.toml").await.code, 2);
+}
