--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -1,6 +1,7 @@
 //! The calls to a target and the answers that they bring.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use azurestand_target::{AdmissionEvent, Ending, LifeEvent, Read, Weights};
 use azurestand_types::{Moment, Outcome, RequestId, Uncertainty};
@@ -44,6 +45,7 @@
     deadline: Moment,
     head: Option<Begin>,
     started: Option<Moment>,
+    latency: Option<Duration>,
     window: Arc<Semaphore>,
     acked: u64,
     stop: CancellationToken,
@@ -58,6 +60,7 @@
             deadline,
             head: None,
             started: None,
+            latency: None,
             window: Arc::new(Semaphore::new(WINDOW_BYTES)),
             acked: 0,
             stop: CancellationToken::new(),
@@ -127,15 +130,28 @@
         }
     }
 
-    /// The latency of the first byte is what warming is judged by.
+    /// The first byte's latency is what warming is judged by. A slow one counts
+    /// at once; a good one only with its answer's end, since a cold target may
+    /// yet fall over the work that it has begun.
     fn note_first(&mut self, id: RequestId) {
         let now = self.now();
+        let good = self.node.document().limits().first_token;
         let request = self.requests.get_mut(&id);
-        let Some(started) = request.and_then(|request| request.started.take()) else {
+        let Some(request) = request else { return };
+        let Some(started) = request.started.take() else {
             return;
         };
+        let latency = now.since(started);
+        if latency <= good {
+            request.latency = Some(latency);
+            return;
+        }
+        self.judge(latency);
+    }
+
+    fn judge(&mut self, latency: Duration) {
         self.live(LifeEvent::FirstToken {
-            latency: now.since(started),
+            latency,
             running: super::small(self.admission.running()),
         });
     }
@@ -151,7 +167,12 @@
             RunEnd::Overloaded => Ending::Unknown(Uncertainty::TargetFailed),
         };
         match end {
-            RunEnd::Whole => (),
+            RunEnd::Whole => {
+                let request = self.requests.get_mut(&id);
+                if let Some(latency) = request.and_then(|request| request.latency.take()) {
+                    self.judge(latency);
+                }
+            }
             RunEnd::Overloaded => self.live(LifeEvent::Overloaded),
             RunEnd::Unreached | RunEnd::Broken => self.live(LifeEvent::Failed),
         }
