Test life, admission, exchanges and orders by their failures

Cause: only claims had tests; a stamp could be taken for another life of an agent; short requests paid for long ones. Change: named failures and properties for the four modules; Stamp carries the agent's life; an account is charged the time its requests took; indexes instead of scans in the exchanges. Conclusion: each module's promises are caused and checked.

--- a/crates/azurestand_target/src/admission.rs
+++ b/crates/azurestand_target/src/admission.rs
@@ -91,7 +91,10 @@
     Refuse(RequestId, Refusal),
     /// The answer to a revoke: the request did not run and never will.
     Revoked(RequestId),
-    /// The answer to a revoke: the request has been started.
+    /// The answer to a revoke: the request has been started, or isn't known.
+    ///
+    /// Admission forgets ended requests, so it can't call an unknown one not
+    /// run; [`Exchanges::revoke`](crate::Exchanges::revoke) knows them.
     Running(RequestId),
     /// Tell the engine to stop a running request; its `Finished` follows.
     Cancel(RequestId),
@@ -101,6 +104,7 @@
 struct Run {
     account: AccountName,
     weight: u32,
+    charge: u64,
     started: Moment,
 }
 
@@ -191,17 +195,17 @@
         let Some(run) = self.running.remove(&id) else {
             return;
         };
+        let took = now.since(run.started);
         self.shares
-            .settle(&run.account, run.weight, now.since(run.started));
+            .settle(&run.account, run.weight, run.charge, took);
         self.forget_account(&run.account);
     }
 
     fn revoke(&mut self, id: RequestId) -> AdmissionAction {
-        if self.running.contains_key(&id) {
-            return AdmissionAction::Running(id);
+        match self.queue.remove(id) {
+            Some(_) => AdmissionAction::Revoked(id),
+            None => AdmissionAction::Running(id),
         }
-        self.queue.remove(id);
-        AdmissionAction::Revoked(id)
     }
 
     fn cancel(&mut self, id: RequestId) -> Option<AdmissionAction> {
@@ -230,9 +234,6 @@
         let Some(weights) = self.weights else {
             return;
         };
-        if self.closed.is_some() {
-            return;
-        }
         // A request pinned to other weights can't be answered by this target any more.
         for id in self.queue.misfits(weights.digest) {
             actions.push(AdmissionAction::Refuse(id, Refusal::NotServed));
@@ -241,11 +242,12 @@
             let Some(arrival) = self.queue.pop(now, &self.shares) else {
                 return;
             };
-            self.shares.charge(&arrival.account, arrival.weight);
+            let charge = self.shares.charge(&arrival.account, arrival.weight);
             self.queue.note_start(now, &arrival.account);
             let run = Run {
                 account: arrival.account,
                 weight: arrival.weight,
+                charge,
                 started: now,
             };
             self.running.insert(arrival.id, run);
--- a/crates/azurestand_target/src/admission/fairness.rs
+++ b/crates/azurestand_target/src/admission/fairness.rs
@@ -57,21 +57,27 @@
         self.used.get(account).copied().unwrap_or(self.floor)
     }
 
-    /// Charges a start with what a request takes on average.
-    pub(crate) fn charge(&mut self, account: &AccountName, weight: u32) {
+    /// Charges a start with what a request takes on average, and returns the charge.
+    pub(crate) fn charge(&mut self, account: &AccountName, weight: u32) -> u64 {
         let charge = (self.mean / u64::from(weight.max(1))).max(1);
         if let Some(used) = self.used.get_mut(account) {
             *used = used.saturating_add(charge);
         }
+        charge
     }
 
-    /// Corrects the charge once the time that a request took is known.
-    pub(crate) fn settle(&mut self, account: &AccountName, weight: u32, took: Duration) {
+    /// Replaces the charge by the time that the request took.
+    pub(crate) fn settle(
+        &mut self,
+        account: &AccountName,
+        weight: u32,
+        charge: u64,
+        took: Duration,
+    ) {
         let took = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        let weight = u64::from(weight.max(1));
         if let Some(used) = self.used.get_mut(account) {
-            let more = took.saturating_sub(self.mean) / weight;
-            *used = used.saturating_add(more);
+            let cost = took / u64::from(weight.max(1));
+            *used = used.saturating_sub(charge).saturating_add(cost);
         }
         self.mean = (self.mean - self.mean / MEAN_WEIGHT)
             .saturating_add(took / MEAN_WEIGHT)
--- a/crates/azurestand_target/src/exchange.rs
+++ b/crates/azurestand_target/src/exchange.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use azurestand_types::{Moment, Outcome, RequestId, Uncertainty};
+use azurestand_types::{Incarnation, Moment, Outcome, RequestId, Uncertainty};
 use bytes::Bytes;
 
 use self::entry::{Entry, State};
@@ -46,6 +46,21 @@
     }
 }
 
+/// When a request was issued, on the clock of the agent that it is sent to.
+///
+/// The entry copies the newest moment that it heard from the agent when it
+/// first sends a request to this life of it, and repeats the same stamp with
+/// every copy and with the revoke. So the agent can forget a request once its
+/// stamp is out of the window: a late copy is refused by the stamp alone, and
+/// a copy for an earlier life by that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Stamp {
+    /// The agent's life.
+    pub life: Incarnation,
+    /// The moment on its clock.
+    pub at: Moment,
+}
+
 /// What a send of a request came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sent {
@@ -55,8 +70,9 @@
     Attached,
     /// The id was revoked before it came: it never runs.
     Revoked,
-    /// Too old to tell whether an earlier send ran. This send ran nothing; an
-    /// entry that sent the id only once may call it not run.
+    /// Too old, or for an earlier life, so that it can't be told whether an
+    /// earlier send ran. This send ran nothing; an entry that sent the id only
+    /// once may call it not run.
     Stale,
     /// No memory is left to remember it by: it never runs.
     Full,
@@ -81,7 +97,12 @@
 #[derive(Debug)]
 pub struct Exchanges {
     settings: ExchangeSettings,
+    life: Incarnation,
     entries: BTreeMap<RequestId, Entry>,
+    /// Requests that run or whose end isn't confirmed.
+    active: BTreeSet<RequestId>,
+    /// Ended requests whose answer is kept, by the time of their end.
+    ended: BTreeSet<(Moment, RequestId)>,
     /// Remembered ids by stamp, the first to be forgotten first.
     stamps: BTreeSet<(Moment, RequestId)>,
     /// A send stamped up to here may have been forgotten.
@@ -90,11 +111,14 @@
 }
 
 impl Exchanges {
-    /// Begins to remember for an agent that has just started.
-    pub fn new(settings: ExchangeSettings) -> Self {
+    /// Begins to remember for an agent that has just started its `life`.
+    pub fn new(settings: ExchangeSettings, life: Incarnation) -> Self {
         Self {
             settings,
+            life,
             entries: BTreeMap::new(),
+            active: BTreeSet::new(),
+            ended: BTreeSet::new(),
             stamps: BTreeSet::new(),
             floor: None,
             held: 0,
@@ -117,12 +141,7 @@
     }
 
     /// Takes a send of `id` into account.
-    ///
-    /// `stamp` is the newest moment of this agent's clock that the entry had
-    /// heard when it first sent `id` to this life of the agent; a repeated
-    /// send carries the same stamp. So an id can be forgotten once its stamp
-    /// is out of the window, since a late copy is refused by the stamp alone.
-    pub fn send(&mut self, now: Moment, id: RequestId, stamp: Moment, keep: Keep) -> Sent {
+    pub fn send(&mut self, now: Moment, id: RequestId, stamp: Stamp, keep: Keep) -> Sent {
         if let Some(entry) = self.entries.get(&id) {
             return match entry.state {
                 State::Barred => Sent::Revoked,
@@ -135,12 +154,12 @@
         if !self.make_room() {
             return Sent::Full;
         }
-        self.remember(id, Entry::new(stamp, keep, State::Waiting));
+        self.remember(id, Entry::new(stamp.at, keep, State::Waiting));
         Sent::Fresh
     }
 
     /// Takes the revoke of `id`, which was or will be sent with `stamp`, into account.
-    pub fn revoke(&mut self, now: Moment, id: RequestId, stamp: Moment) -> RevokeAnswer {
+    pub fn revoke(&mut self, now: Moment, id: RequestId, stamp: Stamp) -> RevokeAnswer {
         if let Some(entry) = self.entries.get(&id) {
             return match entry.state {
                 State::Barred => RevokeAnswer::NeverRuns,
@@ -152,7 +171,7 @@
         if self.is_stale(now, stamp) || !self.make_room() {
             return RevokeAnswer::Stale;
         }
-        self.remember(id, Entry::new(stamp, Keep::Unread, State::Barred));
+        self.remember(id, Entry::new(stamp.at, Keep::Unread, State::Barred));
         RevokeAnswer::NeverRuns
     }
 
@@ -169,13 +188,21 @@
         assert!(waits, "request {id} starts twice or after its end");
         if let Some(entry) = entry {
             entry.state = State::Running(weights, now);
+            self.active.insert(id);
         }
     }
 
     /// How many bytes of the answer to `id` may be read from the engine now.
     ///
-    /// At 0 the agent stops reading from the engine until a reader has acknowledged.
-    pub fn room(&self, id: RequestId) -> usize {
+    /// At 0 the agent stops reading from the engine until a reader has
+    /// acknowledged. Answers at work go before ended ones that nobody fetched.
+    pub fn room(&mut self, id: RequestId) -> usize {
+        while self.held >= self.settings.total {
+            let Some((at, oldest)) = self.ended.first().copied() else {
+                break;
+            };
+            self.expire(at, oldest);
+        }
         let own = self.entries.get(&id).map_or(0, |entry| entry.buffer.held());
         let left = self.settings.total.saturating_sub(self.held);
         self.settings.buffer.saturating_sub(own).min(left)
@@ -195,8 +222,8 @@
     pub fn end(&mut self, now: Moment, id: RequestId, ending: Ending) {
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.end(now, ending);
-            self.held -= entry.drop_useless();
         }
+        self.note_end(id);
     }
 
     /// Takes a report of the engine, asked for at `taken`, into account.
@@ -204,27 +231,24 @@
     /// Returns the running requests that ended by it; the agent cancels them.
     pub fn report(&mut self, now: Moment, taken: Moment, weights: Weights) -> Vec<RequestId> {
         let mut ended = Vec::new();
-        for (id, entry) in &mut self.entries {
-            if entry.report(now, taken, weights) {
-                ended.push(*id);
+        let active: Vec<_> = self.active.iter().copied().collect();
+        for id in active {
+            let entry = self.entries.get_mut(&id);
+            if entry.is_some_and(|entry| entry.report(now, taken, weights)) {
+                ended.push(id);
             }
-            self.held -= entry.drop_useless();
+            self.note_end(id);
         }
         ended
     }
 
     /// Ends every running request, since the engine can't be reached.
     pub fn fail(&mut self, now: Moment, uncertainty: Uncertainty) -> Vec<RequestId> {
-        let running: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.is_running())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in &running {
+        let active: Vec<_> = self.active.iter().copied().collect();
+        for id in &active {
             self.end(now, *id, Ending::Unknown(uncertainty));
         }
-        running
+        active
     }
 
     /// What a reader of `id` that has everything before `offset` gets next.
@@ -258,8 +282,11 @@
 
     /// Drops answers that were kept long enough and ids out of the window.
     pub fn tick(&mut self, now: Moment) {
-        for entry in self.entries.values_mut() {
-            self.held -= entry.expire(now, self.settings.keep);
+        while let Some((at, id)) = self.ended.first().copied() {
+            if now.since(at) < self.settings.keep {
+                break;
+            }
+            self.expire(at, id);
         }
         let old: Vec<_> = self
             .stamps
@@ -273,10 +300,30 @@
         }
     }
 
-    fn is_stale(&self, now: Moment, stamp: Moment) -> bool {
-        let forgotten = self.floor.is_some_and(|floor| stamp <= floor);
-        // A stamp ahead of this clock is of another life of the agent.
-        forgotten || stamp > now || stamp + self.settings.window < now
+    /// Moves a request that has ended out of the active ones.
+    fn note_end(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        if let Some(at) = entry.ended_at() {
+            self.held -= entry.drop_useless();
+            self.active.remove(&id);
+            self.ended.insert((at, id));
+        }
+    }
+
+    /// Drops the answer to a request that ended at `at`.
+    fn expire(&mut self, at: Moment, id: RequestId) {
+        self.ended.remove(&(at, id));
+        if let Some(entry) = self.entries.get_mut(&id) {
+            self.held -= entry.expire();
+        }
+    }
+
+    fn is_stale(&self, now: Moment, stamp: Stamp) -> bool {
+        let forgotten = self.floor.is_some_and(|floor| stamp.at <= floor);
+        let old = stamp.at + self.settings.window < now;
+        stamp.life != self.life || stamp.at > now || forgotten || old
     }
 
     fn remember(&mut self, id: RequestId, entry: Entry) {
--- a/crates/azurestand_target/src/exchange/entry.rs
+++ b/crates/azurestand_target/src/exchange/entry.rs
@@ -1,7 +1,5 @@
 //! One request that the agent knows.
 
-use std::time::Duration;
-
 use azurestand_types::{Moment, Outcome, Refusal, Uncertainty};
 use bytes::Bytes;
 
@@ -90,8 +88,12 @@
         }
     }
 
-    pub(crate) fn is_running(&self) -> bool {
-        matches!(self.state, State::Running(..) | State::Unconfirmed(..))
+    /// When it ended, unless its answer was dropped since.
+    pub(crate) fn ended_at(&self) -> Option<Moment> {
+        match self.state {
+            State::Ended(_, at) if !self.expired => Some(at),
+            _ => None,
+        }
     }
 
     pub(crate) fn is_forgettable(&self) -> bool {
@@ -195,14 +197,9 @@
         }
     }
 
-    /// Drops an answer that was kept for `keep` after its end.
-    pub(crate) fn expire(&mut self, now: Moment, keep: Duration) -> usize {
-        match self.state {
-            State::Ended(_, at) if now.since(at) >= keep && !self.expired => {
-                self.expired = true;
-                self.buffer.release(self.buffer.length())
-            }
-            _ => 0,
-        }
+    /// Drops the answer after its time.
+    pub(crate) fn expire(&mut self) -> usize {
+        self.expired = true;
+        self.buffer.release(self.buffer.length())
     }
 }
--- a/crates/azurestand_target/src/lib.rs
+++ b/crates/azurestand_target/src/lib.rs
@@ -49,7 +49,7 @@
     Ask, Batch, Claim, ClaimKey, ClaimState, CodecError, Committed, Holder, HomeAction, HomeEvent,
     HomeSettings, Homes, Loaded, Outage, Record, SHARDS, Shard, Version,
 };
-pub use exchange::{Ending, ExchangeSettings, Exchanges, Keep, Read, RevokeAnswer, Sent};
+pub use exchange::{Ending, ExchangeSettings, Exchanges, Keep, Read, RevokeAnswer, Sent, Stamp};
 pub use life::{Kind, Life, LifeEvent, LifeSettings, Phase, Report, Weights};
 pub use order::{
     EngineState, Order, OrderAction, OrderEvent, OrderPhase, OrderReply, OrderSettings, Orders,
--- a/crates/azurestand_target/src/order.rs
+++ b/crates/azurestand_target/src/order.rs
@@ -90,7 +90,7 @@
     LeaseLost,
     /// These weights are to be served; a later one replaces it.
     Want(Verified),
-    /// The engine's state.
+    /// The engine's state: after an `Ask`, and with each of its load reports.
     Engine(EngineState),
     /// The answer to the order with this number.
     Replied(u64, OrderReply),
--- /dev/null
+++ b/crates/azurestand_target/tests/exchange.rs
@@ -0,0 +1,388 @@
+//! Exchanges: one run an id, whole answers, bounded memory.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use azurestand_target::{
+    Ending, ExchangeSettings, Exchanges, Keep, Read, RevokeAnswer, Sent, Stamp, Weights,
+};
+use azurestand_types::{
+    BootId, Digest, Incarnation, Moment, Outcome, Refusal, RequestId, Uncertainty,
+};
+use bytes::Bytes;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const ID: RequestId = RequestId(1);
+
+fn weights(version: u8, boot: u64) -> Weights {
+    Weights {
+        digest: Some(Digest::of(&[version])),
+        boot: BootId(boot),
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn whole(weights: Weights) -> Ending {
+    Ending::Whole {
+        weights: Some(weights),
+    }
+}
+
+fn settings() -> ExchangeSettings {
+    ExchangeSettings {
+        buffer: 10,
+        total: 15,
+        keep: Duration::from_secs(5),
+        window: Duration::from_secs(10),
+        ids: 20,
+    }
+}
+
+fn exchanges() -> Exchanges {
+    Exchanges::new(settings(), Incarnation(1))
+}
+
+fn stamp(millis: u64) -> Stamp {
+    Stamp {
+        life: Incarnation(1),
+        at: at(millis),
+    }
+}
+
+fn running(keep: Keep) -> Exchanges {
+    let mut exchanges = exchanges();
+    assert_eq!(exchanges.send(at(0), ID, stamp(0), keep), Sent::Fresh);
+    exchanges.start(at(0), ID, weights(1, 1));
+    exchanges
+}
+
+fn end(outcome: Outcome, length: u64) -> Read {
+    Read::End { outcome, length }
+}
+
+#[test]
+fn a_second_send_attaches_and_reads_the_same_answer() {
+    let mut exchanges = running(Keep::Unread);
+    exchanges.append(ID, Bytes::from_static(b"hello"));
+    assert_eq!(
+        exchanges.send(at(1), ID, stamp(0), Keep::Unread),
+        Sent::Attached
+    );
+    assert_eq!(
+        exchanges.read(ID, 0),
+        Read::Bytes(Bytes::from_static(b"hello"))
+    );
+    assert_eq!(
+        exchanges.read(ID, 3),
+        Read::Bytes(Bytes::from_static(b"lo"))
+    );
+    assert_eq!(exchanges.read(ID, 5), Read::Pending);
+    exchanges.end(at(2), ID, whole(weights(1, 1)));
+    assert_eq!(exchanges.read(ID, 5), end(Outcome::Answered, 5));
+    assert_eq!(
+        exchanges.read(ID, 6),
+        Read::Gap {
+            outcome: Some(Outcome::Answered)
+        }
+    );
+}
+
+#[test]
+fn acknowledged_bytes_are_released_and_make_room() {
+    let mut exchanges = running(Keep::Unread);
+    exchanges.append(ID, Bytes::from_static(b"0123456789"));
+    assert_eq!(exchanges.room(ID), 0);
+    exchanges.ack(ID, 4);
+    assert_eq!((exchanges.room(ID), exchanges.held()), (4, 6));
+    assert_eq!(exchanges.read(ID, 3), Read::Gap { outcome: None });
+    assert_eq!(
+        exchanges.read(ID, 4),
+        Read::Bytes(Bytes::from_static(b"456789"))
+    );
+}
+
+#[test]
+fn answers_that_nobody_fetches_make_way_for_those_at_work() {
+    let mut exchanges = exchanges();
+    for id in 0..3 {
+        exchanges.send(at(0), RequestId(id), stamp(0), Keep::All);
+        exchanges.start(at(0), RequestId(id), weights(1, 1));
+    }
+    exchanges.append(RequestId(0), Bytes::from_static(b"01234567"));
+    exchanges.append(RequestId(1), Bytes::from_static(b"0123456"));
+    assert_eq!(exchanges.room(RequestId(2)), 0);
+    exchanges.end(at(1), RequestId(0), whole(weights(1, 1)));
+    assert_eq!(exchanges.room(RequestId(2)), 8);
+    let gap = Read::Gap {
+        outcome: Some(Outcome::Answered),
+    };
+    assert_eq!(exchanges.read(RequestId(0), 0), gap);
+}
+
+#[test]
+fn an_answer_kept_whole_is_released_once_it_is_too_large() {
+    let mut exchanges = running(Keep::All);
+    exchanges.append(ID, Bytes::from_static(b"01234"));
+    exchanges.ack(ID, 5);
+    assert_eq!(
+        exchanges.read(ID, 0),
+        Read::Bytes(Bytes::from_static(b"01234"))
+    );
+    exchanges.append(ID, Bytes::from_static(b"56789"));
+    exchanges.ack(ID, 10);
+    assert_eq!(exchanges.room(ID), 10);
+    exchanges.end(at(1), ID, whole(weights(1, 1)));
+    assert_eq!(exchanges.whole(ID), None);
+}
+
+#[test]
+fn an_answer_under_changed_weights_is_never_whole() {
+    for changed in [weights(2, 1), weights(1, 2)] {
+        let mut exchanges = running(Keep::All);
+        exchanges.append(ID, Bytes::from_static(b"half"));
+        assert_eq!(exchanges.report(at(5), at(4), changed), [ID]);
+        exchanges.append(ID, Bytes::from_static(b"rest"));
+        exchanges.end(at(6), ID, whole(weights(1, 1)));
+        let unknown = Outcome::Unknown(Uncertainty::WeightsChanged);
+        assert!(matches!(exchanges.read(ID, 0), Read::End { outcome, .. } if outcome == unknown));
+        assert_eq!(exchanges.whole(ID), None);
+    }
+}
+
+#[test]
+fn an_answer_that_names_other_weights_is_never_whole() {
+    let mut exchanges = running(Keep::All);
+    exchanges.end(at(6), ID, whole(weights(2, 1)));
+    let unknown = Outcome::Unknown(Uncertainty::WeightsChanged);
+    assert_eq!(exchanges.outcome(ID), Some(unknown));
+}
+
+#[test]
+fn an_answer_without_weights_waits_for_a_report_taken_after_its_end() {
+    let mut exchanges = running(Keep::All);
+    exchanges.end(at(6), ID, Ending::Whole { weights: None });
+    exchanges.report(at(7), at(5), weights(1, 1));
+    assert_eq!(
+        exchanges.outcome(ID),
+        None,
+        "that report is older than the end"
+    );
+    exchanges.report(at(9), at(8), weights(1, 1));
+    assert_eq!(exchanges.outcome(ID), Some(Outcome::Answered));
+}
+
+#[test]
+fn a_late_report_of_the_engines_former_life_ends_nothing() {
+    let mut exchanges = exchanges();
+    exchanges.send(at(10), ID, stamp(10), Keep::All);
+    exchanges.start(at(10), ID, weights(1, 2));
+    assert!(exchanges.report(at(12), at(9), weights(1, 1)).is_empty());
+    assert_eq!(exchanges.outcome(ID), None);
+}
+
+#[test]
+fn a_revoke_that_overtakes_its_send_bars_it() {
+    let mut exchanges = exchanges();
+    assert_eq!(
+        exchanges.revoke(at(1), ID, stamp(0)),
+        RevokeAnswer::NeverRuns
+    );
+    assert_eq!(
+        exchanges.send(at(2), ID, stamp(0), Keep::All),
+        Sent::Revoked
+    );
+}
+
+#[test]
+fn a_revoke_of_a_started_request_says_so() {
+    let mut exchanges = running(Keep::All);
+    assert_eq!(exchanges.revoke(at(1), ID, stamp(0)), RevokeAnswer::Started);
+    exchanges.end(at(2), ID, Ending::NotRun(Refusal::Busy));
+    let unknown = Outcome::Unknown(Uncertainty::TargetFailed);
+    assert_eq!(
+        exchanges.outcome(ID),
+        Some(unknown),
+        "a started one can't be called not run"
+    );
+}
+
+#[test]
+fn a_send_of_a_forgotten_request_is_stale_and_not_run_again() {
+    let mut exchanges = running(Keep::Unread);
+    exchanges.end(at(1), ID, whole(weights(1, 1)));
+    exchanges.tick(at(5_001));
+    assert_eq!(
+        exchanges.send(at(5_001), ID, stamp(0), Keep::All),
+        Sent::Attached
+    );
+    exchanges.tick(at(10_001));
+    assert!(exchanges.is_empty());
+    assert_eq!(
+        exchanges.send(at(10_001), ID, stamp(0), Keep::All),
+        Sent::Stale
+    );
+    assert_eq!(
+        exchanges.revoke(at(10_001), ID, stamp(0)),
+        RevokeAnswer::Stale
+    );
+}
+
+#[test]
+fn a_send_for_another_life_of_the_agent_is_stale() {
+    let mut exchanges = exchanges();
+    let former = Stamp {
+        life: Incarnation(0),
+        at: at(4),
+    };
+    assert_eq!(exchanges.send(at(5), ID, former, Keep::All), Sent::Stale);
+    assert_eq!(exchanges.revoke(at(5), ID, former), RevokeAnswer::Stale);
+    assert_eq!(exchanges.send(at(5), ID, stamp(6), Keep::All), Sent::Stale);
+}
+
+#[test]
+fn a_send_that_was_long_on_its_way_is_stale() {
+    let mut exchanges = exchanges();
+    assert_eq!(
+        exchanges.send(at(10_001), ID, stamp(0), Keep::All),
+        Sent::Stale
+    );
+    assert_eq!(
+        exchanges.send(at(10_001), ID, stamp(1), Keep::All),
+        Sent::Fresh
+    );
+}
+
+#[test]
+fn more_requests_than_can_be_remembered_are_refused() {
+    let mut exchanges = exchanges();
+    for id in 0..20 {
+        let sent = exchanges.send(at(1), RequestId(id), stamp(1), Keep::Unread);
+        assert_eq!(sent, Sent::Fresh);
+    }
+    assert_eq!(
+        exchanges.send(at(2), RequestId(99), stamp(2), Keep::Unread),
+        Sent::Full
+    );
+    exchanges.end(at(2), RequestId(3), Ending::NotRun(Refusal::Busy));
+    exchanges.tick(at(7_002));
+    assert_eq!(
+        exchanges.send(at(7_002), RequestId(99), stamp(2), Keep::Unread),
+        Sent::Fresh
+    );
+    assert_eq!(
+        exchanges.send(at(7_003), RequestId(3), stamp(1), Keep::Unread),
+        Sent::Stale
+    );
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Send(u128),
+    Revoke(u128),
+    Start(usize),
+    Append(usize, usize),
+    End(usize, u8),
+    Ack(u128, u64),
+    Report(u8),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0_u128..40).prop_map(Step::Send),
+        1 => (0_u128..40).prop_map(Step::Revoke),
+        6 => any::<usize>().prop_map(Step::Start),
+        6 => (any::<usize>(), 1_usize..12).prop_map(|(n, len)| Step::Append(n, len)),
+        4 => (any::<usize>(), 0_u8..4).prop_map(|(n, how)| Step::End(n, how)),
+        3 => (0_u128..40, 0_u64..20).prop_map(|(id, offset)| Step::Ack(id, offset)),
+        1 => (1_u8..3).prop_map(Step::Report),
+        4 => (1_u64..6_000).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(31),
+        cases: 400,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_id_is_fresh_twice_and_memory_is_bounded(steps in vec(step(), 1..300)) {
+        let mut exchanges = exchanges();
+        let mut now = at(0);
+        let mut stamps = BTreeMap::new();
+        let mut fresh = BTreeSet::new();
+        let mut barred = BTreeSet::new();
+        let mut waiting = Vec::new();
+        let mut running = Vec::new();
+        let mut bytes = BTreeMap::<u128, u64>::new();
+        for step in steps {
+            match step {
+                Step::Send(id) => {
+                    // The stamp of an id's first send stays with it.
+                    let at = *stamps.entry(id).or_insert(now);
+                    let stamp = Stamp { life: Incarnation(1), at };
+                    if exchanges.send(now, RequestId(id), stamp, Keep::Unread) == Sent::Fresh {
+                        prop_assert!(fresh.insert(id), "{id} runs twice");
+                        prop_assert!(!barred.contains(&id), "{id} runs after its revoke");
+                        waiting.push(id);
+                    }
+                }
+                Step::Revoke(id) => {
+                    let at = *stamps.entry(id).or_insert(now);
+                    let stamp = Stamp { life: Incarnation(1), at };
+                    if exchanges.revoke(now, RequestId(id), stamp) == RevokeAnswer::NeverRuns {
+                        prop_assert!(!fresh.contains(&id), "{id} may run");
+                        barred.insert(id);
+                    }
+                }
+                Step::Start(n) if !waiting.is_empty() => {
+                    let id = waiting.remove(n % waiting.len());
+                    exchanges.start(now, RequestId(id), weights(1, 1));
+                    running.push(id);
+                }
+                Step::Append(n, len) if !running.is_empty() => {
+                    let id = running[n % running.len()];
+                    let len = len.min(exchanges.room(RequestId(id)));
+                    exchanges.append(RequestId(id), Bytes::from(vec![0; len]));
+                    *bytes.entry(id).or_default() += len as u64;
+                }
+                Step::End(n, how) if !running.is_empty() => {
+                    let id = running.remove(n % running.len());
+                    let ending = match how {
+                        0 => Ending::Unknown(Uncertainty::TargetFailed),
+                        1 => Ending::Whole { weights: None },
+                        _ => whole(weights(1, 1)),
+                    };
+                    exchanges.end(now, RequestId(id), ending);
+                }
+                Step::Ack(id, offset) => exchanges.ack(RequestId(id), offset),
+                Step::Report(version) => {
+                    for id in exchanges.report(now, now, weights(version, 1)) {
+                        running.retain(|other| *other != id.0);
+                    }
+                }
+                Step::Pass(millis) => {
+                    now = now + Duration::from_millis(millis);
+                    exchanges.tick(now);
+                }
+                Step::Start(_) | Step::Append(..) | Step::End(..) => {}
+            }
+            prop_assert!(exchanges.len() <= 20 && exchanges.held() <= 15);
+            for (id, sent) in &bytes {
+                if let Read::End { outcome: Outcome::Answered, length } =
+                    exchanges.read(RequestId(*id), *sent)
+                {
+                    prop_assert_eq!(length, *sent, "an answer is cut");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/azurestand_target/tests/life.rs
@@ -0,0 +1,292 @@
+//! A target's life: what sends it back to cold, and what it serves.
+
+use std::time::Duration;
+
+use azurestand_target::{Kind, Life, LifeEvent, LifeSettings, Phase, Report, Weights};
+use azurestand_types::{BootId, Digest, Moment};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn settings() -> LifeSettings {
+    LifeSettings {
+        cold_limit: 2,
+        warm_limit: 16,
+        ..LifeSettings::default()
+    }
+}
+
+fn digest(version: u8) -> Digest {
+    Digest::of(&[version])
+}
+
+fn report(boot: u64, version: Option<u8>) -> LifeEvent {
+    LifeEvent::Report(Report {
+        boot: BootId(boot),
+        digest: version.map(digest),
+        ready: true,
+        waiting: 0,
+    })
+}
+
+fn token(millis: u64, running: u32) -> LifeEvent {
+    LifeEvent::FirstToken {
+        latency: Duration::from_millis(millis),
+        running,
+    }
+}
+
+/// A life and the moment it has come to.
+struct Bench {
+    life: Life,
+    now: Moment,
+}
+
+impl Bench {
+    fn new() -> Self {
+        Self {
+            life: Life::new(settings()),
+            now: Moment::START,
+        }
+    }
+
+    fn cold() -> Self {
+        let mut bench = Self::new();
+        bench.send(LifeEvent::Staging(digest(1)));
+        bench.send(LifeEvent::WeightsComplete(digest(1)));
+        bench.send(LifeEvent::LoadOrdered(digest(1)));
+        bench.send(LifeEvent::LoadAccepted);
+        bench.send(report(1, None));
+        assert_eq!(bench.life.phase(), Phase::Loading);
+        bench.send(report(1, Some(1)));
+        assert_eq!(bench.life.phase(), Phase::Cold);
+        bench
+    }
+
+    fn warm() -> Self {
+        let mut bench = Self::cold();
+        for _ in 0..200 {
+            let running = bench.life.limit();
+            bench.send(token(100, running));
+        }
+        assert_eq!((bench.life.phase(), bench.life.limit()), (Phase::Warm, 16));
+        bench
+    }
+
+    fn send(&mut self, event: LifeEvent) {
+        self.now = self.now + Duration::from_millis(10);
+        self.life.handle(self.now, event);
+    }
+
+    fn state(&self) -> (Phase, u32) {
+        (self.life.phase(), self.life.limit())
+    }
+}
+
+#[test]
+fn the_limit_grows_only_with_good_answers_under_load() {
+    let mut bench = Bench::cold();
+    for _ in 0..100 {
+        bench.send(report(1, Some(1)));
+        bench.send(LifeEvent::Tick);
+        bench.send(token(100, 0));
+    }
+    assert_eq!(
+        bench.state(),
+        (Phase::Cold, 2),
+        "time and idle answers prove nothing"
+    );
+    bench.send(token(100, 2));
+    bench.send(token(100, 2));
+    assert_eq!(bench.state(), (Phase::Warming, 3));
+    for _ in 0..100 {
+        bench.send(token(1_000, 3));
+    }
+    assert_eq!(
+        bench.state(),
+        (Phase::Warming, 3),
+        "mediocre answers prove nothing"
+    );
+}
+
+#[test]
+fn a_queue_inside_the_engine_stops_the_growth() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::Report(Report {
+        boot: BootId(1),
+        digest: Some(digest(1)),
+        ready: true,
+        waiting: 1,
+    }));
+    for _ in 0..100 {
+        bench.send(token(100, 2));
+    }
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn a_changed_boot_id_makes_a_warm_target_cold_at_once() {
+    let mut bench = Bench::warm();
+    bench.send(report(2, Some(1)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+    let weights = Weights {
+        digest: Some(digest(1)),
+        boot: BootId(2),
+    };
+    assert_eq!(bench.life.serves(), Some(weights));
+}
+
+#[test]
+fn a_slow_first_token_makes_a_warm_target_cold_at_once() {
+    let mut bench = Bench::warm();
+    bench.send(token(2_000, 16));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn an_overload_answer_makes_a_warm_target_cold_at_once() {
+    let mut bench = Bench::warm();
+    bench.send(LifeEvent::Overloaded);
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn failures_in_a_row_make_a_warm_target_cold() {
+    let mut bench = Bench::warm();
+    for _ in 0..2 {
+        bench.send(LifeEvent::Failed);
+    }
+    assert_eq!(bench.state(), (Phase::Warm, 16));
+    bench.send(LifeEvent::Failed);
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn an_engine_that_falls_silent_gets_nothing_more() {
+    let mut bench = Bench::warm();
+    bench.now = bench.now + Duration::from_secs(4);
+    bench.send(LifeEvent::Tick);
+    assert_eq!(bench.state(), (Phase::Staging, 0));
+    bench.send(report(1, Some(1)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn weights_that_were_not_ordered_are_not_served() {
+    let mut bench = Bench::cold();
+    bench.send(report(1, Some(9)));
+    assert_eq!((bench.life.serves(), bench.life.limit()), (None, 0));
+}
+
+#[test]
+fn an_engine_that_crashes_in_a_load_falls_back_to_staging() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(LifeEvent::LoadAccepted);
+    bench.send(report(2, None));
+    assert_eq!(bench.state(), (Phase::Staging, 0));
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(report(2, Some(2)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn a_refused_load_leaves_the_old_weights_in_service() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    assert_eq!(bench.life.serves(), None);
+    bench.send(LifeEvent::LoadRefused);
+    assert_eq!(
+        bench.life.serves().and_then(|weights| weights.digest),
+        Some(digest(1))
+    );
+}
+
+#[test]
+fn a_data_centre_out_of_service_gets_nothing_new_and_comes_back() {
+    let mut bench = Bench::warm();
+    bench.send(LifeEvent::CentreOut);
+    assert_eq!((bench.life.serves(), bench.life.limit()), (None, 0));
+    bench.send(LifeEvent::CentreIn);
+    assert_eq!(bench.state(), (Phase::Warm, 16));
+}
+
+#[test]
+fn a_leaving_target_drains_and_never_comes_back() {
+    let mut bench = Bench::warm();
+    bench.send(LifeEvent::Leave);
+    assert_eq!(bench.state(), (Phase::Draining, 0));
+    bench.send(report(1, Some(1)));
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(LifeEvent::Idle);
+    bench.send(LifeEvent::CentreIn);
+    assert_eq!(bench.state(), (Phase::Left, 0));
+}
+
+fn event() -> impl Strategy<Value = LifeEvent> {
+    let version = 0_u8..3;
+    prop_oneof![
+        2 => version.clone().prop_map(|v| LifeEvent::Staging(digest(v))),
+        2 => version.clone().prop_map(|v| LifeEvent::WeightsComplete(digest(v))),
+        4 => version.clone().prop_map(|v| LifeEvent::LoadOrdered(digest(v))),
+        2 => Just(LifeEvent::LoadAccepted),
+        1 => Just(LifeEvent::LoadRefused),
+        12 => (1_u64..3, prop::option::weighted(0.8, version), any::<bool>(), 0_u32..2).prop_map(
+            |(boot, version, ready, waiting)| LifeEvent::Report(Report {
+                boot: BootId(boot),
+                digest: version.map(digest),
+                ready,
+                waiting,
+            })
+        ),
+        8 => (0_u64..3_000, 0_u32..20).prop_map(|(millis, running)| token(millis, running)),
+        1 => Just(LifeEvent::Overloaded),
+        1 => Just(LifeEvent::Failed),
+        1 => Just(LifeEvent::CentreOut),
+        1 => Just(LifeEvent::CentreIn),
+        4 => Just(LifeEvent::Tick),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(21),
+        cases: 500,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn only_ordered_weights_of_the_newest_report_are_served(
+        kind in prop_oneof![Just(Kind::Engine), Just(Kind::Service)],
+        events in vec((event(), 0_u64..2_000), 1..200),
+    ) {
+        let mut life = Life::new(LifeSettings { kind, ..settings() });
+        let mut now = Moment::START;
+        let mut ordered = Vec::new();
+        let mut newest = None;
+        for (event, millis) in events {
+            now = now + Duration::from_millis(millis);
+            match event {
+                LifeEvent::LoadOrdered(digest) => ordered.push(digest),
+                LifeEvent::Report(report) => newest = Some((now, report)),
+                _ => {}
+            }
+            life.handle(now, event);
+            let Some(weights) = life.serves() else {
+                prop_assert_eq!(life.limit(), 0);
+                continue;
+            };
+            let (at, report) = newest.expect("a report came");
+            prop_assert!(report.ready && weights.boot == report.boot);
+            prop_assert_eq!(weights.digest, report.digest);
+            if event == LifeEvent::Tick {
+                prop_assert!(now.since(at) <= settings().stale_after);
+            }
+            if kind == Kind::Engine {
+                prop_assert!(weights.digest.is_some_and(|digest| ordered.contains(&digest)));
+            }
+            prop_assert!((1..=settings().warm_limit).contains(&life.limit()));
+        }
+    }
+}
