--- a/crates/azurestand_membership/src/lib.rs
+++ b/crates/azurestand_membership/src/lib.rs
@@ -36,6 +36,7 @@
 mod identity;
 mod limits;
 mod member;
+mod print;
 mod record;
 mod view;
 
--- a/crates/azurestand_membership/src/member.rs
+++ b/crates/azurestand_membership/src/member.rs
@@ -25,6 +25,9 @@
 use probe::Probes;
 use timers::Timers;
 
+/// How many changes are passed on at a time; beyond that anti-entropy carries them.
+const MAX_HOT: usize = 128;
+
 /// How many kinds of notes are remembered so that each is written once.
 const MAX_NOTED: usize = 256;
 
@@ -192,9 +195,11 @@
 
     /// Has a change passed on.
     fn spread(&mut self, host: &HostName) {
-        self.hot.insert(host.clone());
-        self.urgent = true;
         self.stale = true;
+        if self.hot.len() < MAX_HOT {
+            self.hot.insert(host.clone());
+            self.urgent = true;
+        }
     }
 
     /// What the daemon was last told about a host.
--- a/crates/azurestand_membership/src/member/document.rs
+++ b/crates/azurestand_membership/src/member/document.rs
@@ -256,10 +256,10 @@
     fn read_tick(&mut self) {
         let limits = &self.limits;
         let fresh = self.document.store_heard.unwrap_or(Moment::START);
-        let quiet = self.now.since(fresh.max(self.timers.settled)) > limits.quiet_for;
+        let quiet = self.now.since(fresh.max(self.timers.settled)) > limits.stale_for;
         if self.watching || !quiet {
             self.document.read_at = None;
-            self.document.pause = limits.quiet_for;
+            self.document.pause = limits.stale_for;
             return;
         }
         let pause = self.document.pause;
--- a/crates/azurestand_membership/src/member/hub.rs
+++ b/crates/azurestand_membership/src/member/hub.rs
@@ -86,22 +86,19 @@
 
     fn foreign_centres(&self) -> Vec<DataCentre> {
         let mine = &self.me.identity.centre;
-        let members = self.view.members();
-        let foreign = members.filter(|r| r.identity.centre != *mine && r.state().is_present());
-        let mut centres: Vec<_> = foreign.map(|r| r.identity.centre.clone()).collect();
-        centres.sort();
-        centres.dedup();
-        centres
+        let populated = |centre: &&DataCentre| {
+            let mut members = self.view.members_of(centre);
+            *centre != mine && members.any(|record| record.state().is_present())
+        };
+        self.view.places().filter(populated).cloned().collect()
     }
 
     /// A member of another data centre to talk to, mostly one of its hubs.
     fn contact(&mut self, centre: &DataCentre) -> Option<Record> {
         let stray = self.random.usize(..STRAY_SHARE) == 0;
         let candidates = if stray {
-            let members = self.view.members();
-            members
-                .filter(|r| r.identity.centre == *centre && r.state().is_present())
-                .collect()
+            let members = self.view.members_of(centre);
+            members.filter(|r| r.state().is_present()).collect()
         } else {
             self.view.hubs(centre, self.limits.watchers)
         };
--- a/crates/azurestand_membership/src/member/probe.rs
+++ b/crates/azurestand_membership/src/member/probe.rs
@@ -119,8 +119,7 @@
         let centre = &self.me.identity.centre;
         let dead: Vec<_> = self
             .view
-            .members()
-            .filter(|record| record.identity.centre == *centre)
+            .members_of(centre)
             .filter(|record| record.state() == crate::State::Dead)
             .map(Record::without_status)
             .collect();
@@ -252,13 +251,10 @@
     }
 
     fn collect_suspects(&mut self) {
-        let centre = &self.me.identity.centre;
-        let suspect = |record: &&Record| {
-            record.identity.centre == *centre
-                && record.health == Health::Suspect
-                && record.state().is_present()
-        };
-        let suspects = self.view.members().filter(suspect);
+        let suspect =
+            |record: &&Record| record.health == Health::Suspect && record.state().is_present();
+        let locals = self.view.members_of(&self.me.identity.centre);
+        let suspects = locals.filter(suspect);
         self.probes.suspects = suspects.map(|r| r.identity.host.clone()).collect();
     }
 }
--- a/crates/azurestand_membership/src/member/send.rs
+++ b/crates/azurestand_membership/src/member/send.rs
@@ -8,6 +8,7 @@
 use super::Member;
 use crate::gossip::{Body, Gossip, Heard, record_bytes};
 use crate::record::{Record, Status};
+use crate::view::Entry;
 use crate::{Action, Role};
 
 /// How many seeds are greeted at once.
@@ -19,6 +20,9 @@
 /// How often a change is passed on, as a multiple of the logarithm of the members.
 const SPREAD_FACTOR: u32 = 2;
 
+/// How long a change is passed on; anti-entropy carries it to those that missed it.
+const SPREAD_FOR: Duration = Duration::from_secs(10);
+
 /// How often a member that knows its peers still greets a seed, so that views
 /// that lost each other meet again.
 const GREET_PAUSE: Duration = Duration::from_secs(30);
@@ -108,20 +112,18 @@
     fn cool(&mut self) {
         let rounds = usize::BITS - self.view.entries().len().leading_zeros();
         let limit = SPREAD_FACTOR * rounds;
-        let view = &self.view;
-        self.hot
-            .retain(|host| view.entry(host).is_some_and(|entry| entry.sent < limit));
+        let (view, now) = (&self.view, self.now);
+        let warm = |entry: &Entry| entry.sent < limit && now.since(entry.changed) < SPREAD_FOR;
+        self.hot.retain(|host| view.entry(host).is_some_and(warm));
     }
 
     /// Up to `count` random present members of the own data centre.
     pub(super) fn local_peers(&mut self, count: usize) -> Vec<Record> {
         let me = &self.me.identity;
-        let chosen = |record: &&Record| {
-            record.identity.centre == me.centre
-                && record.identity.host != me.host
-                && record.state().is_present()
-        };
-        let peers: Vec<_> = self.view.members().filter(chosen).collect();
+        let chosen =
+            |record: &&Record| record.identity.host != me.host && record.state().is_present();
+        let locals = self.view.members_of(&me.centre);
+        let peers: Vec<_> = locals.filter(chosen).collect();
         let count = count.min(peers.len());
         let picked = self.random.choose_multiple(peers, count);
         picked.into_iter().map(Record::without_status).collect()
--- a/crates/azurestand_membership/src/member/sync.rs
+++ b/crates/azurestand_membership/src/member/sync.rs
@@ -9,6 +9,7 @@
 use crate::Role;
 use crate::gossip::{BUCKETS, Body, Brief, MAX_BRIEFS, Summary, record_bytes};
 use crate::record::Record;
+use crate::view::Entry;
 
 /// How many versions one answer lists at most.
 const SUMMARY_BRIEFS: usize = 96;
@@ -60,8 +61,10 @@
     /// One hash a bucket over all present members.
     pub(super) fn digest(&self, statuses: bool) -> Body {
         let mut buckets = vec![0; BUCKETS];
-        for record in self.view.members().filter(|r| r.state().is_present()) {
-            buckets[bucket(&record.identity.host)] ^= hash(record, statuses);
+        for entry in self.view.entries() {
+            if entry.record.state().is_present() {
+                buckets[entry.print.bucket] ^= entry.print.hash(statuses);
+            }
         }
         Body::Digest { statuses, buckets }
     }
@@ -94,15 +97,14 @@
     }
 
     fn briefs(&self, wanted: usize) -> Vec<Brief> {
-        let held = |record: &&Record| {
-            bucket(&record.identity.host) == wanted && record.state().is_present()
-        };
-        let brief = |record: &Record| Brief {
-            host: record.identity.host.clone(),
-            version: record.version(),
-            counter: record.status.counter,
+        let held =
+            |entry: &&Entry| entry.print.bucket == wanted && entry.record.state().is_present();
+        let brief = |entry: &Entry| Brief {
+            host: entry.record.identity.host.clone(),
+            version: entry.record.version(),
+            counter: entry.record.status.counter,
         };
-        self.view.members().filter(held).map(brief).collect()
+        self.view.entries().filter(held).map(brief).collect()
     }
 
     /// Sends what the other lacks and asks for what this member lacks.
@@ -130,12 +132,15 @@
             .map(|brief| (&brief.host, brief))
             .collect();
         let mut mine: Vec<HostName> = Vec::new();
-        for record in self.view.members() {
+        for entry in self.view.entries() {
+            if !summary.buckets.contains(&entry.print.bucket) {
+                continue;
+            }
+            let record = &entry.record;
             let host = &record.identity.host;
-            let compared = summary.buckets.contains(&bucket(host));
             let missing = || record.state().is_present();
             let newer = |brief: &&Brief| news(record, brief);
-            if compared && theirs.get(host).map_or_else(missing, newer) {
+            if theirs.get(host).map_or_else(missing, newer) {
                 mine.push(host.clone());
             }
         }
@@ -181,32 +186,3 @@
         records
     }
 }
-
-fn bucket(host: &HostName) -> usize {
-    usize::try_from(fold(0, host.as_str().as_bytes()) % BUCKETS as u64).unwrap_or(0)
-}
-
-fn hash(record: &Record, statuses: bool) -> u32 {
-    let version = record.version();
-    let mut hash = fold(0, record.identity.host.as_str().as_bytes());
-    let counter = if statuses { record.status.counter } else { 0 };
-    for part in [
-        version.incarnation.0,
-        version.refutation,
-        version.health as u64,
-        version.stage as u64,
-        counter,
-    ] {
-        hash = fold(hash, &part.to_le_bytes());
-    }
-    u32::try_from(hash >> 32).unwrap_or(0)
-}
-
-/// FNV-1a with a final mix; views are compared for difference, not against forgery.
-fn fold(start: u64, bytes: &[u8]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
-    let hash = bytes.iter().fold(start ^ OFFSET, step);
-    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
--- a/crates/azurestand_membership/src/view.rs
+++ b/crates/azurestand_membership/src/view.rs
@@ -1,10 +1,11 @@
 //! The live view: what this member knows of all members.
 
-use std::collections::BTreeMap;
-use std::collections::btree_map::Values;
+use std::collections::btree_map::{Keys, Values};
+use std::collections::{BTreeMap, BTreeSet};
 
 use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Revision, rendezvous};
 
+use crate::print::Print;
 use crate::record::{Health, Record, Version};
 use crate::{Role, State};
 
@@ -17,6 +18,8 @@
     members: BTreeMap<HostName, Entry>,
     graves: BTreeMap<HostName, Version>,
     centres: BTreeMap<DataCentre, Moment>,
+    /// The members by data centre, so that work on one of them costs by its size.
+    places: BTreeMap<DataCentre, BTreeSet<HostName>>,
 }
 
 /// A record with what only this member needs to know of it.
@@ -31,6 +34,27 @@
     pub(crate) sent: u32,
     /// The incarnation that the platform's list says is leaving.
     pub(crate) hint: Option<Incarnation>,
+    /// The record's part of a digest.
+    pub(crate) print: Print,
+}
+
+impl Entry {
+    fn new(now: Moment, record: &Record) -> Self {
+        Self {
+            record: record.clone(),
+            changed: now,
+            since: now,
+            sent: 0,
+            hint: None,
+            print: Print::of(record),
+        }
+    }
+
+    fn touch(&mut self, now: Moment) {
+        self.changed = now;
+        self.sent = 0;
+        self.print = Print::of(&self.record);
+    }
 }
 
 /// What came of an offered record.
@@ -50,6 +74,15 @@
         self.members.values().map(|entry| &entry.record)
     }
 
+    /// The members of one data centre in the order of their names.
+    pub fn members_of<'a>(
+        &'a self,
+        centre: &DataCentre,
+    ) -> impl Iterator<Item = &'a Record> + use<'a> {
+        let hosts = self.places.get(centre).into_iter().flatten();
+        hosts.filter_map(|host| self.get(host))
+    }
+
     /// The member under this name.
     pub fn get(&self, host: &HostName) -> Option<&Record> {
         self.members.get(host).map(|entry| &entry.record)
@@ -92,8 +125,7 @@
     pub fn hubs(&self, centre: &DataCentre, count: usize) -> Vec<&Record> {
         let key = centre.as_str().as_bytes();
         let mut ranked: Vec<_> = self
-            .members()
-            .filter(|record| record.identity.centre == *centre)
+            .members_of(centre)
             .filter(|record| record.state() == State::Alive)
             .map(|record| {
                 let identity = &record.identity;
@@ -118,6 +150,11 @@
         self.members.values()
     }
 
+    /// The data centres that members stand in, departed members included.
+    pub(crate) fn places(&self) -> Keys<'_, DataCentre, BTreeSet<HostName>> {
+        self.places.keys()
+    }
+
     /// Notes that a data centre was heard of at `moment`.
     pub(crate) fn hear(&mut self, centre: &DataCentre, moment: Moment) {
         match self.centres.get_mut(centre) {
@@ -138,14 +175,18 @@
         if record.identity.incarnation < known {
             return Merge::Stale(known);
         }
+        let counter = entry.record.status.counter;
         if !entry.record.merge(record) {
+            if entry.record.status.counter != counter {
+                entry.print = Print::of(&entry.record);
+            }
             return Merge::Same;
         }
+        entry.touch(now);
         if entry.record.identity.incarnation > known {
             entry.since = now;
+            self.place(record);
         }
-        entry.changed = now;
-        entry.sent = 0;
         Merge::Changed
     }
 
@@ -165,17 +206,26 @@
             return Merge::Same;
         }
         self.graves.remove(host);
-        let entry = Entry {
-            record: record.clone(),
-            changed: now,
-            since: now,
-            sent: 0,
-            hint: None,
-        };
-        self.members.insert(host.clone(), entry);
+        self.members.insert(host.clone(), Entry::new(now, record));
+        self.place(record);
         Merge::Changed
     }
 
+    /// Files a host under its data centre; a replacement may stand in another one.
+    fn place(&mut self, record: &Record) {
+        let identity = &record.identity;
+        self.displace(&identity.host);
+        let hosts = self.places.entry(identity.centre.clone()).or_default();
+        hosts.insert(identity.host.clone());
+    }
+
+    fn displace(&mut self, host: &HostName) {
+        for hosts in self.places.values_mut() {
+            hosts.remove(host);
+        }
+        self.places.retain(|_, hosts| !hosts.is_empty());
+    }
+
     /// Sets the health of a member of our own data centre; tells whether that changed it.
     pub(crate) fn judge(&mut self, now: Moment, host: &HostName, health: Health) -> bool {
         let Some(entry) = self.members.get_mut(host) else {
@@ -185,8 +235,7 @@
             return false;
         }
         entry.record.health = health;
-        entry.changed = now;
-        entry.sent = 0;
+        entry.touch(now);
         true
     }
 
@@ -200,6 +249,7 @@
             .collect();
         for (host, version) in gone {
             self.members.remove(&host);
+            self.displace(&host);
             self.graves.insert(host, version);
         }
         while self.graves.len() > MAX_GRAVES {
