--- a/crates/azurestand_server/src/agent/inbound.rs
+++ b/crates/azurestand_server/src/agent/inbound.rs
@@ -1,6 +1,7 @@
 //! Hands what comes over control links to the controllers that it concerns.
 
-use azurestand_types::{Moment, Refusal, RequestId};
+use azurestand_target::Stamp;
+use azurestand_types::{Incarnation, Moment, Refusal, RequestId};
 use azurestand_wire::{Body, Outbox, Role};
 use tokio::sync::mpsc;
 
@@ -70,7 +71,10 @@
             },
             Body::Revoke(revoke) => Input::Revoke {
                 id,
-                stamp: Moment::from_micros(revoke.stamp),
+                stamp: Stamp {
+                    life: Incarnation(revoke.incarnation),
+                    at: Moment::from_micros(revoke.stamp),
+                },
                 outbox,
             },
             Body::Cancel(_) => Input::Cancel(id),
--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -15,7 +15,7 @@
 use azurestand_config::Document;
 use azurestand_target::{
     Admission, AdmissionAction, AdmissionEvent, AdmissionSettings, Ending, ExchangeSettings,
-    Exchanges, Kind, Life, LifeEvent, LifeSettings, Phase, Report,
+    Exchanges, Kind, Life, LifeEvent, LifeSettings, Phase, Report, Stamp,
 };
 use azurestand_types::{BootId, Moment, Refusal, RequestId, Uncertainty};
 use azurestand_wire::{Ask, Body, Outbox, TargetLoad};
@@ -66,7 +66,7 @@
         /// The request.
         id: RequestId,
         /// The revoked send's stamp.
-        stamp: Moment,
+        stamp: Stamp,
         /// The way back.
         outbox: Outbox,
     },
@@ -163,7 +163,7 @@
         client,
         life,
         admission,
-        exchanges: Exchanges::new(ExchangeSettings::default()),
+        exchanges: Exchanges::new(ExchangeSettings::default(), node.links.own().incarnation),
         requests: BTreeMap::new(),
         loader: Loader::new(node.links.own().incarnation, source),
         spread,
@@ -330,12 +330,12 @@
     fn admit(&mut self, event: AdmissionEvent) {
         let now = self.now();
         for action in self.admission.handle(now, event) {
-            self.act(action);
+            self.act(&action);
         }
     }
 
-    fn act(&mut self, action: AdmissionAction) {
-        match action {
+    fn act(&mut self, action: &AdmissionAction) {
+        match *action {
             AdmissionAction::Start { id, weights } => self.start_run(id, weights),
             AdmissionAction::Refuse(id, refusal) => self.end(id, Ending::NotRun(refusal)),
             AdmissionAction::Revoked(id) => {
@@ -411,11 +411,10 @@
 
 /// Queues a message that must arrive, without holding the controller up.
 fn tell(outbox: &Outbox, body: Body) {
-    if outbox.offer(body.clone()) {
-        return;
+    if let Err(body) = outbox.try_send(body) {
+        let outbox = outbox.clone();
+        tokio::spawn(async move { outbox.send(body).await });
     }
-    let outbox = outbox.clone();
-    tokio::spawn(async move { outbox.send(body).await });
 }
 
 /// The boot id of a plain service, which reports none.
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -163,8 +163,9 @@
                 weights: self.life.reported(),
             },
             RunEnd::Whole => Ending::Whole { weights: None },
-            RunEnd::Unreached | RunEnd::Broken => Ending::Unknown(Uncertainty::TargetFailed),
-            RunEnd::Overloaded => Ending::Unknown(Uncertainty::TargetFailed),
+            RunEnd::Unreached | RunEnd::Broken | RunEnd::Overloaded => {
+                Ending::Unknown(Uncertainty::TargetFailed)
+            }
         };
         match end {
             RunEnd::Whole => {
--- a/crates/azurestand_server/src/agent/target/asks.rs
+++ b/crates/azurestand_server/src/agent/target/asks.rs
@@ -1,7 +1,9 @@
 //! What entries ask of a target.
 
-use azurestand_target::{AdmissionEvent, Arrival, Keep, RevokeAnswer, Sent};
-use azurestand_types::{AccountName, Digest, Moment, Priority, Refusal, RequestId, Uncertainty};
+use azurestand_target::{AdmissionEvent, Arrival, Keep, RevokeAnswer, Sent, Stamp};
+use azurestand_types::{
+    AccountName, Digest, Incarnation, Moment, Priority, Refusal, RequestId, Uncertainty,
+};
 use azurestand_wire::{Ask, Body, Failed, Outbox, Refused, Revoked};
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -28,7 +30,7 @@
     id: RequestId,
     account: AccountName,
     priority: Priority,
-    stamp: Moment,
+    stamp: Stamp,
     pinned: Option<Digest>,
 }
 
@@ -45,7 +47,10 @@
             account: AccountName::try_from(ask.account.as_str())
                 .map_err(|_| AskError::Field("account"))?,
             priority: Priority(u8::try_from(ask.priority).unwrap_or(u8::MAX)),
-            stamp: Moment::from_micros(ask.stamp),
+            stamp: Stamp {
+                life: Incarnation(ask.incarnation),
+                at: Moment::from_micros(ask.stamp),
+            },
             pinned,
         })
     }
@@ -80,11 +85,6 @@
             }
         };
         let id = checked.id;
-        // The stamp is of an earlier life of this agent, which may have run the request.
-        if ask.incarnation != self.node.links.own().incarnation.0 {
-            tell(outbox, failed(id, Uncertainty::Unreachable));
-            return;
-        }
         let now = self.now();
         match self.exchanges.send(now, id, checked.stamp, Keep::Unread) {
             Sent::Fresh => self.arrive(ask, checked, outbox),
@@ -129,7 +129,7 @@
         self.pump(id);
     }
 
-    pub(super) fn revoke(&mut self, id: RequestId, stamp: Moment, outbox: &Outbox) {
+    pub(super) fn revoke(&mut self, id: RequestId, stamp: Stamp, outbox: &Outbox) {
         let now = self.now();
         let started = match self.exchanges.revoke(now, id, stamp) {
             RevokeAnswer::NeverRuns | RevokeAnswer::NotRun => false,
--- a/crates/azurestand_server/src/node/gossip.rs
+++ b/crates/azurestand_server/src/node/gossip.rs
@@ -182,9 +182,8 @@
         Note::LowerRevision { .. } => Event::LowerRevision,
         Note::Conflict { .. } => Event::RevisionClash,
         Note::StaleSender { .. } | Note::Replaced { .. } => Event::OldLife,
-        Note::Refuted { .. } => Event::HostSeen,
+        Note::Refuted { .. } | Note::CentreHeard(_) => Event::HostSeen,
         Note::CentreSilent(_) => Event::HostGone,
-        Note::CentreHeard(_) => Event::HostSeen,
         Note::BadDelta(_) => Event::DocumentRefused,
     };
     event.log(note);
--- a/crates/azurestand_server/src/settings.rs
+++ b/crates/azurestand_server/src/settings.rs
@@ -158,10 +158,6 @@
 }
 
 fn line_at(text: &str, place: usize) -> usize {
-    let place = place.min(text.len());
-    text.as_bytes()[..place]
-        .iter()
-        .filter(|byte| **byte == b'\n')
-        .count()
-        + 1
+    let before = text.get(..place).unwrap_or(text);
+    before.matches('\n').count() + 1
 }
--- a/crates/azurestand_standin/examples/local/main.rs
+++ b/crates/azurestand_standin/examples/local/main.rs
@@ -13,8 +13,8 @@
 use options::Options;
 use table::Table;
 
-const START_LIMIT: Duration = Duration::from_secs(60);
-const LIVE_LIMIT: Duration = Duration::from_secs(120);
+const START_LIMIT: Duration = Duration::from_mins(1);
+const LIVE_LIMIT: Duration = Duration::from_mins(2);
 const FORCE_LIMIT: Duration = Duration::from_secs(4);
 const CALLERS: usize = 40;
 const CALLER_PAUSE: Duration = Duration::from_millis(40);
--- a/crates/azurestand_standin/examples/local/table.rs
+++ b/crates/azurestand_standin/examples/local/table.rs
@@ -34,9 +34,9 @@
         }
     }
 
-    fn row<V>(&mut self, name: &str, value: V, held: Option<bool>)
+    fn row<V>(&mut self, name: &str, value: &V, held: Option<bool>)
     where
-        V: ToString,
+        V: std::fmt::Display + ?Sized,
     {
         self.rows.push(Row {
             name: name.to_owned(),
@@ -52,13 +52,13 @@
         };
         self.row(
             &format!("{version} live on {n}"),
-            value,
+            &value,
             Some(live.time.is_some()),
         );
         let copies = ratio(deployment.origin.served().chunks, self.size);
         self.row(
             &format!("{version} origin bytes, in copies"),
-            format!("{copies:.2}"),
+            &format!("{copies:.2}"),
             None,
         );
     }
@@ -68,7 +68,7 @@
         let held = force.time.is_some_and(|time| time <= FORCE_LIMIT);
         self.row(
             &format!("edit ({what}) in force on all entries"),
-            value,
+            &value,
             Some(held),
         );
     }
@@ -77,7 +77,7 @@
         let held = quiet.is_some_and(|time| time <= QUIET_LIMIT);
         self.row(
             "no new work after a data centre was taken out",
-            seconds(quiet),
+            &seconds(quiet),
             Some(held),
         );
     }
@@ -85,47 +85,47 @@
     pub(crate) fn gap(&mut self, gap: u64) {
         self.row(
             "longest gap between answers meanwhile",
-            format!("{gap} ms"),
+            &format!("{gap} ms"),
             None,
         );
     }
 
     pub(crate) fn requests(&mut self, tally: &Tally, record: &Record, whole: bool) {
-        self.row("requests sent", tally.sent, None);
-        self.row("answered", tally.answered, Some(tally.answered > 0));
-        self.row("told not run, after all tries", tally.not_run, None);
-        self.row("told unknown", tally.unknown, None);
-        self.row("lost", tally.lost, Some(tally.lost == 0));
+        self.row("requests sent", &tally.sent, None);
+        self.row("answered", &tally.answered, Some(tally.answered > 0));
+        self.row("told not run, after all tries", &tally.not_run, None);
+        self.row("told unknown", &tally.unknown, None);
+        self.row("lost", &tally.lost, Some(tally.lost == 0));
         let doubled = record.runs.values().filter(|runs| **runs > 1).count();
-        self.row("doubled", doubled, Some(doubled == 0));
+        self.row("doubled", &doubled, Some(doubled == 0));
         let missing = tally
             .booked
             .iter()
             .filter(|key| !record.runs.contains_key(*key));
         let missing = missing.count();
-        self.row("answered but never run", missing, Some(missing == 0));
+        self.row("answered but never run", &missing, Some(missing == 0));
         let ran = tally
             .unbooked
             .iter()
             .filter(|key| record.runs.contains_key(*key));
         let ran = ran.count();
-        self.row("told not run, but run", ran, Some(ran == 0));
+        self.row("told not run, but run", &ran, Some(ran == 0));
         self.row(
             "mixed weights",
-            tally.mixed,
+            &tally.mixed,
             Some(tally.mixed + u64::from(record.mixed) == 0),
         );
-        self.row("foreign answers", tally.foreign, Some(tally.foreign == 0));
+        self.row("foreign answers", &tally.foreign, Some(tally.foreign == 0));
         self.row(
             "overloads in cold start",
-            record.overloads,
+            &record.overloads,
             Some(record.overloads == 0),
         );
-        self.row("planned stops cut nothing off", whole, Some(whole));
+        self.row("planned stops cut nothing off", &whole, Some(whole));
         let (half, most) = (tally.percentile(0.5), tally.percentile(0.95));
         self.row(
             "whole answer, p50 / p95",
-            format!("{half} / {most} ms"),
+            &format!("{half} / {most} ms"),
             None,
         );
     }
--- a/crates/azurestand_standin/src/deployment.rs
+++ b/crates/azurestand_standin/src/deployment.rs
@@ -220,9 +220,8 @@
                 text: change(document.section_text(section)),
                 force: false,
             };
-            let merged = match document.apply(&edit).map_err(wrap)? {
-                Merge::Merged(merged) => merged,
-                _ => return Ok(document.revision()),
+            let Merge::Merged(merged) = document.apply(&edit).map_err(wrap)? else {
+                return Ok(document.revision());
             };
             let value = Bytes::copy_from_slice(merged.text().as_bytes());
             let put = Transaction::new()
--- a/crates/azurestand_standin/src/traffic.rs
+++ b/crates/azurestand_standin/src/traffic.rs
@@ -150,13 +150,11 @@
         let mut bytes = Vec::new();
         let mut whole = true;
         while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                Err(_) => {
-                    whole = false;
-                    break;
-                }
-            }
+            let Ok(frame) = frame else {
+                whole = false;
+                break;
+            };
+            bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
         }
         Some(Told {
             status: head.status,
--- a/crates/azurestand_wire/src/link.rs
+++ b/crates/azurestand_wire/src/link.rs
@@ -11,7 +11,7 @@
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::TrySendError};
 use tokio::time::timeout;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
@@ -84,7 +84,19 @@
 
     /// Queues `body` if there is room now; for messages that a later one replaces.
     pub fn offer(&self, body: Body) -> bool {
-        !self.ended.is_cancelled() && self.frames.try_send(body).is_ok()
+        self.try_send(body).is_ok()
+    }
+
+    /// Queues `body` if there is room now.
+    ///
+    /// # Errors
+    ///
+    /// Gives `body` back when there is no room or the link has ended.
+    pub fn try_send(&self, body: Body) -> Result<(), Body> {
+        if self.ended.is_cancelled() {
+            return Err(body);
+        }
+        self.frames.try_send(body).map_err(TrySendError::into_inner)
     }
 
     /// Ends the link at both sides.
