Give orders under a lease and permits, claim idempotency keys

Cause: an engine was ordered without any right to do so and every target of a rollout left service at once; a repeated booking key ran again. Change: the agent runs the order machine with a leased right and permits of the store; keyed calls go to the home of their key, which claims them in the store before they run; entries find homes through the document. Conclusion: serving goes before the speed of a rollout.

--- a/crates/azurestand_server/src/agent.rs
+++ b/crates/azurestand_server/src/agent.rs
@@ -5,6 +5,7 @@
 mod inbound;
 mod manifests;
 mod origin;
+mod permits;
 mod reports;
 mod spread;
 mod sse;
@@ -26,10 +27,10 @@
 use crate::error::ServerError;
 use crate::event::Event;
 use crate::node::{GossipEvent, Node, Started};
-use crate::settings::{Settings, TargetKind};
+use crate::settings::{Settings, TargetKind, TargetSettings};
 
 use origin::Origin;
-use target::{Handle, Input};
+use target::{Handle, Input, Surroundings};
 pub(crate) use target::{failed, raw, refused};
 use vault::Vault;
 
@@ -74,16 +75,13 @@
             origin,
             bulk: arrivals.bulk,
         });
-        let source = format!("http://{web}");
-        let start = |settings: &crate::settings::TargetSettings| {
-            target::start(
-                &node,
-                settings.clone(),
-                client.clone(),
-                view.clone(),
-                source.clone(),
-            )
+        let around = Surroundings {
+            client,
+            spread: view.clone(),
+            vault: vault.clone(),
+            source: format!("http://{web}"),
         };
+        let start = |settings: &TargetSettings| target::start(&node, settings.clone(), &around);
         let targets: Vec<_> = node.settings.targets.iter().map(start).collect();
         let entries = reports::start(&node, targets.clone(), view.clone());
         let inbound = inbound::Dispatcher {
--- a/crates/azurestand_server/src/agent/engine.rs
+++ b/crates/azurestand_server/src/agent/engine.rs
@@ -38,6 +38,7 @@
     pub(crate) boot_id: BootId,
     pub(crate) digest: Option<Digest>,
     pub(crate) state: EngineState,
+    pub(crate) loading: Option<Digest>,
     #[serde(default)]
     pub(crate) fence: Fence,
     #[serde(default)]
@@ -62,7 +63,7 @@
     /// The engine refused it, for instance for its fencing number.
     Refused(StatusCode),
     /// Whether the engine got it can't be known; its next report tells.
-    Unknown(CallError),
+    Unknown,
 }
 
 /// One engine's order interface.
@@ -111,7 +112,7 @@
         {
             Ok(answer) if answer.status().is_success() => Ordered::Accepted,
             Ok(answer) => Ordered::Refused(answer.status()),
-            Err(error) => Ordered::Unknown(error),
+            Err(_) => Ordered::Unknown,
         }
     }
 }
--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod asks;
+mod claims;
 mod orders;
 mod run;
 
@@ -25,10 +26,12 @@
 
 use self::answers::Request;
 pub(crate) use self::asks::{failed, raw, refused};
-use self::orders::Loader;
+use self::claims::{ClaimNews, Claims};
+use self::orders::{Loader, OrderNews};
 use self::run::RunEvent;
-use super::engine::{Engine, EngineReport, EngineState, Ordered};
+use super::engine::{Engine, EngineReport, EngineState};
 use super::spread::SpreadView;
+use super::vault::Vault;
 use crate::client::{CallError, HttpClient};
 use crate::codes;
 use crate::event::Event;
@@ -90,8 +93,10 @@
         /// The report.
         report: Result<EngineReport, CallError>,
     },
-    /// An order's answer.
-    Ordered(Ordered),
+    /// The store answered about claims.
+    Claims(ClaimNews),
+    /// Something that the orders wait for.
+    Orders(OrderNews),
     /// The host leaves service.
     Leave,
 }
@@ -122,26 +127,45 @@
     admission: Admission,
     exchanges: Exchanges,
     requests: BTreeMap<RequestId, Request>,
-    loader: Loader,
+    loader: Option<Loader>,
     spread: SpreadView,
+    vault: Vault,
     inputs: mpsc::Receiver<Input>,
     own: mpsc::Sender<Input>,
     view: latest::Sender<TargetView>,
     phase: Phase,
-    polling: bool,
-    polled: Moment,
-    answers: bool,
+    probe: Probe,
+    claims: Option<Claims>,
     leaving: bool,
+    out: bool,
+}
+
+/// The questions for the target's report.
+#[derive(Debug)]
+struct Probe {
+    /// Whether one is under way.
+    open: bool,
+    /// When the last one was asked.
+    asked: Moment,
+    /// Whether the last one was answered.
+    answered: bool,
+}
+
+/// What all targets of a host share.
+#[derive(Debug, Clone)]
+pub(crate) struct Surroundings {
+    /// HTTP towards targets.
+    pub(crate) client: HttpClient,
+    /// What the spread of weights shows.
+    pub(crate) spread: SpreadView,
+    /// The chunks that are here.
+    pub(crate) vault: Vault,
+    /// Where engines fetch weights.
+    pub(crate) source: String,
 }
 
 /// Starts the controller of one target.
-pub(crate) fn start(
-    node: &Node,
-    settings: TargetSettings,
-    client: HttpClient,
-    spread: SpreadView,
-    source: String,
-) -> Handle {
+pub(crate) fn start(node: &Node, settings: TargetSettings, around: &Surroundings) -> Handle {
     let (own, inputs) = mpsc::channel(INPUT_QUEUE);
     let settings = Arc::new(settings);
     let document = node.document();
@@ -158,23 +182,28 @@
     let (view, shown) = latest::channel(first);
     let controller = Controller {
         node: node.clone(),
-        engine: Engine::new(client.clone(), settings.address),
+        engine: Engine::new(around.client.clone(), settings.address),
         settings: settings.clone(),
-        client,
+        client: around.client.clone(),
         life,
         admission,
         exchanges: Exchanges::new(ExchangeSettings::default(), node.links.own().incarnation),
         requests: BTreeMap::new(),
-        loader: Loader::new(node.links.own().incarnation, source),
-        spread,
+        loader: Loader::start(node, &settings, &own, around.source.clone()),
+        spread: around.spread.clone(),
+        vault: around.vault.clone(),
         inputs,
         own: own.clone(),
         view,
         phase: Phase::Empty,
-        polling: false,
-        polled: Moment::START,
-        answers: true,
+        probe: Probe {
+            open: false,
+            asked: Moment::START,
+            answered: true,
+        },
+        claims: Claims::start(node, &settings),
         leaving: false,
+        out: false,
     };
     tokio::spawn(controller.run());
     Handle {
@@ -211,7 +240,7 @@
                 Some(input) = self.inputs.recv() => self.take(input),
                 _ = ticks.tick() => self.tick(),
                 Ok(()) = documents.changed() => self.follow_document(),
-                Ok(()) = complete.changed() => self.order(),
+                Ok(()) = complete.changed() => self.want_version(),
                 () = stop.cancelled() => return,
             }
             self.show();
@@ -237,7 +266,8 @@
             Input::Release(id) => self.release(id),
             Input::Run { id, event } => self.take_run(id, event),
             Input::Polled { taken, report } => self.take_report(taken, report),
-            Input::Ordered(ordered) => self.take_order(ordered),
+            Input::Claims(news) => self.take_claim_news(news),
+            Input::Orders(news) => self.take_order_news(news),
             Input::Leave => self.leave(),
         }
     }
@@ -249,19 +279,21 @@
         self.exchanges.tick(now);
         self.pump_all();
         self.forget_old();
-        if now.since(self.polled) >= POLL_INTERVAL {
+        self.tend_orders();
+        self.tend_claims();
+        if now.since(self.probe.asked) >= POLL_INTERVAL {
             self.poll();
         }
     }
 
     /// Asks the target for its report, unless a question is under way.
     fn poll(&mut self) {
-        if self.polling {
+        if self.probe.open {
             return;
         }
-        self.polling = true;
+        self.probe.open = true;
         let taken = self.now();
-        self.polled = taken;
+        self.probe.asked = taken;
         let (engine, own) = (self.engine.clone(), self.own.clone());
         let service = matches!(self.settings.kind, TargetKind::Service { .. });
         tokio::spawn(async move {
@@ -275,21 +307,20 @@
     }
 
     fn take_report(&mut self, taken: Moment, report: Result<EngineReport, CallError>) {
-        self.polling = false;
+        self.probe.open = false;
         match report {
             Ok(report) => {
-                self.answers = true;
+                self.probe.answered = true;
                 self.learn(taken, &report);
             }
             Err(error) => {
-                if self.answers {
+                if self.probe.answered {
                     Event::TargetLost.log(format_args!("{}: {error}", self.settings.name));
                 }
-                self.answers = false;
+                self.probe.answered = false;
                 self.live(LifeEvent::Failed);
             }
         }
-        self.order();
     }
 
     fn learn(&mut self, taken: Moment, report: &EngineReport) {
@@ -300,7 +331,7 @@
             ready,
             waiting: report.waiting,
         }));
-        self.loader.learn(report);
+        self.learn_engine(taken, report);
         let Some(weights) = self.life.reported() else {
             return;
         };
@@ -337,15 +368,20 @@
     fn act(&mut self, action: &AdmissionAction) {
         match *action {
             AdmissionAction::Start { id, weights } => self.start_run(id, weights),
-            AdmissionAction::Refuse(id, refusal) => self.end(id, Ending::NotRun(refusal)),
+            AdmissionAction::Refuse(id, refusal) => {
+                self.end(id, Ending::NotRun(refusal));
+                self.settle_claim(id);
+            }
             AdmissionAction::Revoked(id) => {
                 self.end(id, Ending::NotRun(Refusal::Revoked));
+                self.settle_claim(id);
                 self.answer_revoke(id, false);
             }
             AdmissionAction::Running(id) => self.answer_revoke(id, true),
             AdmissionAction::Cancel(id) => {
                 self.stop_run(id);
                 self.end(id, Ending::Unknown(Uncertainty::Unreachable));
+                self.settle_claim(id);
                 self.admit(AdmissionEvent::Finished(id));
             }
         }
@@ -365,21 +401,30 @@
             return;
         }
         // Before any document is in force there is nothing to take a data centre out.
-        let known = document.centres().contains_key(centre);
-        if known && !document.in_service(centre) {
+        self.out = document.centres().contains_key(centre) && !document.in_service(centre);
+        if self.out {
             self.live(LifeEvent::CentreOut);
             self.admit(AdmissionEvent::Close(Refusal::OutOfService));
         } else {
             self.live(LifeEvent::CentreIn);
+            self.open_if_allowed();
+        }
+        self.want_version();
+        self.list_homes();
+    }
+
+    /// Admits again, unless something else still keeps the target out of service.
+    fn open_if_allowed(&mut self) {
+        if !self.out && !self.leaving && !self.is_loading() {
             self.admit(AdmissionEvent::Open);
         }
-        self.order();
     }
 
     fn leave(&mut self) {
         self.leaving = true;
         self.live(LifeEvent::Leave);
         self.admit(AdmissionEvent::Close(Refusal::Draining));
+        self.leave_claims();
     }
 
     fn show(&self) {
@@ -397,6 +442,7 @@
             }),
         };
         let busy = self.admission.running() + self.admission.waiting() + self.unread();
+        let busy = busy + usize::from(self.holds_claims());
         self.view.send_if_modified(|view| {
             let changed = view.load != load || view.busy != busy;
             *view = TargetView { load, busy };
@@ -429,6 +475,7 @@
             digest: None,
             state: EngineState::Warm,
             fence: azurestand_types::Fence(0),
+            loading: None,
             waiting: 0,
         })
     }
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -36,14 +36,20 @@
             begun: false,
         }
     }
+
+    pub(super) fn outbox(&self) -> &Outbox {
+        &self.outbox
+    }
 }
 
 /// A request that this agent knows.
 #[derive(Debug)]
 pub(super) struct Request {
-    ask: Ask,
-    deadline: Moment,
-    head: Option<Begin>,
+    pub(super) ask: Ask,
+    pub(super) deadline: Moment,
+    pub(super) head: Option<Begin>,
+    /// The request whose answer this one gets, for a repeated key.
+    pub(super) first: Option<RequestId>,
     started: Option<Moment>,
     latency: Option<Duration>,
     window: Arc<Semaphore>,
@@ -59,6 +65,7 @@
             ask,
             deadline,
             head: None,
+            first: None,
             started: None,
             latency: None,
             window: Arc::new(Semaphore::new(WINDOW_BYTES)),
@@ -178,6 +185,7 @@
             RunEnd::Unreached | RunEnd::Broken => self.live(LifeEvent::Failed),
         }
         self.end(id, ending);
+        self.settle_claim(id);
         self.admit(AdmissionEvent::Finished(id));
         // The engine's next report confirms that its weights did not change under the answer.
         self.poll();
@@ -231,19 +239,32 @@
         let Some(mut reader) = request.reader.take() else {
             return;
         };
-        if let Some(head) = request.head.clone().filter(|_| !reader.begun) {
+        let source = request.first.unwrap_or(id);
+        let head = self.requests.get(&source);
+        let head = head.and_then(|request| request.head.clone());
+        if let Some(head) = head.filter(|_| !reader.begun) {
+            let head = Begin {
+                id: raw(id),
+                ..head
+            };
             reader.begun = reader.outbox.offer(Body::Begin(head));
         }
-        let reader = self.pass(id, reader);
+        let reader = self.pass(id, source, reader);
+        if reader.is_none() && source != id {
+            // The repeated request ran nothing itself and has been told all there is.
+            let now = self.now();
+            let ending = Ending::Unknown(Uncertainty::Unreachable);
+            self.exchanges.end(now, id, ending);
+        }
         if let Some(request) = self.requests.get_mut(&id) {
             request.reader = reader;
         }
     }
 
     /// Gives the reader back as long as there is more to come.
-    fn pass(&mut self, id: RequestId, mut reader: Reader) -> Option<Reader> {
+    fn pass(&mut self, id: RequestId, source: RequestId, mut reader: Reader) -> Option<Reader> {
         loop {
-            match self.exchanges.read(id, reader.offset) {
+            match self.exchanges.read(source, reader.offset) {
                 Read::Bytes(bytes) if reader.begun => {
                     let bytes = bytes.slice(..bytes.len().min(MAX_PART_BYTES));
                     let length = bytes.len() as u64;
--- a/crates/azurestand_server/src/agent/target/asks.rs
+++ b/crates/azurestand_server/src/agent/target/asks.rs
@@ -2,7 +2,7 @@
 
 use azurestand_target::{AdmissionEvent, Arrival, Keep, RevokeAnswer, Sent, Stamp};
 use azurestand_types::{
-    AccountName, Digest, Incarnation, Moment, Priority, Refusal, RequestId, Uncertainty,
+    AccountName, Digest, Incarnation, Moment, Priority, Refusal, RequestId, RequestKey, Uncertainty,
 };
 use azurestand_wire::{Ask, Body, Failed, Outbox, Refused, Revoked};
 use bytes::Bytes;
@@ -32,6 +32,7 @@
     priority: Priority,
     stamp: Stamp,
     pinned: Option<Digest>,
+    key: Option<RequestKey>,
 }
 
 impl TryFrom<&Ask> for Checked {
@@ -42,6 +43,10 @@
             0 => None,
             _ => Some(Digest::try_from(&ask.weights[..]).map_err(|_| AskError::Field("weights"))?),
         };
+        let key = match ask.key.as_str() {
+            "" => None,
+            raw => Some(RequestKey::try_from(raw).map_err(|_| AskError::Field("key"))?),
+        };
         Ok(Self {
             id: RequestId::try_from(&ask.id[..]).map_err(|_| AskError::Field("id"))?,
             account: AccountName::try_from(ask.account.as_str())
@@ -52,6 +57,7 @@
                 at: Moment::from_micros(ask.stamp),
             },
             pinned,
+            key,
         })
     }
 }
@@ -61,6 +67,17 @@
         id: raw(id),
         reason: codes::from_refusal(refusal),
         after: 0,
+        redirect: String::new(),
+    })
+}
+
+/// Another home holds the key; the entry is to ask that one.
+pub(super) fn redirected(id: RequestId, home: String) -> Body {
+    Body::Refused(Refused {
+        id: raw(id),
+        reason: codes::from_refusal(Refusal::Busy),
+        after: 0,
+        redirect: home,
     })
 }
 
@@ -86,7 +103,11 @@
         };
         let id = checked.id;
         let now = self.now();
-        match self.exchanges.send(now, id, checked.stamp, Keep::Unread) {
+        let keep = match &checked.key {
+            Some(_) => Keep::All,
+            None => Keep::Unread,
+        };
+        match self.exchanges.send(now, id, checked.stamp, keep) {
             Sent::Fresh => self.arrive(ask, checked, outbox),
             Sent::Attached => self.attach(id, 0, outbox.clone()),
             Sent::Revoked => tell(outbox, refused(id, Refusal::Revoked)),
@@ -100,16 +121,22 @@
         let patience = std::time::Duration::from_millis(ask.patience);
         let deadline = self.now() + patience;
         let reader = Reader::new(outbox.clone(), 0);
+        let keyed = checked.key.clone().filter(|_| self.claims.is_some());
+        let print = keyed.is_some().then(|| fingerprint(&ask));
         self.requests
             .insert(id, Request::new(ask, deadline, reader));
-        self.admit(AdmissionEvent::Arrived(Arrival {
+        let arrival = Arrival {
             id,
             account: checked.account,
             weight: 1,
             priority: checked.priority,
             deadline,
             pinned: checked.pinned,
-        }));
+        };
+        match (keyed, print) {
+            (Some(key), Some(print)) => self.claim(key, print, arrival),
+            _ => self.admit(AdmissionEvent::Arrived(arrival)),
+        }
     }
 
     pub(super) fn resume(&mut self, id: RequestId, offset: u64, account: &str, outbox: Outbox) {
@@ -138,7 +165,9 @@
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.revoker = Some(outbox.clone());
                 }
-                self.admit(AdmissionEvent::Revoke(id));
+                if !self.revoke_claim(id) {
+                    self.admit(AdmissionEvent::Revoke(id));
+                }
                 return;
             }
         };
@@ -153,6 +182,16 @@
     }
 }
 
+/// What tells one request with a key from another with the same key.
+fn fingerprint(ask: &Ask) -> Digest {
+    let mut content = Vec::with_capacity(ask.body.len() + ask.path.len() + 32);
+    for part in [ask.method.as_bytes(), ask.path.as_bytes(), &ask.body] {
+        content.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        content.extend_from_slice(part);
+    }
+    Digest::of(&content)
+}
+
 fn revoked(id: RequestId, started: bool) -> Body {
     Body::Revoked(Revoked {
         id: raw(id),
--- a/crates/azurestand_server/src/agent/target/orders.rs
+++ b/crates/azurestand_server/src/agent/target/orders.rs
@@ -1,102 +1,326 @@
-//! Orders an engine to load the version that the document wants.
+//! Carries out the orders to one engine: the right to give them, the permit to
+//! leave service for them, and what becomes of them.
 
-use azurestand_target::LifeEvent;
-use azurestand_types::{Digest, Fence, Incarnation};
+use azurestand_config::Model;
+use azurestand_store::{PermitEvent, PermitNews};
+use azurestand_target::{
+    AdmissionEvent, EngineState as EngineView, LifeEvent, Order, OrderAction, OrderEvent,
+    OrderPhase, OrderReply, OrderSettings, Orders, Verified,
+};
+use azurestand_types::{Digest, Fence, Moment, Refusal};
+use http::StatusCode;
+use tokio::sync::mpsc;
 
 use super::{Controller, Input};
 use crate::agent::engine::{EngineReport, EngineState, LoadOrder, Ordered};
+use crate::agent::permits::{PRIOR_LEASE, Permit, Wish};
 use crate::event::Event;
 use crate::metrics::Counter;
-use crate::settings::TargetKind;
+use crate::node::Node;
+use crate::settings::{TargetKind, TargetSettings};
 
-/// What is known of the orders to one engine.
+/// News about what an engine's orders need.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum OrderNews {
+    /// The right to give orders.
+    Right(PermitNews),
+    /// The permit to leave service.
+    Permit(PermitNews),
+    /// The answer to an order.
+    Replied {
+        /// The order's number.
+        number: u64,
+        /// The answer.
+        reply: OrderReply,
+    },
+}
+
+/// The orders to one engine and what they need of the store.
 #[derive(Debug)]
 pub(super) struct Loader {
-    fence: Fence,
+    orders: Orders,
+    right: Permit,
+    permit: Permit,
     source: String,
-    sent: Option<Digest>,
-    engine: Option<EngineReport>,
+    wanted: Option<Digest>,
+    asked_right: bool,
+    draining: bool,
+    ordered: Option<Digest>,
 }
 
 impl Loader {
-    pub(super) fn new(incarnation: Incarnation, source: String) -> Self {
-        Self {
-            fence: Fence(incarnation.0),
+    /// None for a plain service, which loads nothing.
+    pub(super) fn start(
+        node: &Node,
+        settings: &TargetSettings,
+        own: &mpsc::Sender<Input>,
+        source: String,
+    ) -> Option<Self> {
+        let TargetKind::Engine { model, fenced } = &settings.kind else {
+            return None;
+        };
+        let centre = &node.links.own().centre;
+        let right = Wish {
+            key: format!("azurestand/orders/{}", settings.name),
+            limit: 1,
+        };
+        let permit = Wish {
+            key: format!("azurestand/permits/{centre}/{model}"),
+            limit: node.document().limits().permits,
+        };
+        let orders = OrderSettings {
+            fenced: *fenced,
+            ..OrderSettings::default()
+        };
+        Some(Self {
+            orders: Orders::new(orders),
+            right: Permit::start(node, &right, pass(own, OrderNews::Right)).ok()?,
+            permit: Permit::start(node, &permit, pass(own, OrderNews::Permit)).ok()?,
             source,
-            sent: None,
-            engine: None,
-        }
+            wanted: None,
+            asked_right: false,
+            draining: false,
+            ordered: None,
+        })
     }
+}
 
-    pub(super) fn learn(&mut self, report: &EngineReport) {
-        if report.digest == self.sent && report.state != EngineState::Loading {
-            self.sent = None;
-        }
-        self.engine = Some(report.clone());
+/// Hands news of a semaphore to the controller.
+fn pass<F>(
+    own: &mpsc::Sender<Input>,
+    wrap: F,
+) -> impl Fn(PermitNews) + Send + Sync + use<F> + 'static
+where
+    F: Fn(PermitNews) -> OrderNews + Send + Sync + 'static,
+{
+    let own = own.clone();
+    move |news| {
+        let _ = own.try_send(Input::Orders(wrap(news)));
     }
 }
 
 impl Controller {
-    /// Gives an order if the wanted version is complete here and the engine has another.
-    pub(super) fn order(&mut self) {
+    /// Tells the orders which version the document wants, once it is whole here.
+    pub(super) fn want_version(&mut self) {
         let TargetKind::Engine { model, .. } = &self.settings.kind else {
             return;
         };
         let document = self.node.document();
-        let wanted = document
-            .models()
-            .get(model)
-            .and_then(azurestand_config::Model::digest);
-        let Some(digest) = wanted else { return };
+        let Some(loader) = &mut self.loader else {
+            return;
+        };
+        let limit = document.limits().permits;
+        loader.permit.tell(PermitEvent::LimitChanged(limit));
+        let wanted = document.models().get(model).and_then(Model::digest);
+        let Some(digest) = wanted.filter(|digest| loader.wanted != Some(*digest)) else {
+            return;
+        };
         let manifest = self.spread.complete.borrow().get(&digest).cloned();
-        let Some(manifest) = manifest else { return };
-        let Some(report) = &self.loader.engine else {
+        let Some(manifest) = manifest else {
+            self.live(LifeEvent::Staging(digest));
+            return;
+        };
+        let chunks: Vec<_> = manifest.chunks().iter().map(|chunk| chunk.digest).collect();
+        let staged = chunks
+            .iter()
+            .filter(|chunk| self.vault.get(chunk).is_some());
+        let staged = staged.copied();
+        match Verified::check(digest, &manifest.encode(), &chunks, staged) {
+            Ok(verified) => {
+                loader.wanted = Some(digest);
+                self.live(LifeEvent::WeightsComplete(digest));
+                self.order(OrderEvent::Want(verified));
+            }
+            Err(error) => Event::Invariant.log(error),
+        }
+    }
+
+    /// Feeds the orders and carries out what they ask.
+    pub(super) fn order(&mut self, event: OrderEvent) {
+        let now = self.now();
+        let Some(loader) = &mut self.loader else {
+            return;
+        };
+        for action in loader.orders.handle(now, event) {
+            self.carry_out(action);
+        }
+        self.ask_right();
+    }
+
+    /// The right to give orders is held only while one is due, so that the
+    /// store is not kept busy by engines that have what they should have.
+    fn ask_right(&mut self) {
+        let Some(loader) = &mut self.loader else {
             return;
         };
-        if report.state == EngineState::Loading || self.loader.sent.is_some() {
+        let due = loader.orders.phase() != OrderPhase::Settled && loader.orders.wanted().is_some();
+        if due == loader.asked_right {
             return;
         }
-        if self.life.ordered() != Some(digest) {
-            self.live(LifeEvent::WeightsComplete(digest));
+        loader.asked_right = due;
+        let event = if due {
+            PermitEvent::Wanted
+        } else {
+            PermitEvent::Done
+        };
+        loader.right.tell(event);
+        if !due {
+            self.reopen();
+        }
+    }
+
+    fn carry_out(&mut self, action: OrderAction) {
+        match action {
+            OrderAction::Send(order) => self.send_order(order),
+            OrderAction::Ask => self.poll(),
+            OrderAction::TakePermit => self.tell_permit(PermitEvent::Wanted),
+            OrderAction::ReturnPermit => self.tell_permit(PermitEvent::Done),
+            OrderAction::Drain => self.drain(),
+            OrderAction::Reopen => {
+                self.live(LifeEvent::LoadRefused);
+                self.reopen();
+            }
+            OrderAction::Failed { digest, times } => {
+                let name = &self.settings.name;
+                Event::LoadRefused.log(format_args!("{name}: {digest} failed {times} times"));
+                self.live(LifeEvent::LoadRefused);
+            }
+        }
+    }
+
+    fn tell_permit(&self, event: PermitEvent) {
+        if let Some(loader) = &self.loader {
+            loader.permit.tell(event);
+        }
+    }
+
+    /// Takes the target out of service; what runs ends on the weights that it began on.
+    fn drain(&mut self) {
+        let Some(loader) = &mut self.loader else {
+            return;
+        };
+        loader.draining = true;
+        let digest = loader.orders.wanted();
+        if let Some(digest) = digest {
             self.live(LifeEvent::LoadOrdered(digest));
         }
-        let holds = self.loader.engine.as_ref().and_then(|report| report.digest);
-        // Running requests end on the weights that they began on.
-        if holds == Some(digest) || self.admission.running() > 0 {
+        self.admit(AdmissionEvent::Close(Refusal::Draining));
+    }
+
+    fn reopen(&mut self) {
+        let Some(loader) = &mut self.loader else {
             return;
+        };
+        if std::mem::take(&mut loader.draining) {
+            self.open_if_allowed();
+        }
+    }
+
+    /// Whether the target is out of service for a load.
+    pub(super) fn is_loading(&self) -> bool {
+        self.loader.as_ref().is_some_and(|loader| loader.draining)
+    }
+
+    /// Looks whether what the orders wait for has come about.
+    pub(super) fn tend_orders(&mut self) {
+        if self.is_loading() && self.admission.running() == 0 {
+            self.order(OrderEvent::Drained);
+        } else {
+            self.order(OrderEvent::Tick);
         }
-        self.loader.fence = self.loader.fence.next();
-        self.loader.sent = Some(digest);
-        let order = LoadOrder {
+    }
+
+    fn send_order(&mut self, order: Order) {
+        let Some(loader) = &mut self.loader else {
+            return;
+        };
+        let Some(manifest) = self.spread.complete.borrow().get(&order.digest).cloned() else {
+            // Withdrawn in between; nothing was sent.
+            let number = order.number;
+            self.order(OrderEvent::Replied(number, OrderReply::NotSent));
+            return;
+        };
+        loader.ordered = Some(order.digest);
+        let message = LoadOrder {
             model: manifest.model().clone(),
             version: manifest.version().clone(),
-            digest,
-            fence: self.loader.fence,
-            source: format!("{}/weights/{digest}", self.loader.source),
+            digest: order.digest,
+            fence: order.fence,
+            source: format!("{}/weights/{}", loader.source, order.digest),
         };
-        Event::LoadOrdered.log(format_args!("{}: {}", self.settings.name, order.version));
+        Event::LoadOrdered.log(format_args!("{}: {}", self.settings.name, message.version));
         self.node.metrics.count(Counter::Orders, 1);
-        let (engine, own) = (self.engine.clone(), self.own.clone());
+        self.live(LifeEvent::LoadOrdered(order.digest));
+        let (engine, own, clock) = (self.engine.clone(), self.own.clone(), self.node.clock);
         tokio::spawn(async move {
-            let ordered = engine.load(&order).await;
-            let _ = own.send(Input::Ordered(ordered)).await;
+            // Asked directly before the send: a paused process finds out here.
+            let reply = if order.may_send(clock.now()) {
+                reply(&engine.load(&message).await)
+            } else {
+                OrderReply::NotSent
+            };
+            let number = order.number;
+            let news = OrderNews::Replied { number, reply };
+            let _ = own.send(Input::Orders(news)).await;
         });
     }
 
-    pub(super) fn take_order(&mut self, ordered: Ordered) {
-        match ordered {
-            Ordered::Accepted => self.live(LifeEvent::LoadAccepted),
-            Ordered::Refused(status) => {
-                Event::LoadRefused.log(format_args!("{}: {status}", self.settings.name));
-                self.loader.sent = None;
-                self.live(LifeEvent::LoadRefused);
+    pub(super) fn take_order_news(&mut self, news: OrderNews) {
+        match news {
+            OrderNews::Right(PermitNews::Held(warrant)) => {
+                // The first holder of all had nobody before it.
+                let prior = (warrant.fence > Fence(1)).then_some(PRIOR_LEASE);
+                self.order(OrderEvent::LeaseHeld {
+                    fence: warrant.fence,
+                    until: warrant.until,
+                    prior,
+                });
+            }
+            OrderNews::Right(PermitNews::Lost) => self.order(OrderEvent::LeaseLost),
+            OrderNews::Permit(PermitNews::Held(warrant)) => {
+                self.order(OrderEvent::PermitHeld(warrant.until));
             }
-            // The engine's next report tells whether it got the order.
-            Ordered::Unknown(error) => {
-                Event::TargetLost.log(format_args!("{}: {error}", self.settings.name));
-                self.loader.sent = None;
+            OrderNews::Permit(PermitNews::Lost) => self.order(OrderEvent::PermitLost),
+            OrderNews::Replied { number, reply } => {
+                match reply {
+                    OrderReply::Accepted => self.live(LifeEvent::LoadAccepted),
+                    OrderReply::Refused | OrderReply::OldFence => {
+                        Event::LoadRefused.log(format_args!("{}: {reply:?}", self.settings.name));
+                        self.live(LifeEvent::LoadRefused);
+                    }
+                    OrderReply::NotSent | OrderReply::Lost => (),
+                }
+                self.order(OrderEvent::Replied(number, reply));
+                self.poll();
             }
         }
-        self.poll();
+    }
+
+    /// Tells the orders what the engine reported.
+    pub(super) fn learn_engine(&mut self, asked: Moment, report: &EngineReport) {
+        let Some(loader) = &mut self.loader else {
+            return;
+        };
+        loader.right.tell(PermitEvent::FenceSeen(report.fence));
+        let loading = (report.state == EngineState::Loading)
+            .then(|| report.loading.or(loader.ordered))
+            .flatten();
+        let serves = matches!(report.state, EngineState::Cold | EngineState::Warm);
+        let view = EngineView {
+            boot: report.boot_id,
+            digest: report.digest.filter(|_| serves),
+            loading,
+            asked,
+        };
+        self.order(OrderEvent::Engine(view));
+    }
+}
+
+fn reply(ordered: &Ordered) -> OrderReply {
+    match *ordered {
+        Ordered::Accepted => OrderReply::Accepted,
+        Ordered::Refused(StatusCode::CONFLICT) => OrderReply::OldFence,
+        Ordered::Refused(_) => OrderReply::Refused,
+        Ordered::Unknown => OrderReply::Lost,
     }
 }
--- a/crates/azurestand_server/src/entry.rs
+++ b/crates/azurestand_server/src/entry.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod filter;
 mod fleet;
+mod homes;
 mod relay;
 mod send;
 mod spill;
--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::homes::Holders;
 use super::relay::Relays;
 use crate::agent::status::HostStatus;
 use crate::node::Node;
@@ -56,6 +57,7 @@
     agents: BTreeMap<HostName, Agent>,
     outstanding: BTreeMap<RequestId, Outstanding>,
     relays: Relays,
+    holders: Holders,
     accounts: AccountLimits,
     retries: RetryBudget,
     rng: fastrand::Rng,
@@ -74,6 +76,7 @@
             agents: BTreeMap::new(),
             outstanding: BTreeMap::new(),
             relays: Relays::default(),
+            holders: Holders::default(),
             accounts: AccountLimits::default(),
             retries: RetryBudget::new(share),
             rng: fastrand::Rng::with_seed(own.incarnation.0),
@@ -195,6 +198,14 @@
         act(&mut self.inner().relays)
     }
 
+    /// Does something with what is known of the holders of keys.
+    pub(super) fn holders<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Holders) -> T,
+    {
+        act(&mut self.inner().holders)
+    }
+
     /// Does something with the account limits.
     pub(super) fn accounts<F, T>(&self, act: F) -> T
     where
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -16,7 +16,7 @@
 use crate::codes;
 use crate::entry::filter::{Classified, Slot, Subject};
 use crate::entry::fleet::{Agent, Answer};
-use crate::entry::{Service, spill};
+use crate::entry::{Service, homes, spill};
 use crate::event::Event;
 use crate::metrics::{Counter, Timer};
 
@@ -57,6 +57,7 @@
     origin: Origin,
     sink: Sink,
     holder: Option<Holder>,
+    place: Option<homes::Place>,
     answers: mpsc::UnboundedReceiver<Answer>,
     sender: mpsc::UnboundedSender<Answer>,
     begin: Option<Begin>,
@@ -84,6 +85,7 @@
             origin,
             sink,
             holder: None,
+            place: None,
             answers,
             sender,
             begin: None,
@@ -188,14 +190,12 @@
         }
         let until = (Instant::now() + ROOM_LIMIT).min(self.deadline);
         loop {
-            if !spill::is_out(&self.service)
-                && let Some(choice) = self.choose_here()
-            {
-                self.holder = self.service.fleet.agent(&choice.host).map(hold);
-                return DeliveryEvent::Chosen(choice);
-            }
-            if let Some(entry) = spill::find(&self.service, &self.request).await {
-                return self.pass_on(entry);
+            let found = match homes::place(&self.service, &self.request) {
+                Some(place) => self.choose_home(&place).await,
+                None => self.choose_any().await,
+            };
+            if let Some(event) = found {
+                return event;
             }
             if Instant::now() >= until {
                 return DeliveryEvent::NoTarget(self.refusal());
@@ -204,15 +204,49 @@
         }
     }
 
-    fn choose_here(&self) -> Option<Choice> {
+    async fn choose_any(&mut self) -> Option<DeliveryEvent> {
+        if !spill::is_out(&self.service)
+            && let Some(choice) = self.choose_here(None)
+        {
+            return Some(self.take_choice(choice));
+        }
+        let entry = spill::find(&self.service, &self.request).await?;
+        let target = TargetName::try_from(entry.host.as_str()).ok()?;
+        Some(self.pass_on(entry, target))
+    }
+
+    /// Only the home of its key can tell whether a keyed request has run.
+    async fn choose_home(&mut self, place: &homes::Place) -> Option<DeliveryEvent> {
+        self.place = Some(place.clone());
+        let own = self.service.node.links.own().centre.clone();
+        for home in homes::order(&self.service, place) {
+            if self.delivery.refused().contains(&home.target) {
+                continue;
+            }
+            if home.centre == own {
+                if let Some(choice) = self.choose_here(Some(home.target)) {
+                    return Some(self.take_choice(choice));
+                }
+            } else if let Some(entry) =
+                spill::find_in(&self.service, &self.request, &home.centre).await
+            {
+                return Some(self.pass_on(entry, home.target));
+            }
+        }
+        None
+    }
+
+    fn take_choice(&mut self, choice: Choice) -> DeliveryEvent {
+        self.holder = self.service.fleet.agent(&choice.host).map(hold);
+        DeliveryEvent::Chosen(choice)
+    }
+
+    fn choose_here(&self, only: Option<TargetName>) -> Option<Choice> {
         let now = self.service.node.clock.now();
+        let refused = self.delivery.refused().iter();
         let wanted = Wanted {
-            avoid: self
-                .delivery
-                .refused()
-                .iter()
-                .cloned()
-                .collect::<BTreeSet<_>>(),
+            avoid: refused.cloned().collect::<BTreeSet<_>>(),
+            only,
             ..Wanted::subject(self.request.subject.as_str())
         };
         self.service.fleet.choose(now, &wanted)
@@ -227,13 +261,8 @@
     }
 
     /// Another data centre's entry stands in for a target.
-    fn pass_on(&mut self, entry: Agent) -> DeliveryEvent {
+    fn pass_on(&mut self, entry: Agent, target: TargetName) -> DeliveryEvent {
         self.service.node.metrics.count(Counter::Spilled, 1);
-        let name = entry.host.as_str();
-        let target = TargetName::try_from(name).ok();
-        let Some(target) = target else {
-            return DeliveryEvent::NoTarget(Refusal::Busy);
-        };
         let host = entry.host.clone();
         self.holder = Some(hold(entry));
         DeliveryEvent::Chosen(Choice {
@@ -422,7 +451,7 @@
             }
             Body::End(end) => DeliveryEvent::Ended { length: end.length },
             Body::Refused(refused) => {
-                self.note_refusal();
+                self.note_refusal(&refused.redirect);
                 DeliveryEvent::Refused(codes::to_refusal(refused.reason))
             }
             Body::Failed(failed) => DeliveryEvent::Failed(codes::to_uncertainty(failed.reason)),
@@ -433,10 +462,15 @@
         })
     }
 
-    fn note_refusal(&self) {
+    fn note_refusal(&self, redirect: &str) {
+        let fleet = &self.service.fleet;
+        if let (Some(place), Ok(holder)) = (&self.place, TargetName::try_from(redirect)) {
+            fleet.holders(|holders| holders.learn(place.clone(), holder));
+            return;
+        }
         if let Some(choice) = self.delivery.choice() {
             let now = self.service.node.clock.now();
-            self.service.fleet.refused(now, &choice.target);
+            fleet.refused(now, &choice.target);
         }
     }
 
--- a/crates/azurestand_server/src/entry/spill.rs
+++ b/crates/azurestand_server/src/entry/spill.rs
@@ -4,14 +4,17 @@
 //! asked over a link like an agent is, so the same rules hold: a lost link is
 //! taken up again, and only its definitive word makes a request not run.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use azurestand_types::Moment;
+use azurestand_types::{DataCentre, Moment};
 use azurestand_wire::LinkError;
+use tokio::time::timeout;
 
 use super::Service;
 use super::filter::Classified;
 use super::fleet::{Agent, others};
+use super::homes::entries_of;
 
 /// How often a request may cross between data centres.
 const MAX_HOPS: u32 = 1;
@@ -26,18 +29,34 @@
     document.centres().contains_key(centre) && !document.in_service(centre)
 }
 
-/// An entry of another data centre that can take the request.
+/// An entry of any other data centre that can take the request.
 pub(super) async fn find(service: &Service, request: &Classified) -> Option<Agent> {
+    find_among(service, request, others(&service.node)).await
+}
+
+/// An entry of `centre` that can take the request.
+pub(super) async fn find_in(
+    service: &Service,
+    request: &Classified,
+    centre: &DataCentre,
+) -> Option<Agent> {
+    find_among(service, request, entries_of(&service.node, centre)).await
+}
+
+async fn find_among(
+    service: &Service,
+    request: &Classified,
+    mut candidates: Vec<SocketAddr>,
+) -> Option<Agent> {
     if request.hops >= MAX_HOPS {
         return None;
     }
-    let mut candidates = others(&service.node);
     for _ in 0..MAX_TRIES {
         if candidates.is_empty() {
             return None;
         }
         let chosen = candidates.swap_remove(service.fleet.draw(candidates.len()));
-        let dialled = tokio::time::timeout(DIAL_LIMIT, reach(service, chosen)).await;
+        let dialled = timeout(DIAL_LIMIT, reach(service, chosen)).await;
         if let Ok(Ok(agent)) = dialled {
             return Some(agent);
         }
@@ -45,7 +64,7 @@
     None
 }
 
-async fn reach(service: &Service, address: std::net::SocketAddr) -> Result<Agent, LinkError> {
+async fn reach(service: &Service, address: SocketAddr) -> Result<Agent, LinkError> {
     let outbox = service.node.links.control(address).await?;
     let neighbours = service.node.neighbours();
     let mut records = neighbours.0.values().map(|neighbour| &neighbour.record);
--- a/crates/azurestand_standin/src/engine/admin.rs
+++ b/crates/azurestand_standin/src/engine/admin.rs
@@ -34,6 +34,7 @@
     model: Option<String>,
     version: Option<String>,
     digest: Option<Digest>,
+    loading: Option<Digest>,
     weights: Option<Digest>,
     state: EngineState,
     fence: Fence,
@@ -51,6 +52,7 @@
         model: loaded.map(|loaded| loaded.model.clone()),
         version: loaded.map(|loaded| loaded.version.clone()),
         digest: loaded.map(|loaded| loaded.digest),
+        loading: state.loading,
         weights: loaded.map(|loaded| loaded.weights),
         state: state.phase,
         fence: state.fence,
@@ -78,7 +80,7 @@
         let body = json!({ "error": "the fencing number is old", "fence": state.fence });
         return Ok(json(StatusCode::CONFLICT, &body));
     }
-    let number = state.begin_load(order.fence);
+    let number = state.begin_load(order.fence, order.digest);
     let body = json!({ "boot_id": state.boot, "fence": state.fence });
     drop(state);
     shared.wake();
--- a/crates/azurestand_standin/src/engine/state.rs
+++ b/crates/azurestand_standin/src/engine/state.rs
@@ -100,6 +100,8 @@
     pub(super) boot: BootId,
     pub(super) phase: EngineState,
     pub(super) loaded: Option<Loaded>,
+    /// The version that is being loaded.
+    pub(super) loading: Option<Digest>,
     pub(super) fence: Fence,
     /// Counts load orders; only the newest one may finish.
     pub(super) order: u64,
@@ -122,6 +124,7 @@
             boot: BootId(rng.u64(1..1 << 53)),
             phase: EngineState::Empty,
             loaded: None,
+            loading: None,
             fence: Fence(0),
             order: 0,
             record: EngineRecord::default(),
@@ -139,6 +142,7 @@
     pub(super) fn reboot(&mut self, empty: bool) {
         // Below 2^53, so that every JSON reader keeps the number whole.
         self.boot = BootId(self.rng.u64(1..1 << 53));
+        self.loading = None;
         self.order += 1;
         self.running = 0;
         self.finished = 0;
@@ -154,8 +158,9 @@
         self.sample();
     }
 
-    pub(super) fn begin_load(&mut self, fence: Fence) -> u64 {
+    pub(super) fn begin_load(&mut self, fence: Fence, digest: Digest) -> u64 {
         self.fence = fence;
+        self.loading = Some(digest);
         self.order += 1;
         self.phase = EngineState::Loading;
         self.record.loads += 1;
@@ -167,6 +172,7 @@
         if order != self.order {
             return;
         }
+        self.loading = None;
         self.loaded = loaded;
         self.finished = 0;
         self.phase = self
--- a/crates/azurestand_wire/src/message.rs
+++ b/crates/azurestand_wire/src/message.rs
@@ -229,6 +229,9 @@
     /// Milliseconds after which another try may fare better.
     #[prost(uint64, tag = "3")]
     pub after: u64,
+    /// The target that holds the request's key, or empty.
+    #[prost(string, tag = "4")]
+    pub redirect: String,
 }
 
 /// The request may have run, but has no whole answer.
