--- /dev/null
+++ b/crates/azurestand_store/src/clock.rs
@@ -0,0 +1,31 @@
+//! Where moments meet the runtime's clock.
+
+use azurestand_types::Moment;
+use tokio::time::Instant;
+
+/// Moments counted from one instant.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    pub(crate) fn new(start: Instant) -> Self {
+        Self { start }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        Moment::START + self.start.elapsed()
+    }
+
+    /// Waits until a moment, or for ever when there is none.
+    pub(crate) async fn sleep_until(&self, wake: Option<Moment>) {
+        match wake {
+            Some(wake) => {
+                let span = wake.since(Moment::START);
+                tokio::time::sleep_until(self.start + span).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+}
--- a/crates/azurestand_store/src/follow/message.rs
+++ b/crates/azurestand_store/src/follow/message.rs
@@ -23,7 +23,11 @@
         Self {
             probe: Duration::from_secs(2),
             refresh: Duration::from_mins(5),
-            retry: BackoffLimits::default(),
+            // Few processes follow, and a change waits for the slowest try.
+            retry: BackoffLimits {
+                cap: Duration::from_secs(2),
+                ..BackoffLimits::default()
+            },
         }
     }
 }
--- a/crates/azurestand_store/src/follower.rs
+++ b/crates/azurestand_store/src/follower.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::clock::Clock;
 use crate::error::StoreError;
 use crate::follow::{Follow, FollowAction, FollowEvent, FollowTiming, News};
 use crate::key::Scope;
@@ -35,7 +36,7 @@
             store,
             scope,
             follow: Follow::new(timing, Moment::START, seed),
-            start: Instant::now(),
+            clock: Clock::new(Instant::now()),
             watch: None,
             call: None,
             news: sender,
@@ -73,7 +74,7 @@
     store: Arc<S>,
     scope: Scope,
     follow: Follow,
-    start: Instant,
+    clock: Clock,
     watch: Option<Watch>,
     call: Option<Call>,
     news: mpsc::Sender<News>,
@@ -86,7 +87,7 @@
     async fn drive(mut self) {
         loop {
             let event = self.event().await;
-            let now = Moment::START + self.start.elapsed();
+            let now = self.clock.now();
             let mut actions = VecDeque::from(self.follow.step(now, event));
             while let Some(action) = actions.pop_front() {
                 if !self.act(action).await {
@@ -98,15 +99,14 @@
 
     /// Waits for an answer, the watch or the time, whichever comes first.
     async fn event(&mut self) -> FollowEvent {
-        let wake = self.follow.wake();
-        let wake = wake.map(|wake| self.start + wake.since(Moment::START));
+        let (clock, wake) = (self.clock, self.follow.wake());
         tokio::select! {
             answer = answer(&mut self.call) => {
                 self.call = None;
                 self.take(answer)
             }
             event = told(&mut self.watch) => FollowEvent::Watched(event),
-            () = until(wake) => FollowEvent::Tick,
+            () = clock.sleep_until(wake) => FollowEvent::Tick,
         }
     }
 
@@ -161,10 +161,3 @@
         None => std::future::pending().await,
     }
 }
-
-async fn until(wake: Option<Instant>) {
-    match wake {
-        Some(wake) => tokio::time::sleep_until(wake).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/azurestand_store/src/http/call.rs
+++ b/crates/azurestand_store/src/http/call.rs
@@ -20,6 +20,7 @@
 use super::HttpOptions;
 use super::message::Refusal;
 use crate::budget::{Budget, OverBudget, Rates};
+use crate::clock::Clock;
 use crate::error::StoreError;
 
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -87,7 +88,7 @@
 pub(super) struct Caller {
     options: HttpOptions,
     budget: Mutex<Budget>,
-    start: Instant,
+    clock: Clock,
     pool: Mutex<Pool>,
     /// The address that is tried first.
     preferred: AtomicUsize,
@@ -99,7 +100,7 @@
         let budget = Budget::new(rates, options.burst, Moment::START, options.seed);
         Self {
             budget: Mutex::new(budget),
-            start: Instant::now(),
+            clock: Clock::new(Instant::now()),
             pool: Mutex::new(pool()),
             preferred: AtomicUsize::new(0),
             options,
@@ -107,7 +108,7 @@
     }
 
     pub(super) fn set_rates(&self, rates: Rates) {
-        lock(&self.budget).set_rates(rates, self.now());
+        lock(&self.budget).set_rates(rates, self.clock.now());
     }
 
     /// Calls and reads the whole answer.
@@ -149,13 +150,9 @@
         answer
     }
 
-    fn now(&self) -> Moment {
-        Moment::START + self.start.elapsed()
-    }
-
     /// Waits for a place in the budget.
     async fn place(&self, kind: Kind) -> Result<(), Failure> {
-        let (now, patience) = (self.now(), self.options.patience);
+        let (now, patience) = (self.clock.now(), self.options.patience);
         let place = match kind {
             Kind::Read => lock(&self.budget).read(now, patience),
             Kind::Write => lock(&self.budget).write(now, patience),
--- a/crates/azurestand_store/src/lib.rs
+++ b/crates/azurestand_store/src/lib.rs
@@ -3,7 +3,7 @@
 //! The crate decides how often a process may call the store, what a lost
 //! answer means, how long a lease may be trusted and who holds a permit. The
 //! decisions are pure: events and the present [`Moment`] go in, actions come
-//! out. Only [`HttpStore`] and [`Follower`] open sockets.
+//! out. Only [`HttpStore`] opens sockets, and only [`Follower`] and [`Permit`] run tasks.
 //! [docs/STORE.md](../../../docs/STORE.md) tells what was weighed.
 //!
 //! ```
@@ -24,12 +24,14 @@
 
 mod backoff;
 mod budget;
+mod clock;
 mod error;
 mod follow;
 mod follower;
 mod http;
 mod key;
 mod lease;
+mod permit;
 mod semaphore;
 mod settle;
 mod store;
@@ -43,6 +45,7 @@
 pub use http::{HttpOptions, HttpStore};
 pub use key::{Key, KeyError, Scope};
 pub use lease::{Lease, LeaseError, LeaseTiming, Warrant};
+pub use permit::Permit;
 pub use semaphore::{PermitAction, PermitEvent, PermitNews, Semaphore, SemaphoreOptions};
 pub use settle::{Settle, SettleAction, SettleEvent, Settled, commit_settled};
 pub use store::{
--- a/crates/azurestand_store/tests/store/follow.rs
+++ b/crates/azurestand_store/tests/store/follow.rs
@@ -329,3 +329,29 @@
     assert_eq!(world.restored, 0);
     assert_eq!(world.view, world.truth());
 }
+
+#[test]
+fn a_compaction_gap_is_read_over_at_once() {
+    let mut world = following();
+    world.take(Step::Put(1));
+    world.take(Step::Put(2));
+    world.fake.compact();
+    world.take(Step::Deliver);
+    for _ in 0..2 {
+        world.take(Step::Answer(true));
+    }
+    assert_eq!(world.view, world.truth());
+}
+
+#[test]
+fn a_change_told_before_the_listing_came_is_not_lost() {
+    let mut world = World::new(Duration::from_mins(5));
+    world.take(Step::Pass(0));
+    world.take(Step::Answer(true));
+    let listing = FollowEvent::Listed(Ok(world.fake.list(&scope())));
+    world.take(Step::Put(1));
+    world.take(Step::Deliver);
+    world.call = None;
+    world.tell(listing);
+    assert_eq!(world.view, world.truth());
+}
--- a/crates/azurestand_store/tests/store/permit.rs
+++ b/crates/azurestand_store/tests/store/permit.rs
@@ -415,3 +415,20 @@
     }
     assert!(world.holders[0].warrant(world.now).is_some());
 }
+
+#[test]
+fn an_answer_about_an_earlier_lease_does_not_extend_the_present_one() {
+    let mut world = held();
+    world.pass(TTL / 3);
+    let late = world.flights.pop().unwrap();
+    assert!(matches!(late.action, PermitAction::Keep(_)));
+    let answer = world.effect(&late.action).unwrap();
+    world.tell(0, PermitEvent::Done);
+    world.tell(0, PermitEvent::Wanted);
+    world.answers_and_calls();
+    world.pass(TTL / 3);
+    let until = world.holders[0].warrant(world.now).unwrap().until;
+    world.tell(0, answer);
+    let warrant = world.holders[0].warrant(world.now).unwrap();
+    assert_eq!(warrant.until, until);
+}
