--- a/crates/azurestand_standin/src/engine.rs
+++ b/crates/azurestand_standin/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod completion;
+mod record;
 mod state;
 
 use std::io;
@@ -17,7 +18,8 @@
 use crate::serve::{Answer, Listener, empty};
 use state::State;
 
-pub use state::{EngineRecord, EngineRun, EngineState};
+pub use record::{EngineRecord, EngineRun};
+pub use state::EngineState;
 
 /// How an engine behaves from the start.
 #[derive(Debug, Clone, Copy)]
