Tell hosts of other regions less often and list engaged hosts apart

Cause: searches over every known host dominated the computing time at 270 hosts; the busiest host sent 15 KB/s. Change: engaged hosts are listed apart; announcements to other regions go out at a fifth of the pace.

--- a/crates/azurestand_spread/src/bitmap.rs
+++ b/crates/azurestand_spread/src/bitmap.rs
@@ -58,10 +58,6 @@
         }
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.bytes.iter().all(|byte| *byte == 0)
-    }
-
     /// The set bits, beginning at `start` and wrapping around.
     pub(crate) fn ones(&self, start: usize) -> impl Iterator<Item = usize> + '_ {
         let first = start / 8;
--- a/crates/azurestand_spread/src/transfer.rs
+++ b/crates/azurestand_spread/src/transfer.rs
@@ -8,7 +8,7 @@
 
 use self::flight::Flights;
 use self::goal::Goal;
-use self::peers::{Neighbour, Place};
+use self::peers::{Neighbour, Peers, Place};
 use self::serve::Uploads;
 use self::share::CrossLink;
 use self::upstream::Upstream;
@@ -48,7 +48,7 @@
     site: Site,
     limits: Limits,
     rng: fastrand::Rng,
-    peers: BTreeMap<HostName, Neighbour>,
+    peers: Peers,
     goals: Vec<Goal>,
     held: BTreeMap<Digest, u32>,
     flights: Flights,
@@ -82,7 +82,7 @@
             site,
             limits,
             rng,
-            peers: BTreeMap::new(),
+            peers: Peers::default(),
             goals: Vec::new(),
             held: BTreeMap::new(),
             flights: Flights::default(),
@@ -189,7 +189,7 @@
             }
         }
         self.goals.retain(|goal| wanted.contains_key(&goal.id()));
-        for neighbour in self.peers.values_mut() {
+        for neighbour in self.peers.iter_mut() {
             neighbour.heard.retain(|id, _| wanted.contains_key(id));
             neighbour.subscribed.retain(|id, _| wanted.contains_key(id));
         }
@@ -247,7 +247,7 @@
             .collect();
         let gone: Vec<_> = self
             .peers
-            .keys()
+            .names()
             .filter(|host| !view.contains_key(*host))
             .cloned()
             .collect();
@@ -255,33 +255,33 @@
             self.forget(&host);
         }
         for (host, peer) in view {
-            self.meet(host, peer);
+            self.meet(&host, peer);
         }
         self.reorder(now);
         self.subscribe(now);
     }
 
-    fn meet(&mut self, host: HostName, peer: Peer) {
-        let known = self.peers.get(&host).map(|known| known.peer.incarnation);
+    fn meet(&mut self, host: &HostName, peer: Peer) {
+        let known = self.peers.get(host).map(|known| known.peer.incarnation);
         match known {
             Some(known) if known > peer.incarnation => return,
-            Some(known) if known < peer.incarnation => self.forget(&host),
+            Some(known) if known < peer.incarnation => self.forget(host),
             _ => {}
         }
         let place = Place::of(&self.site, &peer);
-        match self.peers.get_mut(&host) {
+        match self.peers.get_mut(host) {
             Some(neighbour) if neighbour.place == place => neighbour.peer = peer,
             _ => {
-                self.forget(&host);
+                self.forget(host);
                 let mix = self.rng.u64(..);
-                self.peers.insert(host, Neighbour::new(peer, place, mix));
+                self.peers.insert(Neighbour::new(peer, place, mix));
             }
         }
     }
 
     /// Removes a host, or an earlier life of it, and all that hung on it.
     fn forget(&mut self, host: &HostName) {
-        if !self.peers.contains_key(host) {
+        if self.peers.get(host).is_none() {
             return;
         }
         let source = Source::Peer(host.clone());
@@ -306,7 +306,8 @@
         let mut region = vec![self.site.host.clone()];
         let mut centre = vec![self.site.host.clone()];
         let mut abroad: BTreeMap<Region, Vec<HostName>> = BTreeMap::new();
-        for (host, neighbour) in &self.peers {
+        for neighbour in self.peers.iter() {
+            let host = &neighbour.peer.host;
             if !neighbour.peer.models.contains(model) {
                 continue;
             }
@@ -352,7 +353,7 @@
         if envelope.sender > known {
             let mut peer = neighbour.peer.clone();
             peer.incarnation = envelope.sender;
-            self.meet(from.clone(), peer);
+            self.meet(&from, peer);
         }
         match envelope.message {
             Message::Subscribe { manifest } => self.subscribed(&from, manifest, now),
--- a/crates/azurestand_spread/src/transfer/goal.rs
+++ b/crates/azurestand_spread/src/transfer/goal.rs
@@ -30,9 +30,10 @@
     /// When another region last offered or delivered something new.
     pub(crate) offered: Moment,
     pub(crate) ended: Option<Moment>,
-    /// Held chunks changed since the last announcement.
-    pub(crate) dirty: bool,
-    pub(crate) announced: Moment,
+    /// Announcements to hosts of this region.
+    pub(crate) near: Bulletin,
+    /// Announcements to hosts of other regions.
+    pub(crate) far: Bulletin,
     pub(crate) sourced: Sourced,
     pub(crate) received: u64,
     /// Length of the longest chunk in bytes; times are reckoned with it.
@@ -40,6 +41,33 @@
     places: BTreeMap<Digest, Vec<usize>>,
 }
 
+/// When to announce a change.
+#[derive(Debug, Default)]
+pub(crate) struct Bulletin {
+    pending: bool,
+    /// Goes out without waiting, since nothing follows it.
+    urgent: bool,
+    last: Moment,
+}
+
+impl Bulletin {
+    fn change(&mut self, urgent: bool) {
+        self.pending = true;
+        self.urgent |= urgent;
+    }
+
+    /// Whether to announce now; if so, the change counts as announced.
+    pub(crate) fn is_due(&mut self, interval: Duration, now: Moment) -> bool {
+        let due = self.pending && (self.urgent || now.since(self.last) >= interval);
+        if due {
+            self.pending = false;
+            self.urgent = false;
+            self.last = now;
+        }
+        due
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Counts {
     centre: Vec<u16>,
@@ -110,8 +138,8 @@
             grown: now,
             offered: now,
             ended: None,
-            dirty: true,
-            announced: Moment::START,
+            near: Bulletin::default(),
+            far: Bulletin::default(),
             sourced: Sourced::default(),
             received: 0,
             longest: u64::from(longest.unwrap_or(1)),
@@ -158,7 +186,9 @@
         self.missing -= news;
         if news > 0 {
             self.grown = now;
-            self.dirty = true;
+            let ended = self.missing == 0;
+            self.near.change(ended);
+            self.far.change(ended);
         }
         news > 0
     }
--- a/crates/azurestand_spread/src/transfer/listen.rs
+++ b/crates/azurestand_spread/src/transfer/listen.rs
@@ -16,6 +16,9 @@
 const DECLINED: Duration = Duration::from_secs(5);
 const MAX_LISTENERS: usize = 128;
 
+/// How much less often hosts of other regions are told.
+const FAR_FACTOR: u32 = 5;
+
 impl Transfer {
     /// Subscribes to the hosts whose chunks matter for each unfinished version.
     pub(crate) fn subscribe(&mut self, now: Moment) {
@@ -27,7 +30,7 @@
             }
             let id = goal.id();
             for host in self.teachers(index, now) {
-                let Some(neighbour) = self.peers.get_mut(&host) else {
+                let Some(neighbour) = self.peers.engage(&host) else {
                     continue;
                 };
                 let last = neighbour.subscribed.get(&id);
@@ -81,7 +84,8 @@
         };
         let mut kept = Vec::new();
         let mut fresh = Vec::new();
-        for (host, neighbour) in &self.peers {
+        for neighbour in self.peers.iter() {
+            let host = &neighbour.peer.host;
             let declined = neighbour
                 .declined
                 .get(&id)
@@ -103,11 +107,11 @@
     }
 
     pub(crate) fn subscribed(&mut self, from: &HostName, manifest: Digest, now: Moment) {
-        let listeners = self.peers.values();
+        let listeners = self.peers.active();
         let count = listeners
             .filter(|neighbour| neighbour.listens.contains_key(&manifest))
             .count();
-        let Some(neighbour) = self.peers.get_mut(from) else {
+        let Some(neighbour) = self.peers.engage(from) else {
             return;
         };
         if count >= MAX_LISTENERS && !neighbour.listens.contains_key(&manifest) {
@@ -127,28 +131,33 @@
         }
     }
 
-    /// Tells all listeners what is held, as often as allowed.
+    /// Tells listeners what is held, as often as allowed; those of other
+    /// regions less often, since a chunk takes longer to reach them.
     pub(crate) fn announce(&mut self, now: Moment) {
+        let near = self.limits.announce;
         for index in 0..self.goals.len() {
-            let goal = &mut self.goals[index];
-            let due = goal.missing == 0 || now.since(goal.announced) >= self.limits.announce;
-            if !goal.dirty || !due {
-                continue;
+            if self.goals[index].near.is_due(near, now) {
+                self.tell_all(index, false, now);
+            }
+            if self.goals[index].far.is_due(near * FAR_FACTOR, now) {
+                self.tell_all(index, true, now);
             }
-            goal.dirty = false;
-            goal.announced = now;
-            let id = goal.id();
-            let listens = |until: &Moment| *until > now;
-            let hosts: Vec<_> = self
-                .peers
-                .iter()
-                .filter(|(_, neighbour)| neighbour.listens.get(&id).is_some_and(listens))
-                .map(|(host, _)| host.clone())
-                .collect();
-            self.tell(index, &hosts);
         }
     }
 
+    fn tell_all(&mut self, index: usize, far: bool, now: Moment) {
+        let id = self.goals[index].id();
+        let listens = |until: &Moment| *until > now;
+        let listeners = self.peers.active().filter(|neighbour| {
+            let is_far = neighbour.place == Place::Cross;
+            is_far == far && neighbour.listens.get(&id).is_some_and(listens)
+        });
+        let hosts: Vec<_> = listeners
+            .map(|neighbour| neighbour.peer.host.clone())
+            .collect();
+        self.tell(index, &hosts);
+    }
+
     fn tell(&mut self, index: usize, hosts: &[HostName]) {
         self.sequence += 1;
         let goal = &self.goals[index];
@@ -188,15 +197,10 @@
         if gained && neighbour.place == Place::Cross {
             goal.offered = now;
         }
-        let grown = match old {
-            Some(old) if !gained => old.grown,
-            _ => now,
-        };
-        let heard = Heard {
-            bits,
-            sequence,
-            grown,
-        };
+        if gained {
+            goal.orders.note(from, now);
+        }
+        let heard = Heard { bits, sequence };
         neighbour.heard.insert(manifest, heard);
     }
 
--- a/crates/azurestand_spread/src/transfer/order.rs
+++ b/crates/azurestand_spread/src/transfer/order.rs
@@ -1,5 +1,7 @@
 //! Who draws which chunk, worked out alike by every host from its live view.
 
+use std::time::Duration;
+
 use azurestand_types::{HostName, Moment, Region, rendezvous};
 
 use crate::manifest::Manifest;
@@ -13,6 +15,8 @@
     pub(crate) drawers: Vec<HostName>,
     /// When the set of drawing agents last changed.
     pub(crate) since: Moment,
+    /// When each drawing agent was last seen to gain a chunk.
+    grown: Vec<Moment>,
     mine: Option<u8>,
     ranks: Vec<u8>,
 }
@@ -37,6 +41,7 @@
             return;
         }
         self.since = now;
+        self.grown = vec![now; drawers.len()];
         self.mine = position(&drawers, own);
         self.ranks.clear();
         for chunk in manifest.chunks() {
@@ -47,6 +52,18 @@
         self.drawers = drawers;
     }
 
+    fn note(&mut self, host: &HostName, now: Moment) {
+        if let Some(rank) = position(&self.drawers, host) {
+            self.grown[usize::from(rank)] = now;
+        }
+    }
+
+    /// Which drawing agents gained no chunk for longer than `patience`.
+    pub(crate) fn stalled(&self, patience: Duration, now: Moment) -> Vec<bool> {
+        let is_stalled = |grown: &Moment| now.since(*grown) > patience;
+        self.grown.iter().map(is_stalled).collect()
+    }
+
     pub(crate) fn is_drawer(&self) -> bool {
         self.mine.is_some()
     }
@@ -104,6 +121,12 @@
         self.regions = regions;
     }
 
+    /// Takes note that a host gained a chunk.
+    pub(crate) fn note(&mut self, host: &HostName, now: Moment) {
+        self.region.note(host, now);
+        self.centre.note(host, now);
+    }
+
     pub(crate) fn is_home(&self, index: usize) -> bool {
         self.home[index]
     }
--- a/crates/azurestand_spread/src/transfer/peers.rs
+++ b/crates/azurestand_spread/src/transfer/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use azurestand_types::{Digest, Moment};
+use azurestand_types::{Digest, HostName, Moment};
 
 use crate::bitmap::Bitmap;
 use crate::event::{Peer, Site};
@@ -38,8 +38,6 @@
 pub(crate) struct Heard {
     pub(crate) bits: Bitmap,
     pub(crate) sequence: u64,
-    /// When it last gained a chunk.
-    pub(crate) grown: Moment,
 }
 
 #[derive(Debug)]
@@ -101,3 +99,72 @@
         self.strikes = self.strikes.saturating_sub(1);
     }
 }
+
+/// The other hosts, by name.
+///
+/// Most hosts of a large fleet are only names to each other; those with which
+/// there is any dealing are listed apart, so that searches pass over few.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    slots: Vec<Option<Neighbour>>,
+    names: BTreeMap<HostName, usize>,
+    active: Vec<usize>,
+}
+
+impl Peers {
+    pub(crate) fn get(&self, host: &HostName) -> Option<&Neighbour> {
+        self.slots[*self.names.get(host)?].as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, host: &HostName) -> Option<&mut Neighbour> {
+        self.slots[*self.names.get(host)?].as_mut()
+    }
+
+    /// A host that is dealt with from now on.
+    pub(crate) fn engage(&mut self, host: &HostName) -> Option<&mut Neighbour> {
+        let slot = *self.names.get(host)?;
+        if !self.active.contains(&slot) {
+            self.active.push(slot);
+        }
+        self.slots[slot].as_mut()
+    }
+
+    pub(crate) fn insert(&mut self, neighbour: Neighbour) {
+        let host = neighbour.peer.host.clone();
+        self.remove(&host);
+        let slot = self.slots.iter().position(Option::is_none);
+        let slot = slot.unwrap_or(self.slots.len());
+        if slot == self.slots.len() {
+            self.slots.push(None);
+        }
+        self.slots[slot] = Some(neighbour);
+        self.names.insert(host, slot);
+    }
+
+    pub(crate) fn remove(&mut self, host: &HostName) {
+        if let Some(slot) = self.names.remove(host) {
+            self.slots[slot] = None;
+            self.active.retain(|active| *active != slot);
+        }
+    }
+
+    pub(crate) fn names(&self) -> impl Iterator<Item = &HostName> {
+        self.names.keys()
+    }
+
+    /// All hosts in the order of their names.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Neighbour> {
+        let slots = self.names.values();
+        slots.filter_map(|slot| self.slots[*slot].as_ref())
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Neighbour> {
+        self.slots.iter_mut().flatten()
+    }
+
+    /// The hosts that were engaged, in the order in which that happened.
+    pub(crate) fn active(&self) -> impl Iterator<Item = &Neighbour> {
+        let slots = self.active.iter();
+        slots.filter_map(|slot| self.slots[*slot].as_ref())
+    }
+}
--- a/crates/azurestand_spread/src/transfer/pick.rs
+++ b/crates/azurestand_spread/src/transfer/pick.rs
@@ -251,13 +251,7 @@
         if !order.is_drawer() && !waited {
             return None;
         }
-        let id = goal.id();
-        let is_stalled = |host: &HostName| {
-            let heard = self.peers.get(host).and_then(|peer| peer.heard.get(&id));
-            let grown = heard.map_or(order.since, |heard| heard.grown.max(order.since));
-            now.since(grown) > patience
-        };
-        Some(order.drawers.iter().map(is_stalled).collect())
+        Some(order.stalled(patience, now))
     }
 
     pub(crate) fn is_stuck(&self, index: usize, now: Moment) -> bool {
@@ -302,7 +296,7 @@
     {
         let id = self.goals[index].id();
         self.peers
-            .values()
+            .active()
             .filter(|neighbour| neighbour.asked < ASKED_PER_HOST && neighbour.is_ready(now))
             .filter_map(|neighbour| Some((neighbour, &neighbour.heard.get(&id)?.bits)))
             .filter(|(neighbour, _)| usable(neighbour))
--- a/crates/azurestand_spread/src/transfer/share.rs
+++ b/crates/azurestand_spread/src/transfer/share.rs
@@ -32,7 +32,7 @@
         let rate = Rate(self.cross_rate().0.saturating_mul(own) / all);
         let regions: BTreeSet<_> = self
             .peers
-            .values()
+            .iter()
             .filter(|neighbour| neighbour.place == Place::Cross)
             .map(|neighbour| neighbour.peer.region.clone())
             .collect();
