Cause late answers, pauses past a deadline and a chain of successors

Change: late answers in the property; named cases for late answers, a paused home, the lease's start and a successor that dies in its window.

--- a/crates/azurestand_target/tests/claims/cases.rs
+++ b/crates/azurestand_target/tests/claims/cases.rs
@@ -254,6 +254,67 @@
     assert_eq!(told(&world, id), Some(Outcome::Answered));
 }
 
+#[test]
+fn late_answer_to_an_earlier_commit_starts_nothing() {
+    let (mut world, holder) = settled(Outage::Wait);
+    world.advance(seconds(1));
+    world.deliver_calls_of(KEY, false);
+    world.settle(seconds(1));
+    let id = world.ask(KEY, holder).unwrap();
+    world.deliver_ask(0);
+    until_committing(&mut world);
+    world.deliver_late(0);
+    assert!(!world.is_started(id));
+}
+
+#[test]
+fn paused_home_does_not_start_what_expired_meanwhile() {
+    let (mut world, holder) = settled(Outage::Wait);
+    let id = world.ask(KEY, holder).unwrap();
+    world.deliver_ask(0);
+    until_committing(&mut world);
+    world.pause(holder, true);
+    world.deliver_calls_of(KEY, true);
+    world.advance(seconds(5));
+    world.pause(holder, false);
+    assert!(!world.is_started(id));
+    assert_eq!(told(&world, id), Some(not_run(Refusal::Expired)));
+}
+
+#[test]
+fn lease_counts_from_the_send_of_a_write_and_not_from_its_answer() {
+    let (mut world, holder) = settled(Outage::Memory);
+    // A renewal is sent within a second; its lease is 3.5 seconds.
+    for _ in 0..45 {
+        world.advance(millis(100));
+    }
+    world.deliver_calls_of(KEY, true);
+    world.processes[holder].cut = true;
+    let id = world.ask(KEY, holder).unwrap();
+    world.settle(seconds(2));
+    assert_eq!(told(&world, id), None);
+}
+
+#[test]
+fn successor_that_dies_in_its_window_leaves_a_window_to_the_next() {
+    let (mut world, holder) = settled(Outage::Memory);
+    world.processes[holder].cut = true;
+    let first = world.ask(KEY, holder).unwrap();
+    world.settle(seconds(1));
+    assert_eq!(told(&world, first), Some(Outcome::Answered));
+    world.configure(Outage::Wait);
+    world.settle(seconds(7));
+    let second = world.holder(KEY).unwrap();
+    assert_ne!(second, holder);
+    world.kill(second);
+    world.settle(seconds(9));
+    let third = world.holder(KEY).unwrap();
+    assert!(third != holder && third != second);
+    let again = world.ask(KEY, third).unwrap();
+    world.settle(seconds(1));
+    assert_eq!(told(&world, again), Some(not_run(Refusal::Unproved)));
+}
+
 #[test]
 fn a_key_freed_and_claimed_again_waits_for_its_own_claim() {
     let (mut world, holder) = settled(Outage::Wait);
--- a/crates/azurestand_target/tests/claims/world.rs
+++ b/crates/azurestand_target/tests/claims/world.rs
@@ -89,6 +89,8 @@
     slots: BTreeMap<Shard, Slot>,
     pub(crate) processes: Vec<Process>,
     calls: Vec<Call>,
+    /// Answers of the store that were given up and still come.
+    late: Vec<(usize, u64, HomeEvent)>,
     asks: Vec<(u64, usize, Ask)>,
     /// Requests given to the service that haven't reached it yet.
     starts: Vec<(usize, u64, RequestId)>,
@@ -114,6 +116,7 @@
             slots: BTreeMap::new(),
             processes: Vec::new(),
             calls: Vec::new(),
+            late: Vec::new(),
             asks: Vec::new(),
             starts: Vec::new(),
             ends: Vec::new(),
@@ -361,8 +364,14 @@
         let event = match call.write {
             Some(batch) if reaches => {
                 let result = self.write(call.shard, &batch);
-                let result = if answered { result } else { Committed::Unknown };
-                HomeEvent::Committed(call.shard, batch.record.beat, result)
+                let beat = batch.record.beat;
+                let event = HomeEvent::Committed(call.shard, beat, result);
+                if answered {
+                    event
+                } else {
+                    self.late.push((call.host, call.life, event));
+                    HomeEvent::Committed(call.shard, beat, Committed::Unknown)
+                }
             }
             Some(batch) => HomeEvent::Committed(call.shard, batch.record.beat, Committed::Unknown),
             None if reaches && answered => {
@@ -373,6 +382,14 @@
         self.reply(call.host, call.life, event);
     }
 
+    /// Delivers an answer of the store long after it was given up.
+    pub(crate) fn deliver_late(&mut self, n: usize) {
+        if !self.late.is_empty() {
+            let (host, life, event) = self.late.remove(n % self.late.len());
+            self.reply(host, life, event);
+        }
+    }
+
     /// Tells the caller of a call that it timed out; the call itself goes on.
     pub(crate) fn time_out(&mut self, n: usize) {
         if self.calls.is_empty() {
