--- a/crates/azurestand_target/src/claim/home/steps.rs
+++ b/crates/azurestand_target/src/claim/home/steps.rs
@@ -4,7 +4,6 @@
 
 use super::super::log::Sending;
 use super::super::record::{Batch, Record};
-use super::super::table::EntryState;
 use super::{Duty, Home, HomeAction, Outage};
 
 impl Home {
@@ -66,16 +65,10 @@
     }
 
     fn expire(&mut self, now: Moment, actions: &mut Vec<HomeAction>) {
-        for key in self.table.claiming() {
-            let Some(entry) = self.table.get(key) else {
-                continue;
-            };
-            if let (EntryState::Claiming { deadline, .. }, Some(id)) = (&entry.state, entry.first)
-                && *deadline <= now
-            {
-                self.release(key);
-                actions.push(HomeAction::Refuse(id, Refusal::Expired));
-            }
+        while let Some(key) = self.table.late(now) {
+            let first = self.table.get(key).and_then(|entry| entry.first);
+            self.release(key);
+            actions.extend(first.map(|id| HomeAction::Refuse(id, Refusal::Expired)));
         }
         let retain = self.retain();
         self.table.expire(now, retain);
--- a/crates/azurestand_target/src/claim/table.rs
+++ b/crates/azurestand_target/src/claim/table.rs
@@ -64,8 +64,8 @@
 pub(crate) struct Table {
     entries: BTreeMap<ClaimKey, Entry>,
     firsts: BTreeMap<RequestId, ClaimKey>,
-    /// Keys whose request waits for its claim to be safe.
-    claiming: BTreeSet<ClaimKey>,
+    /// Keys whose request waits for its claim to be safe, by deadline.
+    claiming: BTreeSet<(Moment, ClaimKey)>,
     /// Keys whose request runs.
     running: usize,
     /// Keys by age, the oldest first.
@@ -112,8 +112,8 @@
         }
         self.ages.push_back((entry.since, key));
         self.hold(key, &entry);
-        if let EntryState::Claiming { .. } = entry.state {
-            self.claiming.insert(key);
+        if let EntryState::Claiming { deadline, .. } = entry.state {
+            self.claiming.insert((deadline, key));
         }
         let old = self.entries.insert(key, entry);
         assert!(old.is_none(), "a key is claimed twice");
@@ -122,9 +122,12 @@
     pub(crate) fn remove(&mut self, key: ClaimKey) -> Option<Entry> {
         let entry = self.entries.remove(&key)?;
         self.held -= entry.body();
-        self.claiming.remove(&key);
-        if entry.state == EntryState::Running {
-            self.running -= 1;
+        match entry.state {
+            EntryState::Claiming { deadline, .. } => {
+                self.claiming.remove(&(deadline, key));
+            }
+            EntryState::Running => self.running -= 1,
+            EntryState::Ended(..) | EntryState::Orphaned => {}
         }
         if let Some(id) = entry.first {
             self.firsts.remove(&id);
@@ -139,10 +142,11 @@
     /// When it was given out before.
     pub(crate) fn run(&mut self, key: ClaimKey) -> Option<RequestId> {
         let entry = self.entries.get_mut(&key)?;
-        let claiming = matches!(entry.state, EntryState::Claiming { .. });
-        assert!(claiming, "a key would run a second time");
+        let EntryState::Claiming { deadline, .. } = entry.state else {
+            panic!("a key would run a second time");
+        };
         entry.state = EntryState::Running;
-        self.claiming.remove(&key);
+        self.claiming.remove(&(deadline, key));
         self.running += 1;
         entry.first
     }
@@ -169,7 +173,13 @@
 
     /// Keys that wait to be safe.
     pub(crate) fn claiming(&self) -> Vec<ClaimKey> {
-        self.claiming.iter().copied().collect()
+        self.claiming.iter().map(|(_, key)| *key).collect()
+    }
+
+    /// A key whose request waited until its deadline.
+    pub(crate) fn late(&self, now: Moment) -> Option<ClaimKey> {
+        let (deadline, key) = self.claiming.first()?;
+        (*deadline <= now).then_some(*key)
     }
 
     /// Drops the oldest bodies until at most `bound` bytes are kept.
