Listen only to the present target of a request, and remember doubt

Cause: A second refusal of the first target (sent on the old link and again on the new one) lay in the carrier's queue and was read as the second target's word, so a running call was called not run or sent to a third target. An idempotent request that may have run was called not run when the other targets had no room. A cancel went out without a target's name, and a refused send stayed counted against its target for good. Change: Delivery numbers its attempts and drops what earlier ones say; a doubt turns every later "not run" into "unknown"; the entry tags each answer with its attempt, settles by request id, and passes a refused request to another remote entry only. Before: no property test of Delivery.

--- a/crates/azurestand_route/src/delivery.rs
+++ b/crates/azurestand_route/src/delivery.rs
@@ -4,86 +4,19 @@
 //!
 //! - A request goes to another target only after a definitive refusal, or when
 //!   it is idempotent and none of its answer has reached the caller.
+//! - Once a target may have run a request, nothing later makes it `NotRun`.
+//! - Only the present target is listened to; what an earlier one still says is dropped.
 //! - A lost link is no answer: the entry reconnects and asks for the rest.
 //! - At the deadline an unstarted request is revoked; only the agent's word
 //!   that it never started makes that `NotRun`.
 
-use azurestand_types::{Outcome, Refusal, TargetName, Uncertainty};
+mod event;
 
-use crate::table::Choice;
+use azurestand_types::{Outcome, Refusal, TargetName, Uncertainty};
 
-/// What happens to a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DeliveryEvent {
-    /// A target was chosen.
-    Chosen(Choice),
-    /// No target can take it now.
-    NoTarget(Refusal),
-    /// The answer's head came.
-    Began,
-    /// `length` bytes of the body came, which belong at `offset`.
-    Part {
-        /// Where they belong, in bytes from the body's start.
-        offset: u64,
-        /// How many they are, in bytes.
-        length: u64,
-    },
-    /// The target says that the body ends after `length` bytes.
-    Ended {
-        /// The length in bytes.
-        length: u64,
-    },
-    /// The target says that it did not run and never will.
-    Refused(Refusal),
-    /// The target says that it may have run.
-    Failed(Uncertainty),
-    /// The link ended.
-    Lost,
-    /// The target's host is reached again.
-    Reached,
-    /// The target's host can't be reached for as long as the entry tries.
-    Unreachable,
-    /// The caller's patience ended.
-    Expired,
-    /// The target says whether a revoked request had started.
-    Revoked {
-        /// Whether it had started; if not, it never will.
-        started: bool,
-    },
-    /// The caller went away.
-    Left,
-}
+pub use event::{Attempt, Budget, DeliveryAction, DeliveryEvent};
 
-/// What the entry does next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DeliveryAction {
-    /// Choose a target other than those refused so far.
-    Choose,
-    /// Send the request to the target.
-    Send(Choice),
-    /// Pass the answer's head on.
-    Begin,
-    /// Pass the last part on without its first `skip` bytes.
-    Pass {
-        /// Bytes that the caller already has.
-        skip: u64,
-    },
-    /// Open a link to the target's host again.
-    Reach,
-    /// Ask for the answer from `offset` on.
-    Resume {
-        /// Bytes that the caller already has.
-        offset: u64,
-    },
-    /// Ask that the request never starts.
-    Revoke,
-    /// Tell the target that nobody waits for the answer.
-    Cancel,
-    /// Tell the target that the whole answer arrived.
-    Release,
-    /// The request has ended.
-    Finish(Outcome),
-}
+use crate::table::Choice;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -94,19 +27,6 @@
     Done,
 }
 
-/// Whether a request may be sent again, asked of the caller of [`Delivery::handle`]
-/// at the moment when it matters, so that no budget is spent in vain.
-pub trait Budget {
-    /// Takes one retry out of the budget, if there is one.
-    fn spend(&mut self) -> bool;
-}
-
-impl Budget for crate::RetryBudget {
-    fn spend(&mut self) -> bool {
-        Self::spend(self)
-    }
-}
-
 /// One request's way.
 #[derive(Debug, Clone)]
 pub struct Delivery {
@@ -116,6 +36,9 @@
     offset: u64,
     refusal: Option<Refusal>,
     refused: Vec<TargetName>,
+    /// Why an earlier target may have run it.
+    doubt: Option<Uncertainty>,
+    attempt: Attempt,
     choice: Option<Choice>,
 }
 
@@ -129,6 +52,8 @@
             offset: 0,
             refusal: None,
             refused: Vec::new(),
+            doubt: None,
+            attempt: Attempt(0),
             choice: None,
         }
     }
@@ -138,6 +63,7 @@
         Self {
             stage: Stage::Asked,
             offset,
+            attempt: Attempt(1),
             choice: Some(choice),
             ..Self::new(false)
         }
@@ -148,11 +74,16 @@
         &self.refused
     }
 
-    /// The target that has the request.
+    /// The target that has the request, or had it last.
     pub fn choice(&self) -> Option<&Choice> {
         self.choice.as_ref()
     }
 
+    /// The number of the target that has the request; answers carry it.
+    pub fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
     /// Bytes of the body passed on.
     pub fn offset(&self) -> u64 {
         self.offset
@@ -168,12 +99,28 @@
         self.stage == Stage::Done
     }
 
-    /// Takes an event in; `budget` is asked before a second send.
+    /// Takes in what came back for `attempt`, unless that is over.
+    pub fn answer<B>(
+        &mut self,
+        attempt: Attempt,
+        event: DeliveryEvent,
+        budget: &mut B,
+    ) -> Vec<DeliveryAction>
+    where
+        B: Budget,
+    {
+        if attempt != self.attempt || self.stage == Stage::Choosing {
+            return Vec::new();
+        }
+        self.handle(event, budget)
+    }
+
+    /// Takes an event of the present attempt in; `budget` is asked before a second send.
     pub fn handle<B>(&mut self, event: DeliveryEvent, budget: &mut B) -> Vec<DeliveryAction>
     where
         B: Budget,
     {
-        if self.is_done() {
+        if self.is_done() || (self.stage == Stage::Choosing && event.is_answer()) {
             return Vec::new();
         }
         match event {
@@ -198,11 +145,21 @@
         vec![DeliveryAction::Finish(outcome)]
     }
 
+    /// A request that an earlier target may have run is never called not run.
+    fn finish_not_run(&mut self, refusal: Refusal) -> Vec<DeliveryAction> {
+        let outcome = match self.doubt {
+            Some(why) => Outcome::Unknown(why),
+            None => Outcome::NotRun(refusal),
+        };
+        self.finish(outcome)
+    }
+
     fn choose(&mut self, choice: Choice) -> Vec<DeliveryAction> {
         if self.stage != Stage::Choosing {
             return Vec::new();
         }
         self.stage = Stage::Asked;
+        self.attempt.0 += 1;
         self.choice = Some(choice.clone());
         vec![DeliveryAction::Send(choice)]
     }
@@ -213,7 +170,7 @@
             return Vec::new();
         }
         let refusal = self.refusal.unwrap_or(refusal);
-        self.finish(Outcome::NotRun(refusal))
+        self.finish_not_run(refusal)
     }
 
     fn begin(&mut self) -> Vec<DeliveryAction> {
@@ -230,7 +187,8 @@
     }
 
     fn part(&mut self, offset: u64, length: u64) -> Vec<DeliveryAction> {
-        if offset > self.offset {
+        // Without its head a body can't be passed on, so both are asked for again.
+        if !self.began || offset > self.offset {
             return vec![DeliveryAction::Resume {
                 offset: self.offset,
             }];
@@ -279,14 +237,15 @@
         );
         let again = elsewhere && self.stage == Stage::Asked && budget.spend();
         if !again {
-            return self.finish(Outcome::NotRun(refusal));
+            return self.finish_not_run(refusal);
         }
         self.refusal.get_or_insert(refusal);
         self.choose_again()
     }
 
     fn choose_again(&mut self) -> Vec<DeliveryAction> {
-        let last = self.choice.take().map(|choice| choice.target);
+        // The choice stays known, since a cancel still goes to it.
+        let last = self.choice.as_ref().map(|choice| choice.target.clone());
         self.refused.extend(last);
         self.stage = Stage::Choosing;
         vec![DeliveryAction::Choose]
@@ -298,6 +257,7 @@
     {
         let harmless = self.idempotent && self.offset == 0 && !self.began;
         if harmless && self.stage == Stage::Asked && budget.spend() {
+            self.doubt.get_or_insert(why);
             let mut actions = vec![DeliveryAction::Cancel];
             actions.extend(self.choose_again());
             return actions;
@@ -324,7 +284,7 @@
 
     fn expire(&mut self) -> Vec<DeliveryAction> {
         match self.stage {
-            Stage::Choosing => self.finish(Outcome::NotRun(Refusal::Expired)),
+            Stage::Choosing => self.finish_not_run(Refusal::Expired),
             Stage::Asked if !self.began => {
                 self.stage = Stage::Revoking;
                 vec![DeliveryAction::Revoke]
@@ -343,7 +303,7 @@
             return Vec::new();
         }
         if !started && !self.began {
-            return self.finish(Outcome::NotRun(Refusal::Expired));
+            return self.finish_not_run(Refusal::Expired);
         }
         let mut actions = vec![DeliveryAction::Cancel];
         actions.extend(self.finish(Outcome::Unknown(Uncertainty::TimedOut)));
@@ -353,7 +313,10 @@
     /// A call that may not be repeated goes on without its caller: broken off,
     /// nobody could tell any more whether it ran.
     fn leave(&mut self) -> Vec<DeliveryAction> {
-        let cancel = self.choice.is_some() && self.idempotent;
+        if self.stage == Stage::Choosing {
+            return self.finish_not_run(Refusal::Revoked);
+        }
+        let cancel = self.idempotent;
         let mut actions = self.finish(Outcome::Unknown(Uncertainty::Unreachable));
         if cancel {
             actions.insert(0, DeliveryAction::Cancel);
--- a/crates/azurestand_route/src/lib.rs
+++ b/crates/azurestand_route/src/lib.rs
@@ -26,6 +26,6 @@
 mod table;
 
 pub use account::{AccountLimits, Allowance};
-pub use delivery::{Budget, Delivery, DeliveryAction, DeliveryEvent};
+pub use delivery::{Attempt, Budget, Delivery, DeliveryAction, DeliveryEvent};
 pub use retry::RetryBudget;
 pub use table::{Choice, Load, Report, Table, Wanted};
--- /dev/null
+++ b/crates/azurestand_route/tests/delivery/main.rs
@@ -0,0 +1,5 @@
+//! The promises about one request, under any order of what can happen to it.
+
+mod cases;
+mod property;
+mod world;
--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use azurestand_membership::{Role, State};
-use azurestand_route::{AccountLimits, Choice, Load, Report, RetryBudget, Table, Wanted};
+use azurestand_route::{AccountLimits, Attempt, Choice, Load, Report, RetryBudget, Table, Wanted};
 use azurestand_types::{Digest, HostName, Incarnation, Moment, RequestId, TargetName};
 use azurestand_wire::{Identity, Outbox, TargetLoad};
 use prost::Message;
@@ -23,10 +23,10 @@
 /// What comes back for one request.
 #[derive(Debug)]
 pub(super) enum Answer {
-    /// A message about the request.
-    Message(azurestand_wire::Body),
-    /// The link to the target's host ended.
-    Lost,
+    /// A message about the request, from the target of this attempt.
+    Message(Attempt, azurestand_wire::Body),
+    /// The link to the host of this attempt's target ended.
+    Lost(Attempt),
     /// The entry that passed the request on wants it no longer.
     Left,
     /// The entry that passed the request on takes it back.
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 struct Outstanding {
     host: HostName,
+    target: TargetName,
+    attempt: Attempt,
     answers: mpsc::UnboundedSender<Answer>,
 }
 
@@ -128,7 +130,7 @@
         inner.table.lose(&peer.host);
         let waiting = inner.outstanding.values();
         for outstanding in waiting.filter(|outstanding| outstanding.host == peer.host) {
-            let _ = outstanding.answers.send(Answer::Lost);
+            let _ = outstanding.answers.send(Answer::Lost(outstanding.attempt));
         }
     }
 
@@ -139,7 +141,8 @@
             return;
         };
         if outstanding.host == *peer {
-            let _ = outstanding.answers.send(Answer::Message(body));
+            let message = Answer::Message(outstanding.attempt, body);
+            let _ = outstanding.answers.send(message);
         }
     }
 
@@ -155,20 +158,27 @@
         &self,
         id: RequestId,
         choice: &Choice,
+        attempt: Attempt,
         answers: mpsc::UnboundedSender<Answer>,
     ) {
         let mut inner = self.inner();
         inner.table.sent(&choice.target);
-        let host = choice.host.clone();
-        let outstanding = Outstanding { host, answers };
-        inner.outstanding.insert(id, outstanding);
+        let outstanding = Outstanding {
+            host: choice.host.clone(),
+            target: choice.target.clone(),
+            attempt,
+            answers,
+        };
+        if let Some(earlier) = inner.outstanding.insert(id, outstanding) {
+            inner.table.done(&earlier.target);
+        }
     }
 
     /// Expects no more answers.
-    pub(super) fn settle(&self, id: RequestId, target: &TargetName) {
+    pub(super) fn settle(&self, id: RequestId) {
         let mut inner = self.inner();
-        if inner.outstanding.remove(&id).is_some() {
-            inner.table.done(target);
+        if let Some(outstanding) = inner.outstanding.remove(&id) {
+            inner.table.done(&outstanding.target);
         }
     }
 
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -194,7 +194,9 @@
                 self.holder = self.service.fleet.agent(&choice.host).map(hold);
                 return DeliveryEvent::Chosen(choice);
             }
-            if let Some(entry) = spill::find(&self.service, &self.request).await {
+            if let Some(entry) =
+                spill::find(&self.service, &self.request, self.delivery.refused()).await
+            {
                 return self.pass_on(entry);
             }
             if Instant::now() >= until {
@@ -245,15 +247,13 @@
 
     fn expect(&self, choice: &Choice) {
         let fleet = &self.service.fleet;
-        fleet.expect(self.request.id, choice, self.sender.clone());
+        let attempt = self.delivery.attempt();
+        fleet.expect(self.request.id, choice, attempt, self.sender.clone());
         fleet.relays(|relays| relays.choose(self.request.id, choice));
     }
 
     fn settle(&self) {
-        if let Some(choice) = self.delivery.choice() {
-            let fleet = &self.service.fleet;
-            fleet.settle(self.request.id, &choice.target);
-        }
+        self.service.fleet.settle(self.request.id);
     }
 
     async fn send(&mut self, choice: &Choice) -> Option<DeliveryEvent> {
@@ -392,10 +392,13 @@
                 () = self.sink.left() => return DeliveryEvent::Left,
             };
             match answer {
-                Answer::Lost => return DeliveryEvent::Lost,
+                // An earlier target's word must not be taken for the present one's.
+                Answer::Lost(attempt) | Answer::Message(attempt, _)
+                    if attempt != self.delivery.attempt() => {}
+                Answer::Lost(_) => return DeliveryEvent::Lost,
                 Answer::Left => return DeliveryEvent::Left,
                 Answer::Expired => return DeliveryEvent::Expired,
-                Answer::Message(body) => {
+                Answer::Message(_, body) => {
                     if let Some(event) = self.read(body) {
                         return event;
                     }
--- a/crates/azurestand_server/src/entry/spill.rs
+++ b/crates/azurestand_server/src/entry/spill.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use azurestand_types::Moment;
+use azurestand_types::{Moment, TargetName};
 use azurestand_wire::LinkError;
 
 use super::Service;
@@ -26,8 +26,12 @@
     document.centres().contains_key(centre) && !document.in_service(centre)
 }
 
-/// An entry of another data centre that can take the request.
-pub(super) async fn find(service: &Service, request: &Classified) -> Option<Agent> {
+/// An entry of another data centre that can take the request and has not refused it.
+pub(super) async fn find(
+    service: &Service,
+    request: &Classified,
+    refused: &[TargetName],
+) -> Option<Agent> {
     if request.hops >= MAX_HOPS {
         return None;
     }
@@ -38,7 +42,11 @@
         }
         let chosen = candidates.swap_remove(service.fleet.draw(candidates.len()));
         let dialled = tokio::time::timeout(DIAL_LIMIT, reach(service, chosen)).await;
-        if let Ok(Ok(agent)) = dialled {
+        if let Ok(Ok(agent)) = dialled
+            && !refused
+                .iter()
+                .any(|target| target.as_str() == agent.host.as_str())
+        {
             return Some(agent);
         }
     }
