Choose by free slots, cached beginnings and the links' shares

Cause: The table counted sends twice or not at all between reports, let a target that refused rest for a fixed 250 ms, and knew nothing of caches or of the links between data centres. Change: Two draws weighted by free slots; sends since the last report count on top and reports take their place; refusals double the rest (50 ms to 3.2 s); silent hosts last; a request stays with its weights and never goes to a second target on the same host; a bounded prefix table whose hint wins only within a quarter of a target's slots; Spill holds each link's share and passes over data centres that are full, out or send work here.

--- a/crates/azurestand_route/src/lib.rs
+++ b/crates/azurestand_route/src/lib.rs
@@ -4,6 +4,9 @@
 //! - [`AccountLimits`] holds each account's rate and concurrency.
 //! - [`Delivery`] takes one request from its arrival to one of three outcomes.
 //! - [`RetryBudget`] bounds the load that retries add.
+//! - [`Spill`] decides which other data centre may be asked.
+//!
+//! [docs/ROUTING.md](../../../docs/ROUTING.md) says what was weighed.
 //!
 //! ```
 //! use azurestand_route::{Load, Report, Table, Wanted};
@@ -22,12 +25,16 @@
 
 mod account;
 mod delivery;
+mod prefix;
 mod retry;
+mod spill;
 mod table;
 
 pub use account::{
     AccountDemand, AccountLimits, Allowance, DEMAND_INTERVAL, Demand, HOLD, Level, MAX_DEMANDS,
 };
 pub use delivery::{Attempt, Budget, Delivery, DeliveryAction, DeliveryEvent};
+pub use prefix::{CacheChange, CacheEvent, MAX_BLOCKS, MAX_PLACES, Prefix};
 pub use retry::RetryBudget;
+pub use spill::{MAX_HOPS, Spill, SpillSettings};
 pub use table::{Choice, Load, Report, Table, Wanted};
--- /dev/null
+++ b/crates/azurestand_route/src/prefix/tests.rs
@@ -0,0 +1,90 @@
+use azurestand_types::{BootId, Moment, TargetName};
+
+use super::{CacheChange, CacheEvent, MAX_PLACES, Prefix, Prefixes};
+
+fn target(n: usize) -> TargetName {
+    TargetName::try_from(format!("engine-{n}")).unwrap()
+}
+
+fn prompt(n: u8) -> Prefix {
+    Prefix::of(&[n; 1_024])
+}
+
+fn event(boot: u64, sequence: u64, change: CacheChange) -> CacheEvent {
+    CacheEvent {
+        target: target(1),
+        boot: BootId(boot),
+        sequence,
+        change,
+    }
+}
+
+/// Endless fresh prompts cost bounded memory.
+#[test]
+fn fresh_prompts_without_end_stay_in_bounds() {
+    let mut prefixes = Prefixes::default();
+    for n in 0..MAX_PLACES as u64 + 5_000 {
+        let prefix = Prefix::from_blocks(vec![n]);
+        prefixes.note(Moment::from_micros(n), &target(1), &prefix);
+    }
+    assert!(prefixes.len() <= MAX_PLACES);
+}
+
+/// A restarted engine has an empty cache, whatever its earlier life said.
+#[test]
+fn an_engines_restart_empties_its_cache() {
+    let mut prefixes = Prefixes::default();
+    let stored = CacheChange::Stored(prompt(7));
+    prefixes.hear(Moment::from_millis(1), &event(1, 1, stored));
+    assert_eq!(
+        prefixes.holders(Moment::from_millis(2), &prompt(7)).len(),
+        1
+    );
+    let other = CacheChange::Stored(prompt(8));
+    prefixes.hear(Moment::from_millis(3), &event(2, 1, other));
+    assert!(
+        prefixes
+            .holders(Moment::from_millis(4), &prompt(7))
+            .is_empty()
+    );
+    assert_eq!(
+        prefixes.holders(Moment::from_millis(4), &prompt(8)).len(),
+        1
+    );
+}
+
+/// Among the lost events may have been one that dropped it.
+#[test]
+fn a_gap_halves_what_was_learned_before() {
+    let mut prefixes = Prefixes::default();
+    prefixes.hear(
+        Moment::from_millis(1),
+        &event(1, 1, CacheChange::Stored(prompt(7))),
+    );
+    let before = prefixes.holders(Moment::from_millis(2), &prompt(7))[&target(1)];
+    prefixes.hear(
+        Moment::from_millis(3),
+        &event(1, 9, CacheChange::Stored(prompt(8))),
+    );
+    let after = prefixes.holders(Moment::from_millis(4), &prompt(7))[&target(1)];
+    assert!((after * 2.0 - before).abs() < 1e-9, "{before} {after}");
+}
+
+/// A late event must not bring back what a later one dropped.
+#[test]
+fn a_late_event_is_dropped() {
+    let mut prefixes = Prefixes::default();
+    prefixes.hear(
+        Moment::from_millis(1),
+        &event(1, 2, CacheChange::Dropped(prompt(7))),
+    );
+    prefixes.hear(
+        Moment::from_millis(2),
+        &event(1, 1, CacheChange::Stored(prompt(7))),
+    );
+    assert!(
+        prefixes
+            .holders(Moment::from_millis(3), &prompt(7))
+            .is_empty()
+    );
+}
--- a/crates/azurestand_route/src/table.rs
+++ b/crates/azurestand_route/src/table.rs
@@ -1,4 +1,10 @@
 //! What the entry knows of the targets in its data centre, always a little late.
+//!
+//! Of two targets drawn by their free slots the less pressed one is chosen. A
+//! prompt's beginning seen at a third one is a hint that wins only if that one
+//! is about as free. [docs/ROUTING.md](../../../docs/ROUTING.md) weighs other ways.
+
+mod row;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -6,10 +12,15 @@
 
 use azurestand_types::{Digest, HostName, Incarnation, Moment, TargetName};
 
+use crate::prefix::{CacheEvent, Prefix, Prefixes};
+use row::Row;
+
 /// A report older than this tells nothing about room any more.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
-/// How long a target that refused is passed over when others are left.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(250);
+/// A host that is silent for this long is suspect: agents report twice a second.
+const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
+/// Pressure, as a share of a target's slots, that a cached beginning is worth.
+const PREFIX_WORTH: f64 = 0.25;
 
 /// What an agent says about one of its targets.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,6 +63,10 @@
     pub avoid: BTreeSet<TargetName>,
     /// The only target that may take it, as for a keyed request's home.
     pub only: Option<TargetName>,
+    /// The only weights that may answer it, once it was sent to a target that had these.
+    pub weights: Option<Digest>,
+    /// The beginning of its prompt; empty for a plain service.
+    pub prefix: Prefix,
 }
 
 impl Wanted {
@@ -61,6 +76,8 @@
             subject: subject.into(),
             avoid: BTreeSet::new(),
             only: None,
+            weights: None,
+            prefix: Prefix::default(),
         }
     }
 }
@@ -76,23 +93,6 @@
     pub weights: Option<Digest>,
 }
 
-#[derive(Debug, Clone)]
-struct Row {
-    host: HostName,
-    load: Load,
-    heard: Moment,
-    sent: u32,
-    paused: Moment,
-}
-
-impl Row {
-    /// Work for each slot; reports lag, so what this entry sent since counts on top.
-    fn pressure(&self) -> f64 {
-        let work = self.load.running.max(self.sent) + self.load.waiting;
-        f64::from(work + 1) / f64::from(self.load.limit.max(1))
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Life {
     incarnation: Incarnation,
@@ -105,6 +105,7 @@
 pub struct Table {
     rows: BTreeMap<TargetName, Row>,
     hosts: BTreeMap<HostName, Life>,
+    prefixes: Prefixes,
 }
 
 impl Table {
@@ -127,68 +128,88 @@
             .iter()
             .map(|load| load.target.clone())
             .collect();
-        self.rows
-            .retain(|target, row| row.host != report.host || named.contains(target));
+        self.retain(|target, row| row.host != report.host || named.contains(target));
         for load in report.loads {
             self.update(now, &report.host, load);
         }
     }
 
     fn update(&mut self, now: Moment, host: &HostName, load: Load) {
-        let known = self.rows.get(&load.target);
-        let row = Row {
-            host: host.clone(),
-            heard: now,
-            sent: known.map_or(0, |row| row.sent),
-            paused: known.map_or(Moment::START, |row| row.paused),
-            load,
-        };
-        self.rows.insert(row.load.target.clone(), row);
+        if let Some(row) = self.rows.get_mut(&load.target) {
+            row.update(now, host.clone(), load);
+        } else {
+            let target = load.target.clone();
+            self.rows.insert(target, Row::new(now, host.clone(), load));
+        }
+    }
+
+    /// Takes an engine's word about its cache in; a target that isn't known is ignored.
+    pub fn cached(&mut self, now: Moment, event: &CacheEvent) {
+        if self.rows.contains_key(&event.target) {
+            self.prefixes.hear(now, event);
+        }
     }
 
     /// Forgets the targets of a host whose link ended. Its last report's number
     /// stays known, so that a late one can't bring them back.
     pub fn lose(&mut self, host: &HostName) {
-        self.rows.retain(|_, row| row.host != *host);
+        self.retain(|_, row| row.host != *host);
+    }
+
+    fn retain<F>(&mut self, stays: F)
+    where
+        F: Fn(&TargetName, &Row) -> bool,
+    {
+        let prefixes = &mut self.prefixes;
+        self.rows.retain(|target, row| {
+            let stay = stays(target, row);
+            if !stay {
+                prefixes.forget(target);
+            }
+            stay
+        });
     }
 
     /// Counts a send, which the target's reports don't show yet.
-    pub fn sent(&mut self, target: &TargetName) {
+    pub fn sent(&mut self, now: Moment, target: &TargetName, prefix: &Prefix) {
         if let Some(row) = self.rows.get_mut(target) {
-            row.sent += 1;
+            row.send(now);
+            self.prefixes.note(now, target, prefix);
         }
     }
 
     /// Counts a sent request as ended.
     pub fn done(&mut self, target: &TargetName) {
         if let Some(row) = self.rows.get_mut(target) {
-            row.sent = row.sent.saturating_sub(1);
+            row.end();
         }
     }
 
-    /// Passes a target that refused over for a moment.
+    /// Passes a target that refused over, longer with each refusal in a row.
     pub fn refused(&mut self, now: Moment, target: &TargetName) {
         if let Some(row) = self.rows.get_mut(target) {
-            row.paused = now + REFUSAL_PAUSE;
+            row.refuse(now);
+        }
+    }
+
+    /// Notes that a target answers, so that its next refusal counts as the first.
+    pub fn took(&mut self, target: &TargetName) {
+        if let Some(row) = self.rows.get_mut(target) {
+            row.take();
         }
     }
 
-    /// Chooses the less pressed of two random targets that can take the request.
+    /// Chooses a target that can take the request; none when all are full or rest.
     pub fn choose(&self, now: Moment, wanted: &Wanted, rng: &mut fastrand::Rng) -> Option<Choice> {
-        let able: Vec<_> = self.able(now, wanted).collect();
-        let rested: Vec<_> = able
-            .iter()
-            .copied()
-            .filter(|row| row.paused <= now)
-            .collect();
-        let rows = if rested.is_empty() { able } else { rested };
-        let first = rows.get(rng.usize(..rows.len().max(1)))?;
-        let second = rows[rng.usize(..rows.len())];
-        let row = if second.pressure() < first.pressure() {
+        let rows = self.candidates(now, wanted);
+        let first = draw(&rows, rng)?;
+        let second = draw(&rows, rng)?;
+        let chosen = if second.pressure() < first.pressure() {
             second
         } else {
             first
         };
+        let row = self.hinted(now, wanted, &rows, chosen).unwrap_or(chosen);
         Some(Choice {
             target: row.load.target.clone(),
             host: row.host.clone(),
@@ -196,19 +217,66 @@
         })
     }
 
+    /// The best class that has any: heard of lately before suspect, free slots before queues.
+    fn candidates<'a>(&'a self, now: Moment, wanted: &'a Wanted) -> Vec<&'a Row> {
+        let able: Vec<_> = self.able(now, wanted).collect();
+        let is_near = |row: &&Row| now.since(row.heard) < SUSPECT_AFTER;
+        let is_free = |row: &&Row| row.free() > 0;
+        let classes: [&dyn Fn(&&Row) -> bool; 3] = [
+            &|row| is_near(row) && is_free(row),
+            &|row| is_near(row) && row.may_queue(),
+            &|row| row.may_queue(),
+        ];
+        for class in classes {
+            let rows: Vec<_> = able.iter().copied().filter(|row| class(row)).collect();
+            if !rows.is_empty() {
+                return rows;
+            }
+        }
+        Vec::new()
+    }
+
+    /// The candidate that likely has the prompt's beginning, if it is about as free.
+    fn hinted<'a>(
+        &self,
+        now: Moment,
+        wanted: &Wanted,
+        rows: &[&'a Row],
+        chosen: &Row,
+    ) -> Option<&'a Row> {
+        if wanted.prefix.blocks().is_empty() {
+            return None;
+        }
+        let holders = self.prefixes.holders(now, &wanted.prefix);
+        let score = |row: &Row| holders.get(&row.load.target).copied().unwrap_or(0.0);
+        let most = chosen.pressure() + PREFIX_WORTH;
+        let near = rows
+            .iter()
+            .filter(|row| row.free() > 0 && row.pressure() <= most);
+        near.filter(|row| score(row) > score(chosen))
+            .max_by(|one, other| score(one).total_cmp(&score(other)))
+            .copied()
+    }
+
     fn able<'a>(&'a self, now: Moment, wanted: &'a Wanted) -> impl Iterator<Item = &'a Row> {
+        // A late word of the target that refused must not be taken for a neighbour's.
+        let avoided: BTreeSet<_> = wanted
+            .avoid
+            .iter()
+            .filter_map(|target| self.host(target))
+            .collect();
         self.rows.values().filter(move |row| {
             let leaving = self.hosts.get(&row.host).is_none_or(|life| life.leaving);
-            let named = wanted
-                .only
-                .as_ref()
-                .is_none_or(|only| *only == row.load.target);
-            row.load.subject == wanted.subject
-                && row.load.limit > 0
+            let load = &row.load;
+            load.subject == wanted.subject
+                && load.limit > 0
                 && !leaving
-                && named
+                && !row.is_paused(now)
                 && now.since(row.heard) < REPORT_LIFE
-                && !wanted.avoid.contains(&row.load.target)
+                && wanted.only.as_ref().is_none_or(|only| *only == load.target)
+                && (wanted.weights.is_none() || wanted.weights == load.weights)
+                && !wanted.avoid.contains(&load.target)
+                && !avoided.contains(&row.host)
         })
     }
 
@@ -222,3 +290,19 @@
         self.rows.values().map(|row| (&row.host, &row.load))
     }
 }
+
+/// Draws a row by its free slots, or any when none has one.
+fn draw<'a>(rows: &[&'a Row], rng: &mut fastrand::Rng) -> Option<&'a Row> {
+    let total: u64 = rows.iter().map(|row| u64::from(row.free())).sum();
+    if total == 0 {
+        let place = rng.usize(..rows.len().max(1));
+        return rows.get(place).copied();
+    }
+    let mut left = rng.u64(..total);
+    rows.iter().copied().find(|row| {
+        let free = u64::from(row.free());
+        let found = left < free;
+        left = left.saturating_sub(free);
+        found
+    })
+}
--- /dev/null
+++ b/crates/azurestand_route/tests/table.rs
@@ -0,0 +1,184 @@
+//! The choice of a target from late, lost and wrong reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use azurestand_route::{CacheChange, CacheEvent, Load, Prefix, Report, Table, Wanted};
+use azurestand_types::{BootId, Digest, HostName, Incarnation, Moment, TargetName};
+use fastrand::Rng;
+
+const MODEL: &str = "dispatch";
+
+fn target(n: u64) -> TargetName {
+    TargetName::try_from(format!("engine-{n}")).unwrap()
+}
+
+fn load(n: u64, limit: u32, running: u32) -> Load {
+    Load {
+        target: target(n),
+        subject: MODEL.into(),
+        weights: Some(Digest::of(b"v1")),
+        limit,
+        running,
+        waiting: 0,
+    }
+}
+
+fn report(n: u64, sequence: u64, load: Load) -> Report {
+    Report {
+        host: HostName::try_from(format!("host-{n}")).unwrap(),
+        incarnation: Incarnation(1),
+        sequence,
+        leaving: false,
+        loads: vec![load],
+    }
+}
+
+fn table(loads: &[(u32, u32)]) -> Table {
+    let mut table = Table::default();
+    for (n, (limit, running)) in (0..).zip(loads) {
+        table.report(Moment::START, report(n, 1, load(n, *limit, *running)));
+    }
+    table
+}
+
+fn wanted() -> Wanted {
+    Wanted::subject(MODEL)
+}
+
+fn count(table: &mut Table, now: Moment, sends: usize) -> BTreeMap<TargetName, usize> {
+    let mut rng = Rng::with_seed(5);
+    let mut counts = BTreeMap::new();
+    for _ in 0..sends {
+        if let Some(choice) = table.choose(now, &wanted(), &mut rng) {
+            table.sent(now, &choice.target, &Prefix::default());
+            *counts.entry(choice.target).or_insert(0) += 1;
+        }
+    }
+    counts
+}
+
+/// Between two reports an entry would otherwise send everything to the least loaded.
+#[test]
+fn a_burst_between_two_reports_stays_within_every_limit() {
+    let mut table = table(&[(2, 0), (32, 0), (32, 16)]);
+    let counts = count(&mut table, Moment::from_millis(100), 50);
+    assert_eq!(
+        counts[&target(0)],
+        2,
+        "the cold one gets its limit and no more"
+    );
+    assert_eq!(counts[&target(1)], 32);
+    assert_eq!(counts[&target(2)], 16);
+}
+
+/// What a report shows must not count twice, or free slots stay empty.
+#[test]
+fn a_report_takes_the_place_of_what_was_counted() {
+    let mut table = table(&[(4, 0)]);
+    count(&mut table, Moment::from_millis(100), 4);
+    let later = Moment::from_millis(600);
+    table.report(later, report(0, 2, load(0, 4, 1)));
+    assert_eq!(count(&mut table, later, 3)[&target(0)], 3);
+}
+
+/// Queues are bounded here too: beyond eight a slot the caller is told at once.
+#[test]
+fn a_full_queue_gets_no_more() {
+    let mut table = table(&[(2, 0)]);
+    assert_eq!(
+        count(&mut table, Moment::from_millis(1), 100)[&target(0)],
+        18
+    );
+}
+
+/// Every refusal in a row lets the target rest longer; an answer ends the row.
+#[test]
+fn a_target_that_refuses_rests_longer_each_time() {
+    let mut table = table(&[(8, 0)]);
+    let mut rng = Rng::with_seed(1);
+    let mut now = Moment::from_millis(10);
+    let mut pauses = Vec::new();
+    for sequence in 2..6 {
+        table.refused(now, &target(0));
+        let start = now;
+        while table.choose(now, &wanted(), &mut rng).is_none() {
+            now = now + Duration::from_millis(10);
+            let liar = sequence >= 4;
+            if liar || now.since(start) < Duration::from_millis(40) {
+                table.report(now, report(0, now.as_micros(), load(0, 8, 8)));
+            }
+        }
+        pauses.push(now.since(start).as_millis());
+    }
+    assert!(pauses.is_sorted() && pauses[3] >= 400, "{pauses:?}");
+}
+
+/// A host that is silent for two reports may be dead; it gets work only if nobody else can.
+#[test]
+fn a_silent_host_is_the_last_choice() {
+    let mut table = table(&[(8, 0), (8, 7)]);
+    let now = Moment::from_millis(1_200);
+    table.report(now, report(1, 2, load(1, 8, 7)));
+    let counts = count(&mut table, now, 20);
+    assert_eq!(counts.get(&target(0)), None, "{counts:?}");
+    let all_silent = Moment::from_millis(2_500);
+    table.report(Moment::from_millis(1_300), report(0, 2, load(0, 8, 0)));
+    assert!(count(&mut table, all_silent, 1).contains_key(&target(0)));
+}
+
+/// A request that some weights began to answer goes to no others.
+#[test]
+fn a_request_stays_with_its_weights() {
+    let mut table = table(&[(8, 0)]);
+    let mut newer = load(1, 32, 0);
+    newer.weights = Some(Digest::of(b"v2"));
+    table.report(Moment::START, report(1, 1, newer));
+    let wanted = Wanted {
+        weights: Some(Digest::of(b"v1")),
+        ..wanted()
+    };
+    let mut rng = Rng::with_seed(1);
+    for _ in 0..50 {
+        let choice = table.choose(Moment::START, &wanted, &mut rng).unwrap();
+        assert_eq!(choice.weights, Some(Digest::of(b"v1")));
+    }
+}
+
+/// Late words of a target that refused could be taken for its neighbour's on the same link.
+#[test]
+fn a_refused_request_goes_to_another_host() {
+    let mut table = Table::default();
+    let mut both = report(0, 1, load(0, 8, 0));
+    both.loads.push(load(1, 8, 0));
+    table.report(Moment::START, both);
+    let mut wanted = wanted();
+    wanted.avoid.insert(target(0));
+    let choice = table.choose(Moment::START, &wanted, &mut Rng::with_seed(1));
+    assert_eq!(choice, None);
+}
+
+/// A hint may not press a target that others spare.
+#[test]
+fn a_cached_beginning_wins_only_between_similar_targets() {
+    let prompt = Prefix::of(&[b'x'; 4_096]);
+    let event = CacheEvent {
+        target: target(0),
+        boot: BootId(1),
+        sequence: 1,
+        change: CacheChange::Stored(prompt.clone()),
+    };
+    let wanted = Wanted {
+        prefix: prompt,
+        ..wanted()
+    };
+    let mut rng = Rng::with_seed(1);
+    let mut share = |running| {
+        let mut table = table(&[(16, running), (16, 2), (16, 2), (16, 2)]);
+        table.cached(Moment::START, &event);
+        let choices = (0..100).filter_map(|_| table.choose(Moment::START, &wanted, &mut rng));
+        choices.filter(|choice| choice.target == target(0)).count()
+    };
+    assert_eq!(share(4), 100, "about as free");
+    assert!(share(14) < 20, "pressed: no more than chance");
+}
