--- a/crates/azurestand_route/src/delivery.rs
+++ b/crates/azurestand_route/src/delivery.rs
@@ -94,6 +94,11 @@
         self.began
     }
 
+    /// Whether a target that was given up may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.doubt.is_some()
+    }
+
     /// Whether the request has ended.
     pub fn is_done(&self) -> bool {
         self.stage == Stage::Done
--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -6,19 +6,25 @@
 use std::time::Duration;
 
 use azurestand_membership::{Role, State};
-use azurestand_route::{AccountLimits, Attempt, Choice, Load, Report, RetryBudget, Table, Wanted};
-use azurestand_types::{Digest, HostName, Incarnation, Moment, RequestId, TargetName};
+use azurestand_route::{
+    AccountLimits, Attempt, Choice, Load, Prefix, Report, RetryBudget, Spill, SpillSettings, Table,
+    Wanted,
+};
+use azurestand_types::{DataCentre, Digest, HostName, Incarnation, Moment, RequestId, TargetName};
 use azurestand_wire::{Identity, Outbox, TargetLoad};
 use prost::Message;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::homes::Holders;
 use super::relay::Relays;
 use crate::agent::status::HostStatus;
 use crate::node::Node;
 use crate::node::links::Links;
 
 const TEND_INTERVAL: Duration = Duration::from_millis(250);
+/// The part of a link between regions, beside spreading, that passed-on requests may use.
+const LIVE_SHARE: f64 = 0.8;
 
 /// What comes back for one request.
 #[derive(Debug)]
@@ -58,8 +64,10 @@
     agents: BTreeMap<HostName, Agent>,
     outstanding: BTreeMap<RequestId, Outstanding>,
     relays: Relays,
+    holders: Holders,
     accounts: AccountLimits,
     retries: RetryBudget,
+    spill: Spill,
     rng: fastrand::Rng,
 }
 
@@ -76,8 +84,10 @@
             agents: BTreeMap::new(),
             outstanding: BTreeMap::new(),
             relays: Relays::default(),
+            holders: Holders::default(),
             accounts: AccountLimits::default(),
             retries: RetryBudget::new(share),
+            spill: Spill::new(spill_settings(node)),
             rng: fastrand::Rng::with_seed(own.incarnation.0),
         })))
     }
@@ -156,13 +166,15 @@
     /// Counts a send and expects its answers from `host`.
     pub(super) fn expect(
         &self,
+        now: Moment,
         id: RequestId,
         choice: &Choice,
         attempt: Attempt,
+        prefix: &Prefix,
         answers: mpsc::UnboundedSender<Answer>,
     ) {
         let mut inner = self.inner();
-        inner.table.sent(&choice.target);
+        inner.table.sent(now, &choice.target, prefix);
         let outstanding = Outstanding {
             host: choice.host.clone(),
             target: choice.target.clone(),
@@ -187,6 +199,20 @@
         self.inner().table.refused(now, target);
     }
 
+    /// A target answers, so its next refusal is the first again.
+    pub(super) fn took(&self, target: &TargetName) {
+        self.inner().table.took(target);
+    }
+
+    /// Does something with the ways to other data centres.
+    pub(super) fn spill<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Spill, &mut fastrand::Rng) -> T,
+    {
+        let inner = &mut *self.inner();
+        act(&mut inner.spill, &mut inner.rng)
+    }
+
     /// The agent of `host`, if its link is open.
     pub(super) fn agent(&self, host: &HostName) -> Option<Agent> {
         self.inner().agents.get(host).cloned()
@@ -205,6 +231,14 @@
         act(&mut self.inner().relays)
     }
 
+    /// Does something with what is known of the holders of keys.
+    pub(super) fn holders<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Holders) -> T,
+    {
+        act(&mut self.inner().holders)
+    }
+
     /// Does something with the account limits.
     pub(super) fn accounts<F, T>(&self, act: F) -> T
     where
@@ -270,6 +304,7 @@
         let share = node.document().limits().retry_share;
         fleet.retries(|retries| retries.set_share(share));
         let now = node.clock.now();
+        fleet.spill(|spill, _| spill.set(now, spill_settings(&node)));
         fleet.relays(|relays| relays.forget_old(now));
         for address in agents(&node) {
             if node.links.known(address).is_none() {
@@ -310,8 +345,23 @@
     });
 }
 
+/// This entry's part of what live traffic leaves free on a link between regions.
+fn spill_settings(node: &Node) -> SpillSettings {
+    let document = node.document();
+    let limits = document.limits();
+    let centre = node.links.own().centre.clone();
+    let neighbours = node.neighbours();
+    let near = neighbours.0.values().filter(|neighbour| {
+        let identity = &neighbour.record.identity;
+        identity.role == Role::Entry && identity.centre == centre && neighbour.state == State::Alive
+    });
+    let link = f64::from(u32::try_from(limits.region_link).unwrap_or(u32::MAX));
+    let share = (1.0 - limits.region_share) * LIVE_SHARE;
+    SpillSettings::new(link, share, near.count())
+}
+
 /// The entries of other data centres in service, by what membership says.
-pub(super) fn others(node: &Node) -> Vec<SocketAddr> {
+pub(super) fn others(node: &Node) -> Vec<(DataCentre, SocketAddr)> {
     let document = node.document();
     let own = node.links.own().centre.clone();
     let neighbours = node.neighbours();
@@ -323,7 +373,8 @@
             && document.in_service(&identity.centre)
     });
     entries
-        .map(|neighbour| neighbour.record.identity.address)
+        .map(|neighbour| &neighbour.record.identity)
+        .map(|identity| (identity.centre.clone(), identity.address))
         .collect()
 }
 
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Wanted};
-use azurestand_types::{Incarnation, Moment, Outcome, Refusal, TargetName};
+use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Prefix, Wanted};
+use azurestand_types::{DataCentre, Incarnation, Moment, Outcome, Refusal, TargetName};
 use azurestand_wire::{Ack, Ask, Begin, Body, Cancel, Release, Resume, Revoke};
 use bytes::{Buf, Bytes};
 use tokio::sync::mpsc;
@@ -16,7 +16,7 @@
 use crate::codes;
 use crate::entry::filter::{Classified, Slot, Subject};
 use crate::entry::fleet::{Agent, Answer};
-use crate::entry::{Service, spill};
+use crate::entry::{Service, homes, spill};
 use crate::event::Event;
 use crate::metrics::{Counter, Timer};
 
@@ -57,6 +57,10 @@
     origin: Origin,
     sink: Sink,
     holder: Option<Holder>,
+    /// The data centre that it was passed on to.
+    passed: Option<DataCentre>,
+    prefix: Prefix,
+    place: Option<homes::Place>,
     answers: mpsc::UnboundedReceiver<Answer>,
     sender: mpsc::UnboundedSender<Answer>,
     begin: Option<Begin>,
@@ -75,7 +79,14 @@
     ) -> Self {
         let (sender, answers) = mpsc::unbounded_channel();
         let start = Instant::now();
-        service.fleet.retries(azurestand_route::RetryBudget::earn);
+        // A request of another entry earned its retries there.
+        if matches!(origin, Origin::Caller(_)) {
+            service.fleet.retries(azurestand_route::RetryBudget::earn);
+        }
+        let prefix = match request.subject {
+            Subject::Model(_) => Prefix::of(&request.body),
+            _ => Prefix::default(),
+        };
         Self {
             delivery: Delivery::new(request.idempotent),
             deadline: start + request.patience,
@@ -84,6 +95,9 @@
             origin,
             sink,
             holder: None,
+            passed: None,
+            prefix,
+            place: None,
             answers,
             sender,
             begin: None,
@@ -188,16 +202,12 @@
         }
         let until = (Instant::now() + ROOM_LIMIT).min(self.deadline);
         loop {
-            if !spill::is_out(&self.service)
-                && let Some(choice) = self.choose_here()
-            {
-                self.holder = self.service.fleet.agent(&choice.host).map(hold);
-                return DeliveryEvent::Chosen(choice);
-            }
-            if let Some(entry) =
-                spill::find(&self.service, &self.request, self.delivery.refused()).await
-            {
-                return self.pass_on(entry);
+            let found = match homes::place(&self.service, &self.request) {
+                Some(place) => self.choose_home(&place).await,
+                None => self.choose_any().await,
+            };
+            if let Some(event) = found {
+                return event;
             }
             if Instant::now() >= until {
                 return DeliveryEvent::NoTarget(self.refusal());
@@ -206,15 +216,60 @@
         }
     }
 
-    fn choose_here(&self) -> Option<Choice> {
+    async fn choose_any(&mut self) -> Option<DeliveryEvent> {
+        if !spill::is_out(&self.service)
+            && let Some(choice) = self.choose_here(None)
+        {
+            return Some(self.take_choice(choice));
+        }
+        let refused = self.delivery.refused();
+        let (centre, entry) = spill::find(&self.service, &self.request, refused).await?;
+        let target = TargetName::try_from(entry.host.as_str()).ok()?;
+        self.passed = Some(centre);
+        Some(self.pass_on(entry, target))
+    }
+
+    /// Only the home of its key can tell whether a keyed request has run.
+    async fn choose_home(&mut self, place: &homes::Place) -> Option<DeliveryEvent> {
+        self.place = Some(place.clone());
+        let own = self.service.node.links.own().centre.clone();
+        for home in homes::order(&self.service, place) {
+            if self.delivery.refused().contains(&home.target) {
+                continue;
+            }
+            if home.centre == own {
+                if let Some(choice) = self.choose_here(Some(home.target)) {
+                    return Some(self.take_choice(choice));
+                }
+            } else if let Some(entry) =
+                spill::find_in(&self.service, &self.request, &home.centre).await
+            {
+                self.passed = Some(home.centre);
+                return Some(self.pass_on(entry, home.target));
+            }
+        }
+        None
+    }
+
+    fn take_choice(&mut self, choice: Choice) -> DeliveryEvent {
+        self.holder = self.service.fleet.agent(&choice.host).map(hold);
+        self.passed = None;
+        DeliveryEvent::Chosen(choice)
+    }
+
+    fn choose_here(&self, only: Option<TargetName>) -> Option<Choice> {
         let now = self.service.node.clock.now();
+        let refused = self.delivery.refused().iter();
+        // Only a request that certainly ran nowhere may go to other weights.
+        let last = self
+            .delivery
+            .choice()
+            .filter(|_| self.delivery.may_have_run());
         let wanted = Wanted {
-            avoid: self
-                .delivery
-                .refused()
-                .iter()
-                .cloned()
-                .collect::<BTreeSet<_>>(),
+            avoid: refused.cloned().collect::<BTreeSet<_>>(),
+            only,
+            weights: last.and_then(|choice| choice.weights),
+            prefix: self.prefix.clone(),
             ..Wanted::subject(self.request.subject.as_str())
         };
         self.service.fleet.choose(now, &wanted)
@@ -229,13 +284,8 @@
     }
 
     /// Another data centre's entry stands in for a target.
-    fn pass_on(&mut self, entry: Agent) -> DeliveryEvent {
+    fn pass_on(&mut self, entry: Agent, target: TargetName) -> DeliveryEvent {
         self.service.node.metrics.count(Counter::Spilled, 1);
-        let name = entry.host.as_str();
-        let target = TargetName::try_from(name).ok();
-        let Some(target) = target else {
-            return DeliveryEvent::NoTarget(Refusal::Busy);
-        };
         let host = entry.host.clone();
         self.holder = Some(hold(entry));
         DeliveryEvent::Chosen(Choice {
@@ -248,7 +298,9 @@
     fn expect(&self, choice: &Choice) {
         let fleet = &self.service.fleet;
         let attempt = self.delivery.attempt();
-        fleet.expect(self.request.id, choice, attempt, self.sender.clone());
+        let now = self.service.node.clock.now();
+        let (id, sender) = (self.request.id, self.sender.clone());
+        fleet.expect(now, id, choice, attempt, &self.prefix, sender);
         fleet.relays(|relays| relays.choose(self.request.id, choice));
     }
 
@@ -367,6 +419,11 @@
     async fn pass(&mut self, skip: u64) -> Option<DeliveryEvent> {
         let mut part = std::mem::take(&mut self.part);
         part.advance(usize::try_from(skip).unwrap_or(usize::MAX).min(part.len()));
+        if let Some(centre) = &self.passed {
+            let (now, bytes) = (self.service.node.clock.now(), part.len() as u64);
+            let fleet = &self.service.fleet;
+            fleet.spill(|spill, _| spill.spend(now, centre, bytes));
+        }
         if !self.sink.pass(part).await {
             return Some(DeliveryEvent::Left);
         }
@@ -413,6 +470,7 @@
                 let metrics = &self.service.node.metrics;
                 metrics.time(Timer::FirstByte, self.start.elapsed());
                 self.begin = Some(begin);
+                self.note_answer();
                 DeliveryEvent::Began
             }
             Body::Part(part) => {
@@ -425,8 +483,9 @@
             }
             Body::End(end) => DeliveryEvent::Ended { length: end.length },
             Body::Refused(refused) => {
-                self.note_refusal();
-                DeliveryEvent::Refused(codes::to_refusal(refused.reason))
+                let refusal = codes::to_refusal(refused.reason);
+                self.note_refusal(refusal, &refused.redirect);
+                DeliveryEvent::Refused(refusal)
             }
             Body::Failed(failed) => DeliveryEvent::Failed(codes::to_uncertainty(failed.reason)),
             Body::Revoked(revoked) => DeliveryEvent::Revoked {
@@ -436,10 +495,32 @@
         })
     }
 
-    fn note_refusal(&self) {
-        if let Some(choice) = self.delivery.choice() {
+    fn note_refusal(&self, refusal: Refusal, redirect: &str) {
+        let fleet = &self.service.fleet;
+        if let (Some(place), Ok(holder)) = (&self.place, TargetName::try_from(redirect)) {
+            fleet.holders(|holders| holders.learn(place.clone(), holder));
+            return;
+        }
+        // Other refusals are about the request and say nothing about room.
+        let full = matches!(
+            refusal,
+            Refusal::Busy | Refusal::Draining | Refusal::OutOfService | Refusal::NotServed
+        );
+        let now = self.service.node.clock.now();
+        if let (true, Some(centre)) = (full, &self.passed) {
+            fleet.spill(|spill, _| spill.refused(now, centre));
+        } else if let (true, Some(choice)) = (full, self.delivery.choice()) {
+            fleet.refused(now, &choice.target);
+        }
+    }
+
+    fn note_answer(&self) {
+        let fleet = &self.service.fleet;
+        if let Some(centre) = &self.passed {
             let now = self.service.node.clock.now();
-            self.service.fleet.refused(now, &choice.target);
+            fleet.spill(|spill, _| spill.took(now, centre));
+        } else if let Some(choice) = self.delivery.choice() {
+            fleet.took(&choice.target);
         }
     }
 
