--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use azurestand_membership::{Role, State};
-use azurestand_route::{AccountLimits, Choice, Load, Report, RetryBudget, Table, Wanted};
-use azurestand_types::{Digest, HostName, Incarnation, Moment, RequestId, TargetName};
+use azurestand_route::{
+    AccountLimits, Attempt, Choice, Load, Prefix, Report, RetryBudget, Spill, SpillSettings, Table,
+    Wanted,
+};
+use azurestand_types::{DataCentre, Digest, HostName, Incarnation, Moment, RequestId, TargetName};
 use azurestand_wire::{Identity, Outbox, TargetLoad};
 use prost::Message;
 use tokio::sync::mpsc;
@@ -20,14 +23,16 @@
 use crate::node::links::Links;
 
 const TEND_INTERVAL: Duration = Duration::from_millis(250);
+/// The part of a link between regions, beside spreading, that passed-on requests may use.
+const LIVE_SHARE: f64 = 0.8;
 
 /// What comes back for one request.
 #[derive(Debug)]
 pub(super) enum Answer {
-    /// A message about the request.
-    Message(azurestand_wire::Body),
-    /// The link to the target's host ended.
-    Lost,
+    /// A message about the request, from the target of this attempt.
+    Message(Attempt, azurestand_wire::Body),
+    /// The link to the host of this attempt's target ended.
+    Lost(Attempt),
     /// The entry that passed the request on wants it no longer.
     Left,
     /// The entry that passed the request on takes it back.
@@ -48,6 +53,8 @@
 #[derive(Debug)]
 struct Outstanding {
     host: HostName,
+    target: TargetName,
+    attempt: Attempt,
     answers: mpsc::UnboundedSender<Answer>,
 }
 
@@ -60,6 +67,7 @@
     holders: Holders,
     accounts: AccountLimits,
     retries: RetryBudget,
+    spill: Spill,
     rng: fastrand::Rng,
 }
 
@@ -79,6 +87,7 @@
             holders: Holders::default(),
             accounts: AccountLimits::default(),
             retries: RetryBudget::new(share),
+            spill: Spill::new(spill_settings(node)),
             rng: fastrand::Rng::with_seed(own.incarnation.0),
         })))
     }
@@ -131,7 +140,7 @@
         inner.table.lose(&peer.host);
         let waiting = inner.outstanding.values();
         for outstanding in waiting.filter(|outstanding| outstanding.host == peer.host) {
-            let _ = outstanding.answers.send(Answer::Lost);
+            let _ = outstanding.answers.send(Answer::Lost(outstanding.attempt));
         }
     }
 
@@ -142,7 +151,8 @@
             return;
         };
         if outstanding.host == *peer {
-            let _ = outstanding.answers.send(Answer::Message(body));
+            let message = Answer::Message(outstanding.attempt, body);
+            let _ = outstanding.answers.send(message);
         }
     }
 
@@ -156,22 +166,31 @@
     /// Counts a send and expects its answers from `host`.
     pub(super) fn expect(
         &self,
+        now: Moment,
         id: RequestId,
         choice: &Choice,
+        attempt: Attempt,
+        prefix: &Prefix,
         answers: mpsc::UnboundedSender<Answer>,
     ) {
         let mut inner = self.inner();
-        inner.table.sent(&choice.target);
-        let host = choice.host.clone();
-        let outstanding = Outstanding { host, answers };
-        inner.outstanding.insert(id, outstanding);
+        inner.table.sent(now, &choice.target, prefix);
+        let outstanding = Outstanding {
+            host: choice.host.clone(),
+            target: choice.target.clone(),
+            attempt,
+            answers,
+        };
+        if let Some(earlier) = inner.outstanding.insert(id, outstanding) {
+            inner.table.done(&earlier.target);
+        }
     }
 
     /// Expects no more answers.
-    pub(super) fn settle(&self, id: RequestId, target: &TargetName) {
+    pub(super) fn settle(&self, id: RequestId) {
         let mut inner = self.inner();
-        if inner.outstanding.remove(&id).is_some() {
-            inner.table.done(target);
+        if let Some(outstanding) = inner.outstanding.remove(&id) {
+            inner.table.done(&outstanding.target);
         }
     }
 
@@ -180,6 +199,20 @@
         self.inner().table.refused(now, target);
     }
 
+    /// A target answers, so its next refusal is the first again.
+    pub(super) fn took(&self, target: &TargetName) {
+        self.inner().table.took(target);
+    }
+
+    /// Does something with the ways to other data centres.
+    pub(super) fn spill<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Spill, &mut fastrand::Rng) -> T,
+    {
+        let inner = &mut *self.inner();
+        act(&mut inner.spill, &mut inner.rng)
+    }
+
     /// The agent of `host`, if its link is open.
     pub(super) fn agent(&self, host: &HostName) -> Option<Agent> {
         self.inner().agents.get(host).cloned()
@@ -271,6 +304,7 @@
         let share = node.document().limits().retry_share;
         fleet.retries(|retries| retries.set_share(share));
         let now = node.clock.now();
+        fleet.spill(|spill, _| spill.set(now, spill_settings(&node)));
         fleet.relays(|relays| relays.forget_old(now));
         for address in agents(&node) {
             if node.links.known(address).is_none() {
@@ -311,8 +345,23 @@
     });
 }
 
+/// This entry's part of what live traffic leaves free on a link between regions.
+fn spill_settings(node: &Node) -> SpillSettings {
+    let document = node.document();
+    let limits = document.limits();
+    let centre = node.links.own().centre.clone();
+    let neighbours = node.neighbours();
+    let near = neighbours.0.values().filter(|neighbour| {
+        let identity = &neighbour.record.identity;
+        identity.role == Role::Entry && identity.centre == centre && neighbour.state == State::Alive
+    });
+    let link = f64::from(u32::try_from(limits.region_link).unwrap_or(u32::MAX));
+    let share = (1.0 - limits.region_share) * LIVE_SHARE;
+    SpillSettings::new(link, share, near.count())
+}
+
 /// The entries of other data centres in service, by what membership says.
-pub(super) fn others(node: &Node) -> Vec<SocketAddr> {
+pub(super) fn others(node: &Node) -> Vec<(DataCentre, SocketAddr)> {
     let document = node.document();
     let own = node.links.own().centre.clone();
     let neighbours = node.neighbours();
@@ -324,7 +373,8 @@
             && document.in_service(&identity.centre)
     });
     entries
-        .map(|neighbour| neighbour.record.identity.address)
+        .map(|neighbour| &neighbour.record.identity)
+        .map(|identity| (identity.centre.clone(), identity.address))
         .collect()
 }
 
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Wanted};
-use azurestand_types::{Incarnation, Moment, Outcome, Refusal, TargetName};
+use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Prefix, Wanted};
+use azurestand_types::{DataCentre, Incarnation, Moment, Outcome, Refusal, TargetName};
 use azurestand_wire::{Ack, Ask, Begin, Body, Cancel, Release, Resume, Revoke};
 use bytes::{Buf, Bytes};
 use tokio::sync::mpsc;
@@ -57,6 +57,9 @@
     origin: Origin,
     sink: Sink,
     holder: Option<Holder>,
+    /// The data centre that it was passed on to.
+    passed: Option<DataCentre>,
+    prefix: Prefix,
     place: Option<homes::Place>,
     answers: mpsc::UnboundedReceiver<Answer>,
     sender: mpsc::UnboundedSender<Answer>,
@@ -76,7 +79,14 @@
     ) -> Self {
         let (sender, answers) = mpsc::unbounded_channel();
         let start = Instant::now();
-        service.fleet.retries(azurestand_route::RetryBudget::earn);
+        // A request of another entry earned its retries there.
+        if matches!(origin, Origin::Caller(_)) {
+            service.fleet.retries(azurestand_route::RetryBudget::earn);
+        }
+        let prefix = match request.subject {
+            Subject::Model(_) => Prefix::of(&request.body),
+            _ => Prefix::default(),
+        };
         Self {
             delivery: Delivery::new(request.idempotent),
             deadline: start + request.patience,
@@ -85,6 +95,8 @@
             origin,
             sink,
             holder: None,
+            passed: None,
+            prefix,
             place: None,
             answers,
             sender,
@@ -210,8 +222,10 @@
         {
             return Some(self.take_choice(choice));
         }
-        let entry = spill::find(&self.service, &self.request).await?;
+        let refused = self.delivery.refused();
+        let (centre, entry) = spill::find(&self.service, &self.request, refused).await?;
         let target = TargetName::try_from(entry.host.as_str()).ok()?;
+        self.passed = Some(centre);
         Some(self.pass_on(entry, target))
     }
 
@@ -230,6 +244,7 @@
             } else if let Some(entry) =
                 spill::find_in(&self.service, &self.request, &home.centre).await
             {
+                self.passed = Some(home.centre);
                 return Some(self.pass_on(entry, home.target));
             }
         }
@@ -238,15 +253,23 @@
 
     fn take_choice(&mut self, choice: Choice) -> DeliveryEvent {
         self.holder = self.service.fleet.agent(&choice.host).map(hold);
+        self.passed = None;
         DeliveryEvent::Chosen(choice)
     }
 
     fn choose_here(&self, only: Option<TargetName>) -> Option<Choice> {
         let now = self.service.node.clock.now();
         let refused = self.delivery.refused().iter();
+        // Only a request that certainly ran nowhere may go to other weights.
+        let last = self
+            .delivery
+            .choice()
+            .filter(|_| self.delivery.may_have_run());
         let wanted = Wanted {
             avoid: refused.cloned().collect::<BTreeSet<_>>(),
             only,
+            weights: last.and_then(|choice| choice.weights),
+            prefix: self.prefix.clone(),
             ..Wanted::subject(self.request.subject.as_str())
         };
         self.service.fleet.choose(now, &wanted)
@@ -274,15 +297,15 @@
 
     fn expect(&self, choice: &Choice) {
         let fleet = &self.service.fleet;
-        fleet.expect(self.request.id, choice, self.sender.clone());
+        let attempt = self.delivery.attempt();
+        let now = self.service.node.clock.now();
+        let (id, sender) = (self.request.id, self.sender.clone());
+        fleet.expect(now, id, choice, attempt, &self.prefix, sender);
         fleet.relays(|relays| relays.choose(self.request.id, choice));
     }
 
     fn settle(&self) {
-        if let Some(choice) = self.delivery.choice() {
-            let fleet = &self.service.fleet;
-            fleet.settle(self.request.id, &choice.target);
-        }
+        self.service.fleet.settle(self.request.id);
     }
 
     async fn send(&mut self, choice: &Choice) -> Option<DeliveryEvent> {
@@ -396,6 +419,11 @@
     async fn pass(&mut self, skip: u64) -> Option<DeliveryEvent> {
         let mut part = std::mem::take(&mut self.part);
         part.advance(usize::try_from(skip).unwrap_or(usize::MAX).min(part.len()));
+        if let Some(centre) = &self.passed {
+            let (now, bytes) = (self.service.node.clock.now(), part.len() as u64);
+            let fleet = &self.service.fleet;
+            fleet.spill(|spill, _| spill.spend(now, centre, bytes));
+        }
         if !self.sink.pass(part).await {
             return Some(DeliveryEvent::Left);
         }
@@ -421,10 +449,13 @@
                 () = self.sink.left() => return DeliveryEvent::Left,
             };
             match answer {
-                Answer::Lost => return DeliveryEvent::Lost,
+                // An earlier target's word must not be taken for the present one's.
+                Answer::Lost(attempt) | Answer::Message(attempt, _)
+                    if attempt != self.delivery.attempt() => {}
+                Answer::Lost(_) => return DeliveryEvent::Lost,
                 Answer::Left => return DeliveryEvent::Left,
                 Answer::Expired => return DeliveryEvent::Expired,
-                Answer::Message(body) => {
+                Answer::Message(_, body) => {
                     if let Some(event) = self.read(body) {
                         return event;
                     }
@@ -439,6 +470,7 @@
                 let metrics = &self.service.node.metrics;
                 metrics.time(Timer::FirstByte, self.start.elapsed());
                 self.begin = Some(begin);
+                self.note_answer();
                 DeliveryEvent::Began
             }
             Body::Part(part) => {
@@ -451,8 +483,9 @@
             }
             Body::End(end) => DeliveryEvent::Ended { length: end.length },
             Body::Refused(refused) => {
-                self.note_refusal(&refused.redirect);
-                DeliveryEvent::Refused(codes::to_refusal(refused.reason))
+                let refusal = codes::to_refusal(refused.reason);
+                self.note_refusal(refusal, &refused.redirect);
+                DeliveryEvent::Refused(refusal)
             }
             Body::Failed(failed) => DeliveryEvent::Failed(codes::to_uncertainty(failed.reason)),
             Body::Revoked(revoked) => DeliveryEvent::Revoked {
@@ -462,18 +495,35 @@
         })
     }
 
-    fn note_refusal(&self, redirect: &str) {
+    fn note_refusal(&self, refusal: Refusal, redirect: &str) {
         let fleet = &self.service.fleet;
         if let (Some(place), Ok(holder)) = (&self.place, TargetName::try_from(redirect)) {
             fleet.holders(|holders| holders.learn(place.clone(), holder));
             return;
         }
-        if let Some(choice) = self.delivery.choice() {
-            let now = self.service.node.clock.now();
+        // Other refusals are about the request and say nothing about room.
+        let full = matches!(
+            refusal,
+            Refusal::Busy | Refusal::Draining | Refusal::OutOfService | Refusal::NotServed
+        );
+        let now = self.service.node.clock.now();
+        if let (true, Some(centre)) = (full, &self.passed) {
+            fleet.spill(|spill, _| spill.refused(now, centre));
+        } else if let (true, Some(choice)) = (full, self.delivery.choice()) {
             fleet.refused(now, &choice.target);
         }
     }
 
+    fn note_answer(&self) {
+        let fleet = &self.service.fleet;
+        if let Some(centre) = &self.passed {
+            let now = self.service.node.clock.now();
+            fleet.spill(|spill, _| spill.took(now, centre));
+        } else if let Some(choice) = self.delivery.choice() {
+            fleet.took(&choice.target);
+        }
+    }
+
     async fn finish(self, outcome: Outcome) {
         self.settle();
         let metrics = &self.service.node.metrics;
