Tell a permit's holder each time that its lease is extended

Cause: `PermitNews::Held` came once, with the first end of the lease. A holder that compares that end with its clock, as the order machine does, stops acting after one lease time (27 s of 30 s) although the lease is kept. Change: `Held` is told again under the same number whenever the end moves. Before: no news between the first `Held` and `Lost`. After: `an_extension_is_told_under_the_same_number`; the property over arbitrary histories now also checks that an extension keeps its number, ends later, and equals what `warrant` gives.

--- a/crates/azurestand_store/src/semaphore.rs
+++ b/crates/azurestand_store/src/semaphore.rs
@@ -98,7 +98,7 @@
             PermitEvent::Listed(listed) => self.listed(now, listed, &mut actions),
             PermitEvent::Granted(granted) => self.granted(now, granted.ok(), &mut actions),
             PermitEvent::Committed(commit) => self.committed(now, commit, &mut actions),
-            PermitEvent::Kept { lease, kept } => self.kept(now, lease, kept.ok()),
+            PermitEvent::Kept { lease, kept } => self.kept(now, lease, kept.ok(), &mut actions),
             PermitEvent::Tick => {}
         }
         self.tick(now, &mut actions);
@@ -224,19 +224,30 @@
         actions.push(PermitAction::Report(PermitNews::Held(warrant)));
     }
 
-    fn kept(&mut self, now: Moment, id: LeaseId, kept: Option<Kept>) {
-        let State::Held { lease, .. } = &mut self.state else {
+    fn kept(
+        &mut self,
+        now: Moment,
+        id: LeaseId,
+        kept: Option<Kept>,
+        actions: &mut Vec<PermitAction>,
+    ) {
+        let State::Held { lease, fence } = &mut self.state else {
             return;
         };
         if lease.id() != id {
             return;
         }
-        match kept {
-            Some(kept) => {
-                self.backoff.reset();
-                lease.kept(kept);
-            }
-            None => lease.failed(now, self.backoff.delay()),
+        let Some(kept) = kept else {
+            lease.failed(now, self.backoff.delay());
+            return;
+        };
+        self.backoff.reset();
+        let before = lease.until();
+        lease.kept(kept);
+        let (fence, until) = (*fence, lease.until());
+        if until > before && lease.is_held(now) {
+            let warrant = Warrant { fence, until };
+            actions.push(PermitAction::Report(PermitNews::Held(warrant)));
         }
     }
 
--- a/crates/azurestand_store/src/semaphore/message.rs
+++ b/crates/azurestand_store/src/semaphore/message.rs
@@ -74,7 +74,9 @@
 /// What the holder has to know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PermitNews {
-    /// The permit is held; ask [`crate::Semaphore::warrant`] before each act.
+    /// The permit is held until the warrant's end; told again, under the same
+    /// number, each time that the end moves. The holder compares the end with its
+    /// own clock before each act, since `Lost` may come late to a slow process.
     Held(Warrant),
     /// The permit is gone, without the holder's doing; stop what it allowed.
     Lost,
--- a/crates/azurestand_store/tests/store/permit.rs
+++ b/crates/azurestand_store/tests/store/permit.rs
@@ -76,6 +76,8 @@
     limit: usize,
     fences: Vec<Fence>,
     held: Vec<bool>,
+    /// The last warrant that each holder was told of.
+    told: Vec<Option<Warrant>>,
 }
 
 fn root() -> Key {
@@ -107,6 +109,7 @@
             limit,
             fences: Vec::new(),
             held: vec![false; holders],
+            told: vec![None; holders],
         }
     }
 
@@ -144,9 +147,18 @@
         }
     }
 
+    /// A new permit has a number that never came before; an extension keeps its
+    /// number and ends later.
     fn note(&mut self, who: usize, warrant: Warrant) {
-        assert!(!self.fences.contains(&warrant.fence), "a fence came twice");
-        self.fences.push(warrant.fence);
+        match self.told[who] {
+            Some(told) if told.fence == warrant.fence => assert!(warrant.until > told.until),
+            _ => {
+                assert!(!self.fences.contains(&warrant.fence), "a fence came twice");
+                self.fences.push(warrant.fence);
+            }
+        }
+        self.told[who] = Some(warrant);
+        assert_eq!(self.holders[who].warrant(self.now), Some(warrant));
         self.held[who] = true;
     }
 
@@ -416,6 +428,17 @@
     assert!(world.holders[0].warrant(world.now).is_some());
 }
 
+#[test]
+fn an_extension_is_told_under_the_same_number() {
+    let mut world = held();
+    let first = world.told[0].unwrap();
+    world.pass(TTL / 3);
+    world.answers_and_calls();
+    let second = world.told[0].unwrap();
+    assert_eq!(second.fence, first.fence);
+    assert_eq!(second.until, first.until + TTL / 3);
+}
+
 #[test]
 fn an_answer_about_an_earlier_lease_does_not_extend_the_present_one() {
     let mut world = held();
