--- a/crates/azurestand/src/admin.rs
+++ b/crates/azurestand/src/admin.rs
@@ -8,6 +8,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use quick_error::quick_error;
+use serde::de::DeserializeOwned;
 
 use crate::progress::NodeList;
 
@@ -37,14 +38,22 @@
 
 /// The nodes that an entry sees; the first entry that answers is taken.
 pub(crate) async fn nodes(entries: &[Uri]) -> Result<NodeList, AdminError> {
+    status(entries).await
+}
+
+/// The status page of the first entry that answers.
+pub(crate) async fn status<T>(entries: &[Uri]) -> Result<T, AdminError>
+where
+    T: DeserializeOwned,
+{
     let mut failure = AdminError::NoEntry;
     for entry in entries {
-        let list = get(entry, STATUS_PATH).await.and_then(|body| {
-            let list = serde_json::from_slice(&body);
-            list.map_err(|error| AdminError::Malformed(entry.clone(), error.to_string()))
+        let page = get(entry, STATUS_PATH).await.and_then(|body| {
+            let page = serde_json::from_slice(&body);
+            page.map_err(|error| AdminError::Malformed(entry.clone(), error.to_string()))
         });
-        match list {
-            Ok(list) => return Ok(list),
+        match page {
+            Ok(page) => return Ok(page),
             Err(error) => failure = error,
         }
     }
--- a/crates/azurestand/src/args.rs
+++ b/crates/azurestand/src/args.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use azurestand_config::{Author, Section};
-use azurestand_types::{ChangeId, DataCentre};
+use azurestand_types::{ChangeId, DataCentre, ModelName, VersionName};
 use http::Uri;
 use lexopt::prelude::*;
 
 use crate::author;
+use crate::commands::Publication;
 use crate::failure::Failure;
 use crate::report::Format;
 use crate::verbs::{self, Flag, Verb};
@@ -35,11 +36,22 @@
     Audit,
     CentreOut(DataCentre),
     CentreIn(DataCentre),
+    Entry(PathBuf),
+    Agent(PathBuf),
+    Publish(Publication),
+    Status { watch: bool },
     Check(PathBuf),
     Version,
     Help(Option<&'static Verb>),
 }
 
+impl Command {
+    /// Whether the command runs until it is told to stop.
+    pub(crate) fn is_daemon(&self) -> bool {
+        matches!(self, Self::Entry(_) | Self::Agent(_))
+    }
+}
+
 /// The options of all verbs.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Options {
@@ -49,11 +61,15 @@
     pub(crate) force: bool,
     pub(crate) format: Format,
     pub(crate) limit: Option<usize>,
+    pub(crate) model: Option<ModelName>,
+    pub(crate) origin: Option<SocketAddr>,
     pub(crate) out: Option<PathBuf>,
     pub(crate) settings: Option<PathBuf>,
     pub(crate) stores: Vec<SocketAddr>,
     pub(crate) timeout: Option<Duration>,
+    pub(crate) version: Option<VersionName>,
     pub(crate) wait: bool,
+    pub(crate) watch: bool,
 }
 
 /// The whole command line.
@@ -103,7 +119,7 @@
         let command = if help || words.is_empty() {
             Command::Help(verbs::find(&words).map(|(verb, _)| verb))
         } else {
-            command(&words, &given, options.settings.clone())?
+            command(&words, &given, &options)?
         };
         options.add_environment()?;
         Ok(Self { command, options })
@@ -122,7 +138,11 @@
             Flag::Settings => self.settings = Some(parser.value()?.into()),
             Flag::Store => self.stores.push(store(&parser.value()?.string()?)?),
             Flag::Timeout => self.timeout = Some(timeout(parser.value()?.parse()?)?),
+            Flag::Model => self.model = Some(parser.value()?.string()?.try_into()?),
+            Flag::Origin => self.origin = Some(origin(&parser.value()?.string()?)?),
+            Flag::Version => self.version = Some(parser.value()?.string()?.try_into()?),
             Flag::Wait => self.wait = true,
+            Flag::Watch => self.watch = true,
         }
         Ok(())
     }
@@ -144,6 +164,21 @@
         Ok(())
     }
 
+    fn settings(&self) -> Result<PathBuf, Failure> {
+        let missing = || usage("name the file with --settings".to_owned());
+        self.settings.clone().ok_or_else(missing)
+    }
+
+    fn publication(&self, file: &str) -> Result<Publication, Failure> {
+        let missing = |name: &str| usage(format!("publish needs --{name}"));
+        Ok(Publication {
+            file: file.into(),
+            model: self.model.clone().ok_or_else(|| missing("model"))?,
+            version: self.version.clone().ok_or_else(|| missing("version"))?,
+            origin: self.origin.ok_or_else(|| missing("origin"))?,
+        })
+    }
+
     /// How long to wait for nodes.
     pub(crate) fn patience(&self) -> Duration {
         self.timeout.unwrap_or(DEFAULT_TIMEOUT)
@@ -155,11 +190,7 @@
     }
 }
 
-fn command(
-    words: &[String],
-    given: &[Flag],
-    settings: Option<PathBuf>,
-) -> Result<Command, Failure> {
+fn command(words: &[String], given: &[Flag], options: &Options) -> Result<Command, Failure> {
     let unknown = || usage(format!("there is no verb {:?}", words.join(" ")));
     let (verb, count) = verbs::find(words).ok_or_else(unknown)?;
     if let Some(flag) = given.iter().find(|flag| !verb.flags.contains(flag)) {
@@ -192,9 +223,13 @@
         ("audit", []) => Command::Audit,
         ("dc out", [name]) => Command::CentreOut(DataCentre::try_from(*name)?),
         ("dc in", [name]) => Command::CentreIn(DataCentre::try_from(*name)?),
-        ("check", []) => Command::Check(
-            settings.ok_or_else(|| usage("name the file with --settings".to_owned()))?,
-        ),
+        ("entry", []) => Command::Entry(options.settings()?),
+        ("agent", []) => Command::Agent(options.settings()?),
+        ("publish", [file]) => Command::Publish(options.publication(file)?),
+        ("status", []) => Command::Status {
+            watch: options.watch,
+        },
+        ("check", []) => Command::Check(options.settings()?),
         ("version", []) => Command::Version,
         ("help", []) => Command::Help(None),
         ("help", _) => {
@@ -215,12 +250,18 @@
     }
 }
 
-/// Programs talk by IP numbers, so a store is an address, with or without a scheme.
 fn store(raw: &str) -> Result<SocketAddr, Failure> {
+    address(raw).ok_or_else(|| usage(format!("{raw:?} is no store; give http://IP:PORT")))
+}
+
+fn origin(raw: &str) -> Result<SocketAddr, Failure> {
+    address(raw).ok_or_else(|| usage(format!("{raw:?} is no origin; give http://IP:PORT")))
+}
+
+/// Programs talk by IP numbers, so a server is an address, with or without a scheme.
+fn address(raw: &str) -> Option<SocketAddr> {
     let address = raw.strip_prefix("http://").unwrap_or(raw);
-    let address = address.trim_end_matches('/');
-    let message = || usage(format!("{raw:?} is no store; give http://IP:PORT"));
-    address.parse().map_err(|_| message())
+    address.trim_end_matches('/').parse().ok()
 }
 
 fn entry(raw: &str) -> Result<Uri, Failure> {
--- a/crates/azurestand/src/commands.rs
+++ b/crates/azurestand/src/commands.rs
@@ -4,11 +4,14 @@
 mod audit;
 mod centre;
 mod check;
+mod daemon;
 mod diff;
 mod edit;
 mod help;
 mod history;
 mod init;
+mod overview;
+mod publish;
 mod recover;
 mod revert;
 mod settings;
@@ -18,6 +21,8 @@
 mod version;
 mod wait;
 
+pub(crate) use publish::Publication;
+
 use crate::args::{Args, Command};
 use crate::failure::Failure;
 use crate::report::Report;
@@ -39,6 +44,10 @@
         Command::Audit => audit::run(options).await,
         Command::CentreOut(centre) => centre::run(&centre, false, options).await,
         Command::CentreIn(centre) => centre::run(&centre, true, options).await,
+        Command::Entry(file) => daemon::run_entry(&file).await,
+        Command::Agent(file) => daemon::run_agent(&file).await,
+        Command::Publish(publication) => publish::run(&publication).await,
+        Command::Status { watch } => overview::run(options, watch).await,
         Command::Check(file) => settings::run(&file),
         Command::Version => Ok(version::run()),
         Command::Help(verb) => Ok(help::run(verb)),
--- a/crates/azurestand/src/failure.rs
+++ b/crates/azurestand/src/failure.rs
@@ -6,12 +6,15 @@
 use azurestand_config::{
     AuditError, ConfigErrors, EditError, EditingOutcome, RevertError, SectionError,
 };
+use azurestand_server::ServerError;
 use azurestand_server::settings::SettingsError;
+use azurestand_spread::ManifestError;
 use azurestand_store::{KeyError, StoreError};
 use azurestand_types::{ChangeIdError, NameError};
 use quick_error::quick_error;
 
 use crate::admin::AdminError;
+use crate::origin::OriginError;
 use crate::status::ExitStatus;
 
 quick_error! {
@@ -43,6 +46,21 @@
             from()
             display("{error}")
         }
+        /// A daemon can't start.
+        Server(error: ServerError) {
+            from()
+            display("{error}")
+        }
+        /// The origin failed.
+        Origin(error: OriginError) {
+            from()
+            display("{error}")
+        }
+        /// A file can't be published.
+        Manifest(error: ManifestError) {
+            from()
+            display("{error}")
+        }
         /// The process can't run.
         System(error: io::Error) {
             from()
@@ -95,6 +113,9 @@
             Self::Usage(_) | Self::Invalid(..) | Self::Settings(_) => ExitStatus::Invalid,
             Self::File(..)
             | Self::System(_)
+            | Self::Server(_)
+            | Self::Origin(_)
+            | Self::Manifest(_)
             | Self::Store(_)
             | Self::Key(_)
             | Self::Admin(_)
--- a/crates/azurestand/src/main.rs
+++ b/crates/azurestand/src/main.rs
@@ -11,6 +11,7 @@
 mod centres;
 mod commands;
 mod failure;
+mod origin;
 mod progress;
 mod report;
 mod section_file;
@@ -29,9 +30,12 @@
         Err(failure) => return report::fail(&failure, Format::Text).into(),
     };
     let format = args.options.format;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let mut builder = if args.command.is_daemon() {
+        tokio::runtime::Builder::new_multi_thread()
+    } else {
+        tokio::runtime::Builder::new_current_thread()
+    };
+    let runtime = builder.enable_all().build();
     let result = match runtime {
         Ok(runtime) => runtime.block_on(commands::run(args)),
         Err(error) => Err(error.into()),
--- a/crates/azurestand/src/verbs.rs
+++ b/crates/azurestand/src/verbs.rs
@@ -8,26 +8,34 @@
     Entry,
     Force,
     Limit,
+    Model,
+    Origin,
     Out,
     Settings,
     Store,
     Timeout,
+    Version,
     Wait,
+    Watch,
 }
 
 impl Flag {
     /// Every option, in the order of help.
-    pub(crate) const ALL: [Self; 10] = [
+    pub(crate) const ALL: [Self; 14] = [
         Self::Author,
         Self::Change,
         Self::Entry,
         Self::Force,
         Self::Limit,
+        Self::Model,
+        Self::Origin,
         Self::Out,
         Self::Settings,
         Self::Store,
         Self::Timeout,
+        Self::Version,
         Self::Wait,
+        Self::Watch,
     ];
 
     /// The option's name after the two dashes.
@@ -38,11 +46,15 @@
             Self::Entry => "entry",
             Self::Force => "force",
             Self::Limit => "limit",
+            Self::Model => "model",
+            Self::Origin => "origin",
             Self::Out => "out",
             Self::Settings => "settings",
             Self::Store => "store",
             Self::Timeout => "timeout",
+            Self::Version => "version",
             Self::Wait => "wait",
+            Self::Watch => "watch",
         }
     }
 
@@ -58,6 +70,8 @@
             }
             Self::Force => "--force          does it despite the warning",
             Self::Limit => "--limit N        the most changes to look at",
+            Self::Model => "--model NAME     the model",
+            Self::Origin => "--origin URL     the origin of weights, such as http://10.0.0.8:9000",
             Self::Out => "--out FILE       the file to write",
             Self::Settings => "--settings FILE  the settings of a daemon",
             Self::Store => {
@@ -66,6 +80,8 @@
             Self::Timeout => {
                 "--timeout SECS   how long to try the store (60), and how long --wait waits (10)"
             }
+            Self::Version => "--version NAME   the version",
+            Self::Watch => "--watch          prints again each second until interrupted",
             Self::Wait => "--wait           waits until every node has the change; needs --entry",
         }
     }
@@ -176,6 +192,30 @@
         flags: EDITING,
         about: "Brings a data centre back into service.",
     },
+    Verb {
+        name: "entry",
+        operands: "--settings FILE",
+        flags: &[Flag::Settings],
+        about: "Runs an entry until it gets SIGTERM; then every open answer is finished first.",
+    },
+    Verb {
+        name: "agent",
+        operands: "--settings FILE",
+        flags: &[Flag::Settings],
+        about: "Runs the agent of a target host until it gets SIGTERM; then every open answer is finished first.",
+    },
+    Verb {
+        name: "publish",
+        operands: "FILE",
+        flags: &[Flag::Model, Flag::Version, Flag::Origin],
+        about: "Cuts a file of weights into chunks, puts them at the origin and prints the digest that the section models names.",
+    },
+    Verb {
+        name: "status",
+        operands: "",
+        flags: &[Flag::Entry, Flag::Watch],
+        about: "Prints hosts, revisions, targets' states and the progress of versions as an entry sees them.",
+    },
     Verb {
         name: "check",
         operands: "--settings FILE",
--- a/crates/azurestand_server/src/entry.rs
+++ b/crates/azurestand_server/src/entry.rs
@@ -132,6 +132,7 @@
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(admin::ready))
         .route("/admin/status", get(admin::status))
+        .route("/admin/document", get(admin::document))
         .fallback(any(take))
         .with_state(service)
 }
--- a/crates/azurestand_server/src/entry/admin.rs
+++ b/crates/azurestand_server/src/entry/admin.rs
@@ -78,6 +78,11 @@
     Json(StatusPage { revision, nodes })
 }
 
+/// The text of the document in force here, from which a restored store is mended.
+pub(super) async fn document(State(service): State<Arc<Service>>) -> impl IntoResponse {
+    service.node.document().text().to_owned()
+}
+
 fn row(neighbour: &Neighbour) -> NodeRow {
     let record = &neighbour.record;
     let status = HostStatus::read(&record.status.blob);
