--- a/crates/azurestand_server/src/agent/permits.rs
+++ b/crates/azurestand_server/src/agent/permits.rs
@@ -1,139 +1,92 @@
-//! Runs semaphores of the store: the right to give orders, and permits to leave service.
+//! Joins a target's controller to the store's permits: the right to give orders, and
+//! the permit to leave service.
+
+use std::time::Duration;
 
 use azurestand_store::{
-    BackoffLimits, HttpStore, Key, KeyError, LeaseTiming, PermitAction, PermitEvent, PermitNews,
-    Semaphore, SemaphoreOptions, Store,
+    BackoffLimits, Key, KeyError, LeaseTiming, Permit, SemaphoreOptions, Warrant,
 };
-use azurestand_types::Moment;
-use std::collections::VecDeque;
-use std::sync::Arc;
-use std::time::Duration;
+use azurestand_types::Fence;
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
 
 use crate::node::Node;
 
-const LEASE: Duration = Duration::from_secs(30);
-const COMMANDS: usize = 32;
+const WISHES: usize = 64;
+
+/// How long a right or permit is held without being renewed.
+pub(super) const LEASE: Duration = Duration::from_secs(30);
+
+/// What the controller wishes of a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Wish {
+    /// To hold it.
+    Want,
+    /// To give it back.
+    Finish,
+    /// So many may hold it.
+    Limit(u32),
+    /// An engine has seen this fencing number.
+    Fence(Fence),
+}
 
-/// What a semaphore is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Wish {
-    /// The store's key of the semaphore.
-    pub(super) key: String,
-    /// How many may hold it.
-    pub(super) limit: u32,
+/// What became of a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PermitNews {
+    /// It is held, or was extended.
+    Held(Warrant),
+    /// It is not held any more.
+    Lost,
 }
 
-/// Tells a running semaphore what is wanted.
+/// The way to a permit; wishes never wait.
 #[derive(Debug, Clone)]
-pub(super) struct Permit(mpsc::Sender<PermitEvent>);
+pub(super) struct Wishes(mpsc::Sender<Wish>);
 
-impl Permit {
-    /// Starts a semaphore; `tell` hears when it is held or lost.
-    pub(super) fn start<F>(node: &Node, wish: &Wish, tell: F) -> Result<Self, KeyError>
+impl Wishes {
+    /// Starts the permit below `key`, of which `limit` may hold one; `tell` hears its news.
+    pub(super) fn start<F>(node: &Node, key: &str, limit: u32, tell: F) -> Result<Self, KeyError>
     where
-        F: Fn(PermitNews) + Send + Sync + 'static,
+        F: Fn(PermitNews) + Send + 'static,
     {
         let own = node.links.own();
-        // At least a tenth of the lease is kept back, since clocks differ a little.
-        let Ok(timing) = LeaseTiming::try_from(LEASE) else {
-            return Err(KeyError::Malformed(wish.key.clone()));
-        };
-        let semaphore = Semaphore::new(SemaphoreOptions {
-            key: Key::try_from(wish.key.as_str())?,
+        let timing = LeaseTiming::try_from(LEASE).map_err(|_| KeyError::Malformed(key.into()))?;
+        let options = SemaphoreOptions {
+            key: Key::try_from(key)?,
             holder: format!("{}-{}", own.host, own.incarnation),
-            limit: wish.limit,
+            limit,
             timing,
             retry: BackoffLimits::default(),
             seed: own.incarnation.0 ^ u64::from(own.address.port()),
-        })?;
-        let (commands, events) = mpsc::channel(COMMANDS);
-        let runner = Runner {
-            node: node.clone(),
-            store: node.store.clone(),
-            semaphore,
-            tell,
         };
-        let stop = node.stop.clone();
-        tokio::spawn(stop.run_until_cancelled_owned(runner.run(events)));
-        Ok(Self(commands))
+        let permit = Permit::start(node.store.clone(), options, node.clock.origin())?;
+        let (wishes, queue) = mpsc::channel(WISHES);
+        let work = run(node.clone(), permit, queue, tell);
+        tokio::spawn(node.stop.clone().run_until_cancelled_owned(work));
+        Ok(Self(wishes))
     }
 
-    /// Tells the semaphore something, without waiting.
-    pub(super) fn tell(&self, event: PermitEvent) {
-        let _ = self.0.try_send(event);
+    pub(super) fn tell(&self, wish: Wish) {
+        let _ = self.0.try_send(wish);
     }
 }
 
-struct Runner<F> {
-    node: Node,
-    store: Arc<HttpStore>,
-    semaphore: Semaphore,
-    tell: F,
-}
-
-impl<F> Runner<F>
+async fn run<F>(node: Node, mut permit: Permit, mut wishes: mpsc::Receiver<Wish>, tell: F)
 where
-    F: Fn(PermitNews) + Send + Sync + 'static,
+    F: Fn(PermitNews) + Send + 'static,
 {
-    async fn run(mut self, mut events: mpsc::Receiver<PermitEvent>) {
-        loop {
-            let wake = self.semaphore.wake();
-            let event = tokio::select! {
-                event = events.recv() => match event {
-                    Some(event) => event,
-                    None => return,
-                },
-                () = self.sleep(wake) => PermitEvent::Tick,
-            };
-            self.step(event).await;
-        }
-    }
-
-    async fn sleep(&self, wake: Option<Moment>) {
-        match wake {
-            Some(wake) => sleep_until(self.node.clock.instant(wake)).await,
-            None => std::future::pending().await,
-        }
-    }
-
-    /// Feeds one event and what its actions bring, until nothing is left to do.
-    async fn step(&mut self, event: PermitEvent) {
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
-            let now = self.node.clock.now();
-            for action in self.semaphore.step(now, event) {
-                events.extend(self.act(action).await);
-            }
-        }
-    }
-
-    async fn act(&self, action: PermitAction) -> Option<PermitEvent> {
-        match action {
-            PermitAction::List(scope) => Some(PermitEvent::Listed(self.store.list(&scope).await)),
-            PermitAction::Grant(timing) => {
-                Some(PermitEvent::Granted(self.store.grant(timing.ttl()).await))
-            }
-            PermitAction::Commit(transaction) => Some(PermitEvent::Committed(
-                self.store.commit(&transaction).await,
-            )),
-            PermitAction::Keep(lease) => {
-                let kept = self.store.keep(lease).await;
-                Some(PermitEvent::Kept { lease, kept })
-            }
-            PermitAction::Release(lease) => {
-                // A release that gets lost only means waiting for the lease's end.
-                let _ = self.store.release(lease).await;
-                None
-            }
-            PermitAction::Report(news) => {
-                (self.tell)(news);
-                None
+    loop {
+        tokio::select! {
+            wish = wishes.recv() => match wish {
+                Some(Wish::Want) => permit.want().await,
+                Some(Wish::Finish) => permit.finish().await,
+                Some(Wish::Limit(limit)) => permit.set_limit(limit).await,
+                Some(Wish::Fence(fence)) => permit.see_fence(fence).await,
+                None => return,
+            },
+            () = permit.changed() => {
+                let warrant = permit.warrant(node.clock.now());
+                tell(warrant.map_or(PermitNews::Lost, PermitNews::Held));
             }
         }
     }
 }
-
-/// The longest that an earlier holder of a lease may have held it.
-pub(super) const PRIOR_LEASE: Duration = LEASE;
--- a/crates/azurestand_server/src/agent/target/orders.rs
+++ b/crates/azurestand_server/src/agent/target/orders.rs
@@ -2,7 +2,6 @@
 //! leave service for them, and what becomes of them.
 
 use azurestand_config::Model;
-use azurestand_store::{PermitEvent, PermitNews};
 use azurestand_target::{
     AdmissionEvent, EngineState as EngineView, LifeEvent, Order, OrderAction, OrderEvent,
     OrderPhase, OrderReply, OrderSettings, Orders, Verified,
@@ -13,7 +12,7 @@
 
 use super::{Controller, Input};
 use crate::agent::engine::{EngineReport, EngineState, LoadOrder, Ordered};
-use crate::agent::permits::{PRIOR_LEASE, Permit, Wish};
+use crate::agent::permits::{LEASE, PermitNews, Wish, Wishes};
 use crate::event::Event;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -39,8 +38,8 @@
 #[derive(Debug)]
 pub(super) struct Loader {
     orders: Orders,
-    right: Permit,
-    permit: Permit,
+    right: Wishes,
+    permit: Wishes,
     source: String,
     wanted: Option<Digest>,
     asked_right: bool,
@@ -60,22 +59,17 @@
             return None;
         };
         let centre = &node.links.own().centre;
-        let right = Wish {
-            key: format!("azurestand/orders/{}", settings.name),
-            limit: 1,
-        };
-        let permit = Wish {
-            key: format!("azurestand/permits/{centre}/{model}"),
-            limit: node.document().limits().permits,
-        };
+        let limit = node.document().limits().permits;
+        let right = format!("azurestand/orders/{}", settings.name);
+        let permit = format!("azurestand/permits/{centre}/{model}");
         let orders = OrderSettings {
             fenced: *fenced,
             ..OrderSettings::default()
         };
         Some(Self {
             orders: Orders::new(orders),
-            right: Permit::start(node, &right, pass(own, OrderNews::Right)).ok()?,
-            permit: Permit::start(node, &permit, pass(own, OrderNews::Permit)).ok()?,
+            right: Wishes::start(node, &right, 1, pass(own, OrderNews::Right)).ok()?,
+            permit: Wishes::start(node, &permit, limit, pass(own, OrderNews::Permit)).ok()?,
             source,
             wanted: None,
             asked_right: false,
@@ -86,12 +80,9 @@
 }
 
 /// Hands news of a semaphore to the controller.
-fn pass<F>(
-    own: &mpsc::Sender<Input>,
-    wrap: F,
-) -> impl Fn(PermitNews) + Send + Sync + use<F> + 'static
+fn pass<F>(own: &mpsc::Sender<Input>, wrap: F) -> impl Fn(PermitNews) + Send + use<F> + 'static
 where
-    F: Fn(PermitNews) -> OrderNews + Send + Sync + 'static,
+    F: Fn(PermitNews) -> OrderNews + Send + 'static,
 {
     let own = own.clone();
     move |news| {
@@ -110,7 +101,7 @@
             return;
         };
         let limit = document.limits().permits;
-        loader.permit.tell(PermitEvent::LimitChanged(limit));
+        loader.permit.tell(Wish::Limit(limit));
         let wanted = document.models().get(model).and_then(Model::digest);
         let Some(digest) = wanted.filter(|digest| loader.wanted != Some(*digest)) else {
             return;
@@ -158,11 +149,7 @@
             return;
         }
         loader.asked_right = due;
-        let event = if due {
-            PermitEvent::Wanted
-        } else {
-            PermitEvent::Done
-        };
+        let event = if due { Wish::Want } else { Wish::Finish };
         loader.right.tell(event);
         if !due {
             self.reopen();
@@ -173,8 +160,8 @@
         match action {
             OrderAction::Send(order) => self.send_order(order),
             OrderAction::Ask => self.poll(),
-            OrderAction::TakePermit => self.tell_permit(PermitEvent::Wanted),
-            OrderAction::ReturnPermit => self.tell_permit(PermitEvent::Done),
+            OrderAction::TakePermit => self.tell_permit(Wish::Want),
+            OrderAction::ReturnPermit => self.tell_permit(Wish::Finish),
             OrderAction::Drain => self.drain(),
             OrderAction::Reopen => {
                 self.live(LifeEvent::LoadRefused);
@@ -188,7 +175,7 @@
         }
     }
 
-    fn tell_permit(&self, event: PermitEvent) {
+    fn tell_permit(&self, event: Wish) {
         if let Some(loader) = &self.loader {
             loader.permit.tell(event);
         }
@@ -269,7 +256,7 @@
         match news {
             OrderNews::Right(PermitNews::Held(warrant)) => {
                 // The first holder of all had nobody before it.
-                let prior = (warrant.fence > Fence(1)).then_some(PRIOR_LEASE);
+                let prior = (warrant.fence > Fence(1)).then_some(LEASE);
                 self.order(OrderEvent::LeaseHeld {
                     fence: warrant.fence,
                     until: warrant.until,
@@ -301,7 +288,7 @@
         let Some(loader) = &mut self.loader else {
             return;
         };
-        loader.right.tell(PermitEvent::FenceSeen(report.fence));
+        loader.right.tell(Wish::Fence(report.fence));
         let loading = (report.state == EngineState::Loading)
             .then(|| report.loading.or(loader.ordered))
             .flatten();
--- a/crates/azurestand_server/src/clock.rs
+++ b/crates/azurestand_server/src/clock.rs
@@ -13,6 +13,11 @@
         Self(Instant::now())
     }
 
+    /// When the process started, by the runtime's clock.
+    pub(crate) fn origin(&self) -> Instant {
+        self.0
+    }
+
     /// The present.
     pub fn now(&self) -> Moment {
         Moment::START + self.0.elapsed()
--- a/crates/azurestand_server/src/event.rs
+++ b/crates/azurestand_server/src/event.rs
@@ -56,6 +56,7 @@
     DocumentRefused = "E0304", Error, "The document in the store doesn't check; the last good one stays in force.", "Run `azurestand config check`.";
     StoreLost = "E0401", Warn, "The platform's store doesn't answer.", "See docs/operate/store-outage.md.";
     StoreBack = "E0402", Info, "The platform's store answers again.", "Nothing.";
+    StoreRestored = "E0403", Warn, "The platform's store went back to an older state.", "Run `azurestand config recover`; see docs/operate/store-outage.md.";
     Wanted = "E0501", Info, "A version of weights is wanted here.", "Nothing.";
     Complete = "E0502", Info, "All chunks of a version are here and verified.", "Nothing.";
     Corrupt = "E0503", Warn, "A chunk arrived corrupted and was dropped.", "If one host sends most of them, check its memory and network.";
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -1,5 +1,6 @@
 //! What entries and agents have in common: identity, links, live view, document.
 
+mod budget;
 pub(crate) mod document;
 mod gossip;
 pub(crate) mod links;
@@ -14,7 +15,7 @@
 
 use azurestand_config::Document;
 use azurestand_membership::{Record, State};
-use azurestand_store::{HttpOptions, HttpStore};
+use azurestand_store::HttpStore;
 use azurestand_types::{HostName, Incarnation};
 use azurestand_wire::{Identity, Role};
 use bytes::Bytes;
@@ -92,12 +93,12 @@
             centre: settings.centre.clone(),
             address,
         };
-        let (links, arrivals) = Links::new(own, settings.key.clone());
+        let (links, arrivals) = Links::new(own.clone(), settings.key.clone());
         let (documents, document) = latest::channel(Document::empty());
         let (views, neighbours) = latest::channel(Neighbours::default());
         let (gossip, events) = mpsc::channel(1_024);
         let stop = CancellationToken::new();
-        let store = HttpStore::new(HttpOptions::alone(settings.store.clone()));
+        let store = HttpStore::new(budget::options(&settings, own.incarnation));
         let node = Self {
             metrics: Metrics::open(settings.metrics),
             settings: Arc::new(settings),
@@ -117,6 +118,11 @@
             views,
         };
         gossip::Controller::start(node.clone(), channels).await?;
+        tokio::spawn(
+            node.stop
+                .clone()
+                .run_until_cancelled_owned(budget::follow(node.clone())),
+        );
         tokio::spawn(
             node.stop
                 .clone()
--- a/crates/azurestand_server/src/node/watch.rs
+++ b/crates/azurestand_server/src/node/watch.rs
@@ -46,6 +46,9 @@
 fn log_outage(news: &News, answered: bool) -> bool {
     let answers = !matches!(news, News::Unreachable(_));
     match news {
+        News::Restored { had, found } => {
+            Event::StoreRestored.log(format_args!("from version {had} to {found}"));
+        }
         News::Unreachable(error) if answered => Event::StoreLost.log(error),
         _ if answers && !answered => Event::StoreBack.log("the document is followed again"),
         _ => (),
