Keep membership's cost flat as the fleet grows

Conclusion: cost a node no longer grows with the fleet; the longest time to in force is bounded by the second announcement.

--- a/crates/azurestand_membership/src/config.rs
+++ b/crates/azurestand_membership/src/config.rs
@@ -13,6 +13,12 @@
 /// The most bytes that the sections of a document may hold together.
 pub const MAX_CONFIG_BYTES: usize = 1_048_576;
 
+/// The highest revision that a document may carry.
+///
+/// A damaged revision at the end of the range would keep every later document
+/// out of force; see [docs/PAPER.md](../../../docs/PAPER.md).
+pub const MAX_REVISION: Revision = Revision(1 << 53);
+
 const MAX_SECTION_NAME_BYTES: usize = 63;
 
 quick_error! {
@@ -27,6 +33,10 @@
         Sections(count: usize) {
             display("the document has {count} sections; merge them into 64 or fewer")
         }
+        /// The document's revision is out of range.
+        Revision(revision: Revision) {
+            display("revision {revision} is over 9007199254740992; the document is damaged, restore its revision")
+        }
         /// The document is too large.
         TooLarge(length: usize) {
             display("the document has {length} bytes; shorten it to 1048576")
@@ -95,11 +105,14 @@
     ///
     /// # Errors
     ///
-    /// Fails when there are too many sections or too many bytes.
+    /// Fails when the revision, the number of sections or the bytes are out of bounds.
     pub fn new(
         revision: Revision,
         sections: BTreeMap<SectionName, Section>,
     ) -> Result<Self, ConfigError> {
+        if revision > MAX_REVISION {
+            return Err(ConfigError::Revision(revision));
+        }
         if sections.len() > MAX_SECTIONS {
             return Err(ConfigError::Sections(sections.len()));
         }
--- a/crates/azurestand_membership/src/event.rs
+++ b/crates/azurestand_membership/src/event.rs
@@ -46,7 +46,8 @@
 pub enum StoreNews {
     /// A read or a watch gave this document.
     Config(Arc<Config>),
-    /// The store answered and holds nothing newer; a watch that makes progress says so too.
+    /// The store answered and holds nothing newer; told whenever a watch is opened again,
+    /// which a daemon does every ten seconds, since a silent connection proves nothing.
     Current,
     /// A read failed or the watch broke.
     Failed,
--- a/crates/azurestand_membership/src/gossip.rs
+++ b/crates/azurestand_membership/src/gossip.rs
@@ -15,6 +15,7 @@
 use crate::{Identity, Stamp};
 
 mod check;
+mod records;
 mod scan;
 mod wire;
 
@@ -134,6 +135,14 @@
 }
 
 impl Brief {
+    pub(crate) fn of(record: &Record) -> Self {
+        Self {
+            host: record.identity.host.clone(),
+            version: record.version(),
+            counter: record.status.counter,
+        }
+    }
+
     /// Whether the sender has a newer status of the same life than `known`.
     pub(crate) fn status_outranks(&self, known: &Record) -> bool {
         known.identity.incarnation == self.version.incarnation
--- a/crates/azurestand_membership/src/gossip/check.rs
+++ b/crates/azurestand_membership/src/gossip/check.rs
@@ -1,19 +1,16 @@
 //! Conversions between the wire's messages and the checked ones.
 
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use azurestand_types::{DataCentre, HostName, Incarnation, Region, Revision};
-use bytes::Bytes;
+use azurestand_types::{DataCentre, HostName, Revision};
 
+use super::records::{decode_address, encode_address};
 use super::wire;
-use super::{BUCKETS, Body, Brief, Delta, Gossip, GossipError, Heard, MAX_BRIEFS, Marks, Summary};
-use crate::config::{MAX_SECTIONS, SectionName};
-use crate::record::{Health, MAX_STATUS_BYTES, Record, Stage, Status, Version};
-use crate::{Identity, Role, Stamp};
-
-const V4_BYTES: usize = 6;
-const V6_BYTES: usize = 18;
+use super::{BUCKETS, Body, Delta, Gossip, GossipError, Heard, MAX_BRIEFS, Marks, Summary};
+use crate::Stamp;
+use crate::config::{ConfigError, MAX_REVISION, MAX_SECTIONS, SectionName};
+use crate::record::Record;
 
 impl From<&Gossip> for wire::Packet {
     fn from(gossip: &Gossip) -> Self {
@@ -44,7 +41,7 @@
         let body = packet.body.ok_or(GossipError::Missing("body"))?;
         Ok(Self {
             sender: Record::try_from(sender)?,
-            stamp: packet.stamp.map(Stamp::from),
+            stamp: packet.stamp.map(Stamp::try_from).transpose()?,
             store_age: packet
                 .store_age
                 .map(|age| Duration::from_millis(age.into())),
@@ -66,31 +63,6 @@
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn encode_address(address: SocketAddr) -> Bytes {
-    let mut bytes = match address.ip() {
-        IpAddr::V4(ip) => ip.octets().to_vec(),
-        IpAddr::V6(ip) => ip.octets().to_vec(),
-    };
-    bytes.extend_from_slice(&address.port().to_be_bytes());
-    bytes.into()
-}
-
-fn decode_address(bytes: &[u8]) -> Result<SocketAddr, GossipError> {
-    let unusable = || GossipError::Value("address");
-    if !matches!(bytes.len(), V4_BYTES | V6_BYTES) {
-        return Err(unusable());
-    }
-    let (ip, port) = bytes.split_at(bytes.len() - 2);
-    let port = u16::from_be_bytes(port.try_into().map_err(|_| unusable())?);
-    let ip = match <[u8; 4]>::try_from(ip) {
-        Ok(octets) => IpAddr::V4(Ipv4Addr::from(octets)),
-        Err(_) => IpAddr::V6(Ipv6Addr::from(
-            <[u8; 16]>::try_from(ip).map_err(|_| unusable())?,
-        )),
-    };
-    Ok(SocketAddr::new(ip, port))
-}
-
 impl From<Stamp> for wire::Stamp {
     fn from(stamp: Stamp) -> Self {
         Self {
@@ -100,146 +72,32 @@
     }
 }
 
-impl From<wire::Stamp> for Stamp {
-    fn from(stamp: wire::Stamp) -> Self {
-        Self {
-            revision: Revision(stamp.revision),
-            digest: stamp.digest,
-        }
-    }
-}
-
-impl TryFrom<wire::Heard> for Heard {
-    type Error = GossipError;
-
-    fn try_from(heard: wire::Heard) -> Result<Self, GossipError> {
-        Ok(Self {
-            centre: DataCentre::try_from(heard.centre)?,
-            age: Duration::from_millis(heard.age.into()),
-        })
-    }
-}
-
-impl wire::Status {
-    fn new(status: &Status) -> Option<Self> {
-        (status.counter > 0).then(|| Self {
-            counter: status.counter,
-            stamp: Some(status.stamp.into()),
-            blob: status.blob.clone(),
-        })
-    }
-}
-
-/// A record for the wire, with or without its status.
-pub(super) fn record(record: &Record, status: bool) -> wire::Record {
-    let identity = &record.identity;
-    wire::Record {
-        host: identity.host.to_string(),
-        role: match identity.role {
-            Role::Entry => 0,
-            Role::Agent => 1,
-        },
-        centre: identity.centre.to_string(),
-        region: identity.region.to_string(),
-        address: encode_address(identity.address),
-        incarnation: identity.incarnation.0,
-        refutation: record.refutation,
-        stage: record.stage as u32,
-        health: record.health as u32,
-        status: status.then(|| wire::Status::new(&record.status)).flatten(),
-    }
-}
-
-fn stage(raw: u32) -> Result<Stage, GossipError> {
-    match raw {
-        0 => Ok(Stage::Active),
-        1 => Ok(Stage::Leaving),
-        2 => Ok(Stage::Left),
-        _ => Err(GossipError::Value("stage")),
-    }
-}
-
-fn health(raw: u32) -> Result<Health, GossipError> {
-    match raw {
-        0 => Ok(Health::Alive),
-        1 => Ok(Health::Suspect),
-        2 => Ok(Health::Dead),
-        _ => Err(GossipError::Value("health")),
-    }
-}
-
-impl TryFrom<wire::Record> for Record {
+impl TryFrom<wire::Stamp> for Stamp {
     type Error = GossipError;
 
-    fn try_from(raw: wire::Record) -> Result<Self, GossipError> {
-        let role = match raw.role {
-            0 => Role::Entry,
-            1 => Role::Agent,
-            _ => return Err(GossipError::Value("role")),
-        };
-        let identity = Identity {
-            host: HostName::try_from(raw.host)?,
-            role,
-            centre: DataCentre::try_from(raw.centre)?,
-            region: Region::try_from(raw.region)?,
-            address: decode_address(&raw.address)?,
-            incarnation: Incarnation(raw.incarnation),
-        };
-        Ok(Self {
-            identity,
-            status: raw.status.map_or(Ok(Status::default()), Status::try_from)?,
-            refutation: raw.refutation,
-            stage: stage(raw.stage)?,
-            health: health(raw.health)?,
-        })
-    }
-}
-
-impl TryFrom<wire::Status> for Status {
-    type Error = GossipError;
-
-    fn try_from(raw: wire::Status) -> Result<Self, GossipError> {
-        if raw.blob.len() > MAX_STATUS_BYTES {
-            return Err(GossipError::Value("status"));
+    fn try_from(stamp: wire::Stamp) -> Result<Self, GossipError> {
+        let revision = Revision(stamp.revision);
+        if revision > MAX_REVISION {
+            return Err(ConfigError::Revision(revision).into());
         }
         Ok(Self {
-            counter: raw.counter,
-            stamp: raw.stamp.map(Stamp::from).unwrap_or_default(),
-            blob: raw.blob,
+            revision,
+            digest: stamp.digest,
         })
     }
 }
 
-impl TryFrom<wire::Brief> for Brief {
+impl TryFrom<wire::Heard> for Heard {
     type Error = GossipError;
 
-    fn try_from(raw: wire::Brief) -> Result<Self, GossipError> {
+    fn try_from(heard: wire::Heard) -> Result<Self, GossipError> {
         Ok(Self {
-            host: HostName::try_from(raw.host)?,
-            version: Version {
-                incarnation: Incarnation(raw.incarnation),
-                refutation: raw.refutation,
-                health: health(raw.health)?,
-                stage: stage(raw.stage)?,
-            },
-            counter: raw.counter,
+            centre: DataCentre::try_from(heard.centre)?,
+            age: Duration::from_millis(heard.age.into()),
         })
     }
 }
 
-impl From<&Brief> for wire::Brief {
-    fn from(brief: &Brief) -> Self {
-        Self {
-            host: brief.host.to_string(),
-            incarnation: brief.version.incarnation.0,
-            refutation: brief.version.refutation,
-            stage: brief.version.stage as u32,
-            health: brief.version.health as u32,
-            counter: brief.counter,
-        }
-    }
-}
-
 fn encode_marks(marks: &Marks) -> Vec<wire::Mark> {
     let mark = |(name, revision): (&SectionName, &Revision)| wire::Mark {
         name: name.to_string(),
@@ -384,13 +242,13 @@
         if raw.sections.len() > MAX_SECTIONS {
             return Err(GossipError::TooMany("sections"));
         }
-        let mut texts = std::collections::BTreeMap::new();
+        let mut texts = BTreeMap::new();
         for section in raw.sections {
             let name = SectionName::try_from(section.name.as_str())?;
             texts.insert(name, section.text.into());
         }
         Ok(Self {
-            stamp: raw.stamp.ok_or(GossipError::Missing("stamp"))?.into(),
+            stamp: raw.stamp.ok_or(GossipError::Missing("stamp"))?.try_into()?,
             marks: decode_marks(raw.marks)?,
             texts,
         })
--- a/crates/azurestand_membership/src/gossip/wire.rs
+++ b/crates/azurestand_membership/src/gossip/wire.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-pub(super) use super::check::record;
+pub(super) use super::records::record;
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Packet {
--- a/crates/azurestand_membership/src/lib.rs
+++ b/crates/azurestand_membership/src/lib.rs
@@ -36,11 +36,12 @@
 mod identity;
 mod limits;
 mod member;
+mod print;
 mod record;
 mod view;
 
 pub use config::{
-    Config, ConfigError, MAX_CONFIG_BYTES, MAX_SECTIONS, Section, SectionName, Stamp,
+    Config, ConfigError, MAX_CONFIG_BYTES, MAX_REVISION, MAX_SECTIONS, Section, SectionName, Stamp,
 };
 pub use event::{Action, Change, Event, Listing, Note, Source, StoreNews};
 pub use gossip::{Gossip, GossipError, MAX_GOSSIP_BYTES};
--- a/crates/azurestand_membership/src/limits.rs
+++ b/crates/azurestand_membership/src/limits.rs
@@ -31,8 +31,11 @@
     pub bridge_every: Duration,
     /// The least time between two reports of a changed status.
     pub report_every: Duration,
-    /// How long a data centre or the store may be silent before it counts as cut off.
+    /// How long a data centre may be silent before it counts as cut off.
     pub quiet_for: Duration,
+    /// How long a member goes without word from the store before it reads for itself;
+    /// hubs open their watch again well within this time.
+    pub stale_for: Duration,
     /// The longest pause between two store reads of a member that hears nothing.
     pub read_pause: Duration,
     /// How long a fresh process listens before it may become a hub.
@@ -60,6 +63,7 @@
             bridge_every: Duration::from_secs(1),
             report_every: Duration::from_secs(2),
             quiet_for: Duration::from_secs(15),
+            stale_for: Duration::from_secs(30),
             read_pause: Duration::from_mins(5),
             settle_for: Duration::from_secs(1),
             watchers: 2,
--- a/crates/azurestand_membership/src/member.rs
+++ b/crates/azurestand_membership/src/member.rs
@@ -1,6 +1,6 @@
 //! One member's state machine: dispatch of events, and what the parts share.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::mem;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,8 +23,12 @@
 
 use document::Document;
 use probe::Probes;
+use send::Hot;
 use timers::Timers;
 
+/// How many changes are passed on at a time; beyond that anti-entropy carries them.
+const MAX_HOT: usize = 128;
+
 /// How many kinds of notes are remembered so that each is written once.
 const MAX_NOTED: usize = 256;
 
@@ -38,7 +42,7 @@
     listed: Vec<SocketAddr>,
     view: View,
     /// Members whose last change still has to be passed on.
-    hot: BTreeSet<HostName>,
+    hot: BTreeMap<HostName, Hot>,
     /// Whether a change waits to be pushed at the next tick.
     urgent: bool,
     /// Whether the membership changed since the hubs were last chosen.
@@ -69,7 +73,7 @@
         let mut view = View::default();
         view.merge(Moment::START, &me);
         Self {
-            hot: BTreeSet::from([me.identity.host.clone()]),
+            hot: BTreeMap::from([(me.identity.host.clone(), Hot::new(Moment::START))]),
             probes: Probes::new(random.u64(..)),
             me,
             limits,
@@ -192,9 +196,12 @@
 
     /// Has a change passed on.
     fn spread(&mut self, host: &HostName) {
-        self.hot.insert(host.clone());
-        self.urgent = true;
         self.stale = true;
+        self.watch_suspect(host);
+        if self.hot.len() < MAX_HOT || self.hot.contains_key(host) {
+            self.hot.insert(host.clone(), Hot::new(self.now));
+            self.urgent = true;
+        }
     }
 
     /// What the daemon was last told about a host.
--- a/crates/azurestand_membership/src/member/document.rs
+++ b/crates/azurestand_membership/src/member/document.rs
@@ -95,7 +95,7 @@
     fn adopt(&mut self, config: Arc<Config>) {
         self.document.in_force = Some(config.clone());
         self.document.pull = None;
-        self.document.repeat = Some(self.now + self.limits.pull_wait);
+        self.document.repeat = Some(self.now + self.limits.tick);
         self.out.push(Action::Adopt(config));
         self.status_changed();
         self.announce();
@@ -256,10 +256,10 @@
     fn read_tick(&mut self) {
         let limits = &self.limits;
         let fresh = self.document.store_heard.unwrap_or(Moment::START);
-        let quiet = self.now.since(fresh.max(self.timers.settled)) > limits.quiet_for;
+        let quiet = self.now.since(fresh.max(self.timers.settled)) > limits.stale_for;
         if self.watching || !quiet {
             self.document.read_at = None;
-            self.document.pause = limits.quiet_for;
+            self.document.pause = limits.stale_for;
             return;
         }
         let pause = self.document.pause;
--- a/crates/azurestand_membership/src/member/hub.rs
+++ b/crates/azurestand_membership/src/member/hub.rs
@@ -11,7 +11,10 @@
 use crate::{Action, Note};
 
 /// How often a status is reported again, in case a report was lost.
-const REFRESH_EVERY: Duration = Duration::from_secs(30);
+const REFRESH_EVERY: Duration = Duration::from_mins(1);
+
+/// How often silent data centres are looked for.
+const LISTEN_EVERY: Duration = Duration::from_secs(1);
 
 /// One bridge message in this many goes to any member instead of a hub, in case
 /// the hubs of the other data centre are others than this member thinks.
@@ -86,25 +89,21 @@
 
     fn foreign_centres(&self) -> Vec<DataCentre> {
         let mine = &self.me.identity.centre;
-        let members = self.view.members();
-        let foreign = members.filter(|r| r.identity.centre != *mine && r.state().is_present());
-        let mut centres: Vec<_> = foreign.map(|r| r.identity.centre.clone()).collect();
-        centres.sort();
-        centres.dedup();
-        centres
+        let populated = |centre: &&DataCentre| {
+            let mut members = self.view.members_of(centre);
+            *centre != mine && members.any(|record| record.state().is_present())
+        };
+        self.view.places().filter(populated).cloned().collect()
     }
 
     /// A member of another data centre to talk to, mostly one of its hubs.
     fn contact(&mut self, centre: &DataCentre) -> Option<Record> {
         let stray = self.random.usize(..STRAY_SHARE) == 0;
-        let candidates = if stray {
-            let members = self.view.members();
-            members
-                .filter(|r| r.identity.centre == *centre && r.state().is_present())
-                .collect()
-        } else {
-            self.view.hubs(centre, self.limits.watchers)
-        };
+        let mut candidates = self.view.hubs(centre, self.limits.watchers);
+        if stray || candidates.is_empty() {
+            let members = self.view.members_of(centre);
+            candidates = members.filter(|r| r.state().is_present()).collect();
+        }
         let chosen = self.random.choice(candidates);
         chosen.map(Record::without_status)
     }
@@ -137,6 +136,10 @@
 
     /// Notes data centres that fell silent or are heard again.
     fn watch_silence(&mut self) {
+        if self.now < self.timers.listen {
+            return;
+        }
+        self.timers.listen = self.now + LISTEN_EVERY;
         let limit = self.limits.quiet_for;
         let mine = &self.me.identity.centre;
         let silence: Vec<_> = self
--- a/crates/azurestand_membership/src/member/probe.rs
+++ b/crates/azurestand_membership/src/member/probe.rs
@@ -119,8 +119,7 @@
         let centre = &self.me.identity.centre;
         let dead: Vec<_> = self
             .view
-            .members()
-            .filter(|record| record.identity.centre == *centre)
+            .members_of(centre)
             .filter(|record| record.state() == crate::State::Dead)
             .map(Record::without_status)
             .collect();
@@ -228,37 +227,35 @@
         }
     }
 
+    /// Remembers a suspect of the own data centre, whose time to refute runs out.
+    pub(super) fn watch_suspect(&mut self, host: &HostName) {
+        let local = |record: &&Record| record.identity.centre == self.me.identity.centre;
+        if self.view.get(host).filter(local).is_some_and(is_suspect) {
+            self.probes.suspects.insert(host.clone());
+        }
+    }
+
     /// Declares those dead that did not refute in time.
     fn expire_suspects(&mut self) {
-        if self.stale {
-            self.collect_suspects();
-        }
         let resumed = self.timers.resumed;
         let limit = self.limits.suspect_for;
-        let expired = |host: &&HostName| {
+        let mut dead = Vec::new();
+        self.probes.suspects.retain(|host| {
             let entry = self.view.entry(host);
-            entry.is_some_and(|entry| self.now.since(entry.changed.max(resumed)) >= limit)
-        };
-        let dead: Vec<_> = self
-            .probes
-            .suspects
-            .iter()
-            .filter(expired)
-            .cloned()
-            .collect();
+            let Some(entry) = entry.filter(|entry| is_suspect(&entry.record)) else {
+                return false;
+            };
+            if self.now.since(entry.changed.max(resumed)) >= limit {
+                dead.push(host.clone());
+            }
+            true
+        });
         for host in dead {
             self.judge(&host, Health::Dead);
         }
     }
+}
 
-    fn collect_suspects(&mut self) {
-        let centre = &self.me.identity.centre;
-        let suspect = |record: &&Record| {
-            record.identity.centre == *centre
-                && record.health == Health::Suspect
-                && record.state().is_present()
-        };
-        let suspects = self.view.members().filter(suspect);
-        self.probes.suspects = suspects.map(|r| r.identity.host.clone()).collect();
-    }
+fn is_suspect(record: &Record) -> bool {
+    record.health == Health::Suspect && record.state().is_present()
 }
--- a/crates/azurestand_membership/src/member/send.rs
+++ b/crates/azurestand_membership/src/member/send.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use azurestand_types::{DataCentre, HostName};
+use azurestand_types::{DataCentre, HostName, Moment};
 
 use super::Member;
 use crate::gossip::{Body, Gossip, Heard, record_bytes};
@@ -19,6 +19,9 @@
 /// How often a change is passed on, as a multiple of the logarithm of the members.
 const SPREAD_FACTOR: u32 = 2;
 
+/// How long a change is passed on; anti-entropy carries it to those that missed it.
+const SPREAD_FOR: Duration = Duration::from_secs(10);
+
 /// How often a member that knows its peers still greets a seed, so that views
 /// that lost each other meet again.
 const GREET_PAUSE: Duration = Duration::from_secs(30);
@@ -26,9 +29,26 @@
 /// How often a member greets that is alone or has no document.
 const LONELY_PAUSE: Duration = Duration::from_secs(1);
 
+/// No record is smaller than this.
+const LEAST_RECORD_BYTES: usize = 30;
+
 /// Bytes kept free in a packet for the header and the body.
 const HEADER_BYTES: usize = 300;
 
+/// A change that is being passed on.
+#[derive(Debug)]
+pub(super) struct Hot {
+    /// How often it was passed on to members of the own data centre.
+    pub(super) sent: u32,
+    pub(super) since: Moment,
+}
+
+impl Hot {
+    pub(super) fn new(since: Moment) -> Self {
+        Self { sent: 0, since }
+    }
+}
+
 impl Member {
     /// A message with the header that every message carries, and no records.
     pub(super) fn message(&self, body: Body) -> Gossip {
@@ -75,18 +95,18 @@
         let mut records: Vec<_> = doubted.map(Record::without_status).into_iter().collect();
         let mut room = self.limits.packet_bytes.saturating_sub(HEADER_BYTES);
         for host in self.hottest(&to.identity.host) {
-            let Some(entry) = self.view.entry_mut(&host) else {
+            let Some(record) = self.view.get(&host) else {
                 self.hot.remove(&host);
                 continue;
             };
-            let size = record_bytes(&entry.record, false);
+            let size = record_bytes(record, false);
             if size > room {
                 break;
             }
             room -= size;
-            records.push(entry.record.without_status());
-            if local {
-                entry.sent += 1;
+            records.push(record.without_status());
+            if let Some(hot) = self.hot.get_mut(&host).filter(|_| local) {
+                hot.sent += 1;
             }
         }
         self.cool();
@@ -97,34 +117,36 @@
         let mut ranked: Vec<_> = self
             .hot
             .iter()
-            .filter(|host| *host != receiver)
-            .map(|host| (self.view.entry(host).map_or(0, |entry| entry.sent), host))
+            .filter(|(host, _)| *host != receiver)
+            .map(|(host, hot)| (hot.sent, host))
             .collect();
-        ranked.sort();
-        ranked.into_iter().map(|(_, host)| host.clone()).collect()
+        ranked.sort_by_key(|(sent, _)| *sent);
+        let most = self.limits.packet_bytes / LEAST_RECORD_BYTES;
+        let hottest = ranked.into_iter().take(most);
+        hottest.map(|(_, host)| host.clone()).collect()
     }
 
     /// Drops the changes that were passed on often enough.
     fn cool(&mut self) {
         let rounds = usize::BITS - self.view.entries().len().leading_zeros();
         let limit = SPREAD_FACTOR * rounds;
-        let view = &self.view;
-        self.hot
-            .retain(|host| view.entry(host).is_some_and(|entry| entry.sent < limit));
+        let now = self.now;
+        let warm = |hot: &mut Hot| hot.sent < limit && now.since(hot.since) < SPREAD_FOR;
+        self.hot.retain(|_, hot| warm(hot));
     }
 
     /// Up to `count` random present members of the own data centre.
     pub(super) fn local_peers(&mut self, count: usize) -> Vec<Record> {
         let me = &self.me.identity;
-        let chosen = |record: &&Record| {
-            record.identity.centre == me.centre
-                && record.identity.host != me.host
-                && record.state().is_present()
-        };
-        let peers: Vec<_> = self.view.members().filter(chosen).collect();
-        let count = count.min(peers.len());
-        let picked = self.random.choose_multiple(peers, count);
-        picked.into_iter().map(Record::without_status).collect()
+        let mut hosts: Vec<_> = self.view.hosts_of(&me.centre).iter().collect();
+        let mut peers = Vec::new();
+        while peers.len() < count && !hosts.is_empty() {
+            let host = hosts.swap_remove(self.random.usize(..hosts.len()));
+            let present = |record: &&Record| *host != me.host && record.state().is_present();
+            let record = self.view.get(host).filter(present);
+            peers.extend(record.map(Record::without_status));
+        }
+        peers
     }
 
     /// Pushes fresh membership changes to a few peers.
--- a/crates/azurestand_membership/src/member/sync.rs
+++ b/crates/azurestand_membership/src/member/sync.rs
@@ -13,13 +13,20 @@
 /// How many versions one answer lists at most.
 const SUMMARY_BRIEFS: usize = 96;
 
+/// How many entries of a data centre turn to a hub in one round of comparisons.
+const HUB_VISITS: usize = 4;
+
+/// Among how many random peers an entry looks for another entry.
+const SYNC_CANDIDATES: usize = 8;
+
 /// Bytes of records that one exchange carries at most.
 const SYNC_BYTES: usize = 8_192;
 
 /// A member that lacks this many records compares again soon.
-const CATCH_UP: usize = 16;
+const CATCH_UP: usize = 4;
 
-const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
+const MEMBERS_PAUSE: Duration = Duration::from_millis(200);
+const STATUSES_PAUSE: Duration = Duration::from_secs(1);
 
 impl Member {
     pub(super) fn sync_tick(&mut self) {
@@ -28,24 +35,27 @@
         }
         self.timers.sync = self.now + self.limits.sync_every;
         let entry = self.me.identity.role == Role::Entry;
-        let hubs = entry && self.random.bool();
-        let peers = if hubs {
+        let peers = if entry && self.turns_to_hub() {
             self.hub_records()
         } else {
-            self.local_peers(usize::MAX)
+            self.local_peers(SYNC_CANDIDATES)
         };
-        let suited = |peer: &&Record| !entry || peer.identity.role == Role::Entry;
-        let suited: Vec<_> = peers.iter().filter(suited).collect();
-        let peer = match self.random.choice(&suited) {
-            Some(peer) => (*peer).clone(),
-            None => match self.random.choice(&peers) {
-                Some(peer) => peer.clone(),
-                None => return,
-            },
+        // Statuses travel among entries, so an entry prefers one of its kind.
+        let suited = peers.iter().find(|peer| peer.identity.role == Role::Entry);
+        let Some(peer) = suited.filter(|_| entry).or(peers.first()).cloned() else {
+            return;
         };
         self.open_sync(&peer);
     }
 
+    /// Whether an entry compares with a hub this time; the more entries, the rarer,
+    /// so that a hub's share of the work doesn't grow with them.
+    fn turns_to_hub(&mut self) -> bool {
+        let locals = self.view.members_of(&self.me.identity.centre);
+        let entries = locals.filter(|r| r.identity.role == Role::Entry).count();
+        self.random.usize(..entries.max(1)) < HUB_VISITS
+    }
+
     /// Opens a comparison; statuses are compared only among entries and hubs, which keep them.
     pub(super) fn open_sync(&mut self, peer: &Record) {
         let both = self.keeps_statuses() && peer.identity.role == Role::Entry;
@@ -60,8 +70,10 @@
     /// One hash a bucket over all present members.
     pub(super) fn digest(&self, statuses: bool) -> Body {
         let mut buckets = vec![0; BUCKETS];
-        for record in self.view.members().filter(|r| r.state().is_present()) {
-            buckets[bucket(&record.identity.host)] ^= hash(record, statuses);
+        for entry in self.view.entries() {
+            if entry.record.state().is_present() {
+                buckets[entry.print.bucket] ^= entry.print.hash(statuses);
+            }
         }
         Body::Digest { statuses, buckets }
     }
@@ -75,13 +87,14 @@
             .filter(|bucket| mine[*bucket] != theirs[*bucket])
             .collect();
         self.random.shuffle(&mut differing);
+        let mut held = self.briefs(&differing);
         let mut summary = Summary {
             statuses,
             buckets: Vec::new(),
             briefs: Vec::new(),
         };
         for bucket in differing {
-            let briefs = self.briefs(bucket);
+            let briefs = std::mem::take(&mut held[bucket]);
             let full = summary.briefs.len() + briefs.len() > SUMMARY_BRIEFS;
             if full && !summary.buckets.is_empty() {
                 break;
@@ -93,16 +106,19 @@
         self.send_news(sender, Body::Summary(summary));
     }
 
-    fn briefs(&self, wanted: usize) -> Vec<Brief> {
-        let held = |record: &&Record| {
-            bucket(&record.identity.host) == wanted && record.state().is_present()
-        };
-        let brief = |record: &Record| Brief {
-            host: record.identity.host.clone(),
-            version: record.version(),
-            counter: record.status.counter,
-        };
-        self.view.members().filter(held).map(brief).collect()
+    /// What is held in the wanted buckets, by bucket.
+    fn briefs(&self, wanted: &[usize]) -> Vec<Vec<Brief>> {
+        let mut held = vec![Vec::new(); BUCKETS];
+        if wanted.is_empty() {
+            return held;
+        }
+        for entry in self.view.entries() {
+            let bucket = entry.print.bucket;
+            if entry.record.state().is_present() && wanted.contains(&bucket) {
+                held[bucket].push(Brief::of(&entry.record));
+            }
+        }
+        held
     }
 
     /// Sends what the other lacks and asks for what this member lacks.
@@ -130,18 +146,19 @@
             .map(|brief| (&brief.host, brief))
             .collect();
         let mut mine: Vec<HostName> = Vec::new();
-        for record in self.view.members() {
+        for entry in self.view.entries() {
+            if !summary.buckets.contains(&entry.print.bucket) {
+                continue;
+            }
+            let record = &entry.record;
             let host = &record.identity.host;
-            let compared = summary.buckets.contains(&bucket(host));
             let missing = || record.state().is_present();
             let newer = |brief: &&Brief| news(record, brief);
-            if compared && theirs.get(host).map_or_else(missing, newer) {
+            if theirs.get(host).map_or_else(missing, newer) {
                 mine.push(host.clone());
             }
         }
-        if hosts.len() >= CATCH_UP {
-            self.timers.sync = self.timers.sync.min(self.now + CATCH_UP_PAUSE);
-        }
+        self.catch_up(&hosts);
         if hosts.is_empty() && mine.is_empty() {
             return;
         }
@@ -155,6 +172,19 @@
         self.send(sender.identity.address, answer);
     }
 
+    /// Compares again soon when much is lacking: sooner for unknown members than for statuses.
+    fn catch_up(&mut self, lacking: &[HostName]) {
+        let unknown = lacking.iter().filter(|host| self.view.get(host).is_none());
+        let pause = if unknown.count() >= CATCH_UP {
+            MEMBERS_PAUSE
+        } else if lacking.len() >= CATCH_UP {
+            STATUSES_PAUSE
+        } else {
+            return;
+        };
+        self.timers.sync = self.timers.sync.min(self.now + pause);
+    }
+
     /// Sends the records that were asked for.
     pub(super) fn supply(&mut self, sender: &Record, statuses: bool, hosts: &[HostName]) {
         let mut answer = self.message(Body::Push);
@@ -181,32 +211,3 @@
         records
     }
 }
-
-fn bucket(host: &HostName) -> usize {
-    usize::try_from(fold(0, host.as_str().as_bytes()) % BUCKETS as u64).unwrap_or(0)
-}
-
-fn hash(record: &Record, statuses: bool) -> u32 {
-    let version = record.version();
-    let mut hash = fold(0, record.identity.host.as_str().as_bytes());
-    let counter = if statuses { record.status.counter } else { 0 };
-    for part in [
-        version.incarnation.0,
-        version.refutation,
-        version.health as u64,
-        version.stage as u64,
-        counter,
-    ] {
-        hash = fold(hash, &part.to_le_bytes());
-    }
-    u32::try_from(hash >> 32).unwrap_or(0)
-}
-
-/// FNV-1a with a final mix; views are compared for difference, not against forgery.
-fn fold(start: u64, bytes: &[u8]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
-    let hash = bytes.iter().fold(start ^ OFFSET, step);
-    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
--- a/crates/azurestand_membership/src/member/timers.rs
+++ b/crates/azurestand_membership/src/member/timers.rs
@@ -27,6 +27,7 @@
     pub(super) bridge: Moment,
     pub(super) report: Moment,
     pub(super) refresh: Moment,
+    pub(super) listen: Moment,
     pub(super) report_due: bool,
     /// Whose turn it is among the other data centres.
     pub(super) turn: usize,
--- a/crates/azurestand_membership/src/view.rs
+++ b/crates/azurestand_membership/src/view.rs
@@ -1,10 +1,11 @@
 //! The live view: what this member knows of all members.
 
 use std::collections::BTreeMap;
-use std::collections::btree_map::Values;
+use std::collections::btree_map::{Keys, Values};
 
 use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Revision, rendezvous};
 
+use crate::print::Print;
 use crate::record::{Health, Record, Version};
 use crate::{Role, State};
 
@@ -17,6 +18,8 @@
     members: BTreeMap<HostName, Entry>,
     graves: BTreeMap<HostName, Version>,
     centres: BTreeMap<DataCentre, Moment>,
+    /// The members by data centre, so that work on one of them costs by its size.
+    places: BTreeMap<DataCentre, Vec<HostName>>,
 }
 
 /// A record with what only this member needs to know of it.
@@ -27,10 +30,27 @@
     pub(crate) changed: Moment,
     /// When this incarnation was first seen.
     pub(crate) since: Moment,
-    /// How often the last change was passed on.
-    pub(crate) sent: u32,
     /// The incarnation that the platform's list says is leaving.
     pub(crate) hint: Option<Incarnation>,
+    /// The record's part of a digest.
+    pub(crate) print: Print,
+}
+
+impl Entry {
+    fn new(now: Moment, record: &Record) -> Self {
+        Self {
+            record: record.clone(),
+            changed: now,
+            since: now,
+            hint: None,
+            print: Print::of(record),
+        }
+    }
+
+    fn touch(&mut self, now: Moment) {
+        self.changed = now;
+        self.print = Print::of(&self.record);
+    }
 }
 
 /// What came of an offered record.
@@ -50,6 +70,16 @@
         self.members.values().map(|entry| &entry.record)
     }
 
+    /// The members of one data centre in the order of their names.
+    pub fn members_of<'a>(
+        &'a self,
+        centre: &DataCentre,
+    ) -> impl Iterator<Item = &'a Record> + use<'a> {
+        self.hosts_of(centre)
+            .iter()
+            .filter_map(|host| self.get(host))
+    }
+
     /// The member under this name.
     pub fn get(&self, host: &HostName) -> Option<&Record> {
         self.members.get(host).map(|entry| &entry.record)
@@ -92,8 +122,7 @@
     pub fn hubs(&self, centre: &DataCentre, count: usize) -> Vec<&Record> {
         let key = centre.as_str().as_bytes();
         let mut ranked: Vec<_> = self
-            .members()
-            .filter(|record| record.identity.centre == *centre)
+            .members_of(centre)
             .filter(|record| record.state() == State::Alive)
             .map(|record| {
                 let identity = &record.identity;
@@ -118,6 +147,16 @@
         self.members.values()
     }
 
+    /// The names of the hosts of one data centre, departed ones included.
+    pub(crate) fn hosts_of(&self, centre: &DataCentre) -> &[HostName] {
+        self.places.get(centre).map_or(&[], Vec::as_slice)
+    }
+
+    /// The data centres that members stand in, departed members included.
+    pub(crate) fn places(&self) -> Keys<'_, DataCentre, Vec<HostName>> {
+        self.places.keys()
+    }
+
     /// Notes that a data centre was heard of at `moment`.
     pub(crate) fn hear(&mut self, centre: &DataCentre, moment: Moment) {
         match self.centres.get_mut(centre) {
@@ -138,14 +177,18 @@
         if record.identity.incarnation < known {
             return Merge::Stale(known);
         }
+        let counter = entry.record.status.counter;
         if !entry.record.merge(record) {
+            if entry.record.status.counter != counter {
+                entry.print = Print::of(&entry.record);
+            }
             return Merge::Same;
         }
+        entry.touch(now);
         if entry.record.identity.incarnation > known {
             entry.since = now;
+            self.place(record);
         }
-        entry.changed = now;
-        entry.sent = 0;
         Merge::Changed
     }
 
@@ -165,17 +208,30 @@
             return Merge::Same;
         }
         self.graves.remove(host);
-        let entry = Entry {
-            record: record.clone(),
-            changed: now,
-            since: now,
-            sent: 0,
-            hint: None,
-        };
-        self.members.insert(host.clone(), entry);
+        self.members.insert(host.clone(), Entry::new(now, record));
+        self.place(record);
         Merge::Changed
     }
 
+    /// Files a host under its data centre; a replacement may stand in another one.
+    fn place(&mut self, record: &Record) {
+        let identity = &record.identity;
+        self.displace(&identity.host);
+        let hosts = self.places.entry(identity.centre.clone()).or_default();
+        if let Err(place) = hosts.binary_search(&identity.host) {
+            hosts.insert(place, identity.host.clone());
+        }
+    }
+
+    fn displace(&mut self, host: &HostName) {
+        for hosts in self.places.values_mut() {
+            if let Ok(place) = hosts.binary_search(host) {
+                hosts.remove(place);
+            }
+        }
+        self.places.retain(|_, hosts| !hosts.is_empty());
+    }
+
     /// Sets the health of a member of our own data centre; tells whether that changed it.
     pub(crate) fn judge(&mut self, now: Moment, host: &HostName, health: Health) -> bool {
         let Some(entry) = self.members.get_mut(host) else {
@@ -185,8 +241,7 @@
             return false;
         }
         entry.record.health = health;
-        entry.changed = now;
-        entry.sent = 0;
+        entry.touch(now);
         true
     }
 
@@ -200,6 +255,7 @@
             .collect();
         for (host, version) in gone {
             self.members.remove(&host);
+            self.displace(&host);
             self.graves.insert(host, version);
         }
         while self.graves.len() > MAX_GRAVES {
--- a/crates/azurestand_membership/tests/membership/documents.rs
+++ b/crates/azurestand_membership/tests/membership/documents.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use azurestand_membership::{Config, Event, Note, Role, Section, SectionName, Source, StoreNews};
+use azurestand_membership::{
+    Config, ConfigError, Event, MAX_REVISION, Note, Role, Section, SectionName, Source, StoreNews,
+};
 use azurestand_types::Revision;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -192,6 +194,13 @@
     assert!(net.processes.values().any(|p| p.notes.iter().any(bad)));
 }
 
+#[test]
+fn damaged_revision_cannot_lock_later_documents_out() {
+    let damaged = Config::new(Revision(u64::MAX), [].into());
+    assert!(matches!(damaged, Err(ConfigError::Revision(_))));
+    assert!(Config::new(MAX_REVISION, [].into()).is_ok());
+}
+
 #[test]
 fn nobody_but_watchers_calls_the_store_when_it_comes_back() {
     let mut net = settled(40);
--- a/crates/azurestand_membership/tests/membership/failures.rs
+++ b/crates/azurestand_membership/tests/membership/failures.rs
@@ -94,6 +94,22 @@
     );
 }
 
+#[test]
+fn probe_that_a_pause_outlasted_proves_nothing() {
+    let mut net = settled(13);
+    net.tell("north-e1", Event::Lost(host("north-a2")));
+    net.pause("north-e1", true);
+    net.run(Duration::from_secs(1));
+    net.pause("north-e1", false);
+    let before = net.process("north-e1").changes.len();
+    net.run(Duration::from_secs(2));
+    let changes = &net.process("north-e1").changes[before..];
+    assert!(
+        changes.iter().all(|change| change.state == State::Alive),
+        "{changes:?}"
+    );
+}
+
 #[test]
 fn leaving_is_known_to_the_data_centre_within_a_second() {
     let mut net = settled(6);
@@ -150,6 +166,35 @@
     assert!(net.process("south-e0").notes.iter().any(stale));
 }
 
+#[test]
+fn late_messages_of_a_forgotten_life_are_refused() {
+    let mut net = Net::new(12);
+    net.limits.forget_after = Duration::from_secs(20);
+    for name in ["north-e0", "north-e1", "north-e2"] {
+        net.start(name, "north", Role::Entry, 1);
+    }
+    net.start("north-a2", "north", Role::Agent, 2);
+    assert!(
+        net.run_until(Duration::from_secs(10), Net::complete)
+            .is_some()
+    );
+    net.kill("north-a2");
+    net.run(Duration::from_mins(3));
+    let known = |net: &Net| {
+        net.process("north-e1")
+            .member
+            .view()
+            .get(&host("north-a2"))
+            .is_some()
+    };
+    assert!(!known(&net), "the dead member was not forgotten");
+    net.inject("north-e1", &greeting("north-a2", 1));
+    net.run(Duration::from_secs(1));
+    assert!(!known(&net));
+    net.start("north-a2", "north", Role::Agent, 3);
+    assert!(net.run_until(Duration::from_secs(10), known).is_some());
+}
+
 #[test]
 fn process_that_was_replaced_while_it_stood_still_learns_of_it() {
     let mut net = settled(8);
@@ -207,6 +252,8 @@
     net.faults.cuts.clear();
     let healed = |net: &Net| net.agree("south-a1", State::Dead);
     assert!(net.run_until(Duration::from_secs(30), healed).is_some());
+    // Members look for silent data centres once a second.
+    net.run(Duration::from_millis(1_100));
     let heard = |note: &Note| matches!(note, Note::CentreHeard(_));
     assert!(net.process("north-a1").notes.iter().any(heard));
 }
