--- a/crates/azurestand_membership/src/member/document.rs
+++ b/crates/azurestand_membership/src/member/document.rs
@@ -95,7 +95,7 @@
     fn adopt(&mut self, config: Arc<Config>) {
         self.document.in_force = Some(config.clone());
         self.document.pull = None;
-        self.document.repeat = Some(self.now + self.limits.pull_wait);
+        self.document.repeat = Some(self.now + self.limits.tick);
         self.out.push(Action::Adopt(config));
         self.status_changed();
         self.announce();
