Measure spreads of up to 270 hosts in virtual time

Cause: the targets for time and origin copies need a run that shows them. Change: the spread bench with its link fake, two baselines, faults, both ends of size, chunk lengths and drawing agents; modules of the transfer split by job. Before: trials only.

--- a/crates/azurestand_bench/src/lib.rs
+++ b/crates/azurestand_bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Measurements of the coordination parts.
+
+pub mod spread;
--- a/crates/azurestand_spread/src/transfer.rs
+++ b/crates/azurestand_spread/src/transfer.rs
@@ -1,39 +1,38 @@
 //! The state machine that runs on each host.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_types::{Digest, HostName, Moment, Region, rendezvous};
+use azurestand_types::{Digest, HostName, Moment, Region};
 
 use self::flight::Flights;
 use self::goal::Goal;
-use self::peers::{Neighbour, Peers, Place};
+use self::peers::Peers;
 use self::serve::Uploads;
 use self::share::CrossLink;
 use self::upstream::Upstream;
 use crate::bucket::Bucket;
-use crate::event::{Action, Event, Load, Note, Peer, Site, Source};
+use crate::event::{Action, Event, Load, Note, Site, Source};
 use crate::limits::Limits;
-use crate::manifest::Manifest;
 use crate::message::{Envelope, Message};
 use crate::progress::Progress;
 
 mod arrive;
 mod flight;
 mod goal;
+mod launch;
 mod listen;
 mod order;
 mod peers;
 mod pick;
+mod search;
 mod serve;
 mod share;
 #[cfg(test)]
 mod tests;
 mod upstream;
-
-/// Chunks' worth of tokens that a host link's bucket saves up.
-const BURST_CHUNKS: u64 = 2;
+mod versions;
+mod view;
 
 /// How often subscriptions are looked over.
 const LISTEN_EVERY: Duration = Duration::from_secs(1);
@@ -181,183 +180,6 @@
         self.share_links(now);
     }
 
-    fn want(&mut self, manifests: Vec<Arc<Manifest>>, now: Moment) {
-        let wanted: BTreeMap<_, _> = manifests
-            .into_iter()
-            .map(|manifest| (manifest.digest(), manifest))
-            .collect();
-        self.stop(&wanted);
-        for (id, manifest) in wanted {
-            if self.goals.iter().all(|goal| goal.id() != id) {
-                self.start(manifest, now);
-            }
-        }
-        self.discard();
-        self.reorder(now);
-        self.complete(now);
-        self.subscribe(now);
-    }
-
-    fn stop(&mut self, wanted: &BTreeMap<Digest, Arc<Manifest>>) {
-        for goal in &self.goals {
-            let digest = goal.id();
-            if !wanted.contains_key(&digest) && goal.missing > 0 {
-                self.out.push(Action::Log(Note::Stopped { digest }));
-            }
-        }
-        self.goals.retain(|goal| wanted.contains_key(&goal.id()));
-        for neighbour in self.peers.iter_mut() {
-            neighbour.heard.retain(|id, _| wanted.contains_key(id));
-            neighbour.subscribed.retain(|id, _| wanted.contains_key(id));
-        }
-    }
-
-    fn start(&mut self, manifest: Arc<Manifest>, now: Moment) {
-        let mut goal = Goal::new(manifest, now);
-        for chunk in goal.manifest.clone().chunks() {
-            if self.held.contains_key(&chunk.digest) {
-                goal.hold(chunk.digest, now);
-            }
-            if self.flights.contains(chunk.digest) {
-                goal.set_busy(chunk.digest, true);
-            }
-        }
-        self.goals.push(goal);
-        self.set_bursts();
-    }
-
-    /// Lets the buckets save up enough to bridge the time between two events.
-    fn set_bursts(&mut self) {
-        let longest = self.goals.iter().map(|goal| goal.longest).max();
-        let burst = longest.unwrap_or(0) * BURST_CHUNKS;
-        self.ingress.set_burst(burst);
-        self.egress.set_burst(burst);
-    }
-
-    /// Stops flights and frees chunks that no wanted version needs.
-    fn discard(&mut self) {
-        let goals = &self.goals;
-        let needed = |digest: &Digest| goals.iter().any(|goal| goal.needs(*digest));
-        for (digest, source) in self.flights.select(|digest, _| !needed(digest)) {
-            self.abort(digest, &source);
-        }
-        let goals = &self.goals;
-        let kept = |digest: &Digest| goals.iter().any(|goal| goal.contains(*digest));
-        let freed: Vec<_> = self
-            .held
-            .keys()
-            .copied()
-            .filter(|digest| !kept(digest))
-            .collect();
-        for digest in freed {
-            self.held.remove(&digest);
-            self.uploads.drop_chunk(digest);
-            self.out.push(Action::Drop { digest });
-        }
-    }
-
-    fn see(&mut self, view: Vec<Peer>, now: Moment) {
-        self.viewed = true;
-        let view: BTreeMap<_, _> = view
-            .into_iter()
-            .filter(|peer| peer.host != self.site.host)
-            .map(|peer| (peer.host.clone(), peer))
-            .collect();
-        let gone: Vec<_> = self
-            .peers
-            .names()
-            .filter(|host| !view.contains_key(*host))
-            .cloned()
-            .collect();
-        for host in gone {
-            self.forget(&host);
-        }
-        for (host, peer) in view {
-            self.meet(&host, peer);
-        }
-        self.reorder(now);
-        self.subscribe(now);
-    }
-
-    fn meet(&mut self, host: &HostName, peer: Peer) {
-        let known = self.peers.get(host).map(|known| known.peer.incarnation);
-        match known {
-            Some(known) if known > peer.incarnation => return,
-            Some(known) if known < peer.incarnation => self.forget(host),
-            _ => {}
-        }
-        let place = Place::of(&self.site, &peer);
-        match self.peers.get_mut(host) {
-            Some(neighbour) if neighbour.place == place => neighbour.peer = peer,
-            _ => {
-                self.forget(host);
-                let mix = self.rng.u64(..);
-                self.peers.insert(Neighbour::new(peer, place, mix));
-            }
-        }
-    }
-
-    /// Removes a host, or an earlier life of it, and all that hung on it.
-    fn forget(&mut self, host: &HostName) {
-        if self.peers.get(host).is_none() {
-            return;
-        }
-        let source = Source::Peer(host.clone());
-        for (digest, source) in self.flights.select(|_, flight| flight.source == source) {
-            self.abort(digest, &source);
-        }
-        self.disbelieve(host);
-        self.uploads.forget(host);
-        self.peers.remove(host);
-    }
-
-    fn reorder(&mut self, now: Moment) {
-        for index in 0..self.goals.len() {
-            self.reorder_goal(index, now);
-        }
-        self.share_links(now);
-    }
-
-    fn reorder_goal(&mut self, index: usize, now: Moment) {
-        let goal = &mut self.goals[index];
-        let model = goal.manifest.model();
-        let mut region = vec![self.site.host.clone()];
-        let mut centre = vec![self.site.host.clone()];
-        let mut abroad: BTreeMap<Region, Vec<HostName>> = BTreeMap::new();
-        for neighbour in self.peers.iter() {
-            let host = &neighbour.peer.host;
-            if !neighbour.peer.models.contains(model) {
-                continue;
-            }
-            match neighbour.place {
-                Place::Centre => {
-                    region.push(host.clone());
-                    centre.push(host.clone());
-                }
-                Place::Region => region.push(host.clone()),
-                Place::Cross => {
-                    let hosts = abroad.entry(neighbour.peer.region.clone()).or_default();
-                    hosts.push(host.clone());
-                }
-            }
-        }
-        let (own, count) = (&self.site.host, self.limits.drawers);
-        let manifest = goal.manifest.clone();
-        let orders = &mut goal.orders;
-        orders.region.update(&manifest, &region, own, count, now);
-        orders.centre.update(&manifest, &centre, own, count, now);
-        let key = *manifest.digest().as_bytes();
-        let first = |hosts: &Vec<HostName>| -> Vec<HostName> {
-            let order = rendezvous::order(&key, hosts);
-            order.into_iter().take(count).cloned().collect()
-        };
-        orders.abroad = abroad.values().flat_map(first).collect();
-        let mut regions: Vec<_> = abroad.into_keys().collect();
-        regions.push(self.site.region.clone());
-        regions.sort();
-        orders.set_regions(&manifest, regions, &self.site.region);
-    }
-
     fn receive(&mut self, envelope: Envelope, now: Moment) {
         let from = envelope.from;
         let Some(neighbour) = self.peers.get(&from) else {
--- a/crates/azurestand_spread/src/transfer/pick.rs
+++ b/crates/azurestand_spread/src/transfer/pick.rs
@@ -2,30 +2,22 @@
 
 use std::time::Duration;
 
-use azurestand_types::{HostName, Moment};
+use azurestand_types::Moment;
 
 use super::Transfer;
-use super::flight::{Flight, Lane};
+use super::flight::Lane;
 use super::goal::Goal;
 use super::order::Order;
 use super::peers::{Neighbour, Place};
-use crate::bitmap::Bitmap;
-use crate::event::{Action, Note, Source};
+use crate::event::Source;
 use crate::limits::Policy;
-use crate::message::Message;
-
-/// Chunks asked of one host at once, so that no host's queue fills from one side.
-const ASKED_PER_HOST: usize = 2;
 
 /// Cross-region chunks in flight from one region; the bucket sets the rate.
-const CROSS_FLIGHTS: usize = 2;
+pub(crate) const CROSS_FLIGHTS: usize = 2;
 
 /// Announcement intervals that a host waits for the first answers of the others.
 const SETTLE_FACTOR: u32 = 5;
 
-/// How many expected transfer times pass before a flight counts as late.
-const LATE_FACTOR: u32 = 4;
-
 impl Transfer {
     /// Asks for chunks until a bound is reached or nothing more is to be had.
     pub(crate) fn fill(&mut self, now: Moment) {
@@ -253,7 +245,16 @@
         false
     }
 
-    // Shared steps.
+    fn draw_where<T>(&mut self, index: usize, now: Moment, test: T) -> bool
+    where
+        T: Fn(&Goal, usize) -> bool,
+    {
+        if self.flights.count(Lane::Upstream) >= self.limits.draws || !self.upstream.is_ready(now) {
+            return false;
+        }
+        let chunk = self.find(index, test);
+        chunk.is_some_and(|chunk| self.draw(index, chunk, now))
+    }
 
     /// Which drawing agents are stalled, or none when this host has no part in drawing.
     fn drawing(
@@ -279,196 +280,6 @@
         let goal = &self.goals[index];
         now.since(goal.grown) > self.limits.deadline.mul_f64(self.jitter)
     }
-
-    /// The rarest open chunk that a usable host offers, ties broken at random.
-    fn rarest<R, W, U>(
-        &self,
-        index: usize,
-        rarity: R,
-        wanted: W,
-        usable: U,
-        now: Moment,
-    ) -> Option<(usize, HostName)>
-    where
-        R: Fn(usize) -> u16,
-        W: Fn(usize) -> bool,
-        U: Fn(&Neighbour) -> bool,
-    {
-        let goal = &self.goals[index];
-        let holders = self.holders(index, usable, now);
-        let mut open = Bitmap::new(goal.len());
-        for (_, bits) in &holders {
-            open.join(bits);
-        }
-        open.subtract(&goal.have);
-        open.subtract(&goal.busy);
-        let chunks = open.ones(self.offset(goal.len()));
-        let chunk = chunks
-            .filter(|&chunk| wanted(chunk))
-            .min_by_key(|&chunk| rarity(chunk))?;
-        let host = self.holder(&holders, chunk)?;
-        Some((chunk, host))
-    }
-
-    /// The usable hosts that may be asked now, with what they hold.
-    fn holders<U>(&self, index: usize, usable: U, now: Moment) -> Vec<(&Neighbour, &Bitmap)>
-    where
-        U: Fn(&Neighbour) -> bool,
-    {
-        let id = self.goals[index].id();
-        self.peers
-            .active()
-            .filter(|neighbour| neighbour.asked < ASKED_PER_HOST && neighbour.is_ready(now))
-            .filter_map(|neighbour| Some((neighbour, &neighbour.heard.get(&id)?.bits)))
-            .filter(|(neighbour, _)| usable(neighbour))
-            .collect()
-    }
-
-    /// The host that offers a chunk, has failed least and is asked for least.
-    fn holder(&self, holders: &[(&Neighbour, &Bitmap)], chunk: usize) -> Option<HostName> {
-        let offers = holders.iter().filter(|(_, bits)| bits.get(chunk));
-        let best = offers.min_by_key(|(neighbour, _)| {
-            let rank = neighbour.rank(self.salt);
-            (neighbour.strikes, neighbour.asked, rank)
-        });
-        best.map(|(neighbour, _)| neighbour.peer.host.clone())
-    }
-
-    /// Where a search over the chunks starts, so that hosts don't all take the first.
-    fn offset(&self, length: usize) -> usize {
-        usize::try_from(self.salt >> 32).unwrap_or(0) % length
-    }
-
-    fn find<T>(&self, index: usize, test: T) -> Option<usize>
-    where
-        T: Fn(&Goal, usize) -> bool,
-    {
-        let goal = &self.goals[index];
-        let start = self.offset(goal.len());
-        (0..goal.len())
-            .map(|step| (start + step) % goal.len())
-            .find(|&chunk| goal.open(chunk) && test(goal, chunk))
-    }
-
-    fn draw_where<T>(&mut self, index: usize, now: Moment, test: T) -> bool
-    where
-        T: Fn(&Goal, usize) -> bool,
-    {
-        if self.flights.count(Lane::Upstream) >= self.limits.draws || !self.upstream.is_ready(now) {
-            return false;
-        }
-        let chunk = self.find(index, test);
-        chunk.is_some_and(|chunk| self.draw(index, chunk, now))
-    }
-
-    fn draw(&mut self, index: usize, chunk: usize, now: Moment) -> bool {
-        let goal = &self.goals[index];
-        let piece = goal.manifest.chunks()[chunk];
-        let stepped = goal.orders.region.is_drawer() && !goal.orders.region.is_first(chunk);
-        let length = u64::from(piece.length);
-        let Some(source) = self.upstream.take(length, self.hurried, now) else {
-            return false;
-        };
-        if stepped && self.limits.policy == Policy::Ordered {
-            self.out.push(Action::Log(Note::Stepped {
-                digest: piece.digest,
-            }));
-        }
-        let deadline = self.upstream_patience(index);
-        self.launch(index, chunk, source.clone(), Lane::Upstream, deadline, now);
-        self.out.push(Action::Fetch {
-            digest: piece.digest,
-            source,
-            rate: self.ingress.rate(),
-        });
-        true
-    }
-
-    fn request(&mut self, index: usize, found: Option<(usize, HostName)>, now: Moment) -> bool {
-        let Some((chunk, host)) = found else {
-            return false;
-        };
-        let piece = self.goals[index].manifest.chunks()[chunk];
-        let near = self.near_patience(index);
-        let cross = self.cross_patience(index);
-        let Some(neighbour) = self.peers.get_mut(&host) else {
-            return false;
-        };
-        neighbour.asked += 1;
-        let lane = Lane::from(neighbour.place);
-        if let Some(link) = self.cross.get_mut(&neighbour.peer.region)
-            && lane == Lane::Cross
-        {
-            link.bucket.take(u64::from(piece.length), now);
-            link.flights += 1;
-        }
-        let patience = if lane == Lane::Cross { cross } else { near };
-        self.launch(
-            index,
-            chunk,
-            Source::Peer(host.clone()),
-            lane,
-            patience,
-            now,
-        );
-        let digest = piece.digest;
-        self.send(&host, Message::Request { digest });
-        true
-    }
-
-    fn launch(
-        &mut self,
-        index: usize,
-        chunk: usize,
-        source: Source,
-        lane: Lane,
-        patience: Duration,
-        now: Moment,
-    ) {
-        let piece = self.goals[index].manifest.chunks()[chunk];
-        self.ingress.take(u64::from(piece.length), now);
-        let flight = Flight {
-            source,
-            lane,
-            length: piece.length,
-            since: now,
-            deadline: now + patience,
-        };
-        self.flights.add(piece.digest, flight);
-        for goal in &mut self.goals {
-            goal.set_busy(piece.digest, true);
-        }
-    }
-
-    /// How long a chunk from this region may wait in a full queue and travel.
-    fn near_time(&self, index: usize) -> Duration {
-        let queue = self.limits.uploads as u64 + 1;
-        self.limits.host.time(self.goals[index].longest * queue)
-    }
-
-    fn near_patience(&self, index: usize) -> Duration {
-        let expected = self.near_time(index) * LATE_FACTOR;
-        expected.max(self.limits.deadline)
-    }
-
-    fn cross_patience(&self, index: usize) -> Duration {
-        let bytes = self.goals[index].longest * CROSS_FLIGHTS as u64;
-        let drawers = self.goals[index].orders.region.drawers.len();
-        let expected = self.cross_rate().split(drawers).time(bytes) * LATE_FACTOR;
-        expected.clamp(self.limits.deadline, self.limits.deadline * 20)
-    }
-
-    /// How long a draw may wait behind those of all other drawing agents.
-    fn upstream_patience(&self, index: usize) -> Duration {
-        let goal = &self.goals[index];
-        let drawers = match self.limits.policy {
-            Policy::Ordered => self.limits.drawers * goal.orders.region_count(),
-            Policy::Origin | Policy::Unordered => self.peers.names().count() + 1,
-        };
-        let bytes = goal.longest * (drawers * self.limits.draws) as u64;
-        let expected = self.limits.origin.time(bytes) * LATE_FACTOR;
-        expected.max(self.limits.deadline)
-    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
