--- a/crates/azurestand_target/src/exchange/event.rs
+++ b/crates/azurestand_target/src/exchange/event.rs
@@ -26,7 +26,7 @@
             total: 16 * 1024 * 1024,
             keep: Duration::from_mins(1),
             window: Duration::from_secs(30),
-            ids: 100_000,
+            ids: 20_000,
         }
     }
 }
