Free what waits for another answer; serve what a refused order loaded

Cause: reading the agent against these machines showed that a repeated request's exchange never ended, so that ids leaked; that an order refused after a crash left a target serving nothing; and that a declined request ended as unknown. Change: Ending::Unknown ends a waiting exchange; Ending::Declined; a refused order keeps its digest servable and the order before in force; a lease taken again with nobody in between needs no wait. Conclusion: a target can't be left without weights by refusals, and ids don't leak.

--- a/crates/azurestand_target/src/exchange/entry.rs
+++ b/crates/azurestand_target/src/exchange/entry.rs
@@ -24,10 +24,14 @@
         /// names none leaves the end unconfirmed until its next report.
         weights: Option<Weights>,
     },
-    /// It may have run, without an answer.
+    /// It may have run, without an answer; or it waited for another request's
+    /// answer, which its reader was given in its place.
     Unknown(Uncertainty),
     /// It was never started.
     NotRun(Refusal),
+    /// The engine certainly did nothing: it couldn't be connected to, or it
+    /// said that it has no room. Counts only before the first byte of an answer.
+    Declined(Refusal),
 }
 
 /// What a reader of an answer gets.
@@ -106,8 +110,15 @@
 
     pub(crate) fn end(&mut self, now: Moment, ending: Ending) {
         let outcome = match (self.state, ending) {
-            (State::Waiting, Ending::NotRun(refusal)) => Outcome::NotRun(refusal),
-            (State::Running(..), Ending::NotRun(_)) => {
+            (State::Waiting, Ending::NotRun(refusal) | Ending::Declined(refusal)) => {
+                Outcome::NotRun(refusal)
+            }
+            // It never starts after this.
+            (State::Waiting, Ending::Unknown(why)) => Outcome::Unknown(why),
+            (State::Running(..), Ending::Declined(refusal)) if self.buffer.length() == 0 => {
+                Outcome::NotRun(refusal)
+            }
+            (State::Running(..), Ending::NotRun(_) | Ending::Declined(_)) => {
                 // Once started, only the engine's own word could say that nothing ran.
                 Outcome::Unknown(Uncertainty::TargetFailed)
             }
--- a/crates/azurestand_target/src/life/machine.rs
+++ b/crates/azurestand_target/src/life/machine.rs
@@ -33,6 +33,8 @@
     pub(crate) out: bool,
     /// What counts as ordered again when the engine refuses an order.
     previous: Option<Digest>,
+    /// The digest of a refused order, which an engine may yet have taken.
+    refused: Option<Digest>,
     staged: Option<Digest>,
     report: Option<(Moment, Report)>,
 }
@@ -46,6 +48,7 @@
             ordered: None,
             out: false,
             previous: None,
+            refused: None,
             staged: None,
             report: None,
         }
@@ -63,7 +66,7 @@
     fn servable(&self) -> Option<Weights> {
         let (_, report) = self.report.as_ref()?;
         let wanted = match self.settings.kind {
-            Kind::Engine => report.digest.is_some() && report.digest == self.ordered,
+            Kind::Engine => report.digest.is_some_and(|digest| self.has_ordered(digest)),
             Kind::Service => true,
         };
         if report.ready && wanted {
@@ -73,6 +76,14 @@
         }
     }
 
+    /// Whether the newest orders include this digest.
+    ///
+    /// A refused order is included: an engine that reports its weights has
+    /// taken it all the same, and nothing else would be served meanwhile.
+    fn has_ordered(&self, digest: Digest) -> bool {
+        [self.ordered, self.refused].contains(&Some(digest))
+    }
+
     fn forget_stale(&mut self, now: Moment) {
         if let Some((at, _)) = self.report
             && now.since(at) > self.settings.stale_after
@@ -94,7 +105,11 @@
 
     fn start_serving(&mut self, weights: Weights) -> State {
         self.serving = Some(weights);
+        self.ordered = weights.digest.or(self.ordered);
         self.previous = None;
+        if self.refused == weights.digest {
+            self.refused = None;
+        }
         self.warmth.chill();
         State::cold()
     }
@@ -104,13 +119,16 @@
             self.previous = self.ordered;
             self.ordered = Some(digest);
         }
+        self.refused = None;
         self.serving = None;
         self.warmth.chill();
         State::loading()
     }
 
     fn refuse(&mut self) -> State {
-        self.ordered = self.previous.take();
+        if let Some(previous) = self.previous.take() {
+            self.refused = self.ordered.replace(previous);
+        }
         match self.servable() {
             Some(weights) => self.start_serving(weights),
             None => self.resting(),
@@ -169,7 +187,6 @@
     #[state(superstate = "idle")]
     fn loading(&mut self, event: &Input) -> Outcome<State> {
         match event.event {
-            LifeEvent::LoadRefused => Transition(self.refuse()),
             LifeEvent::Report(report) => {
                 // A restart in the middle of a load loses the load.
                 let restarted = self.record(event.now, report);
@@ -186,6 +203,7 @@
     #[superstate(superstate = "present")]
     fn idle(&mut self, event: &Input) -> Outcome<State> {
         match event.event {
+            LifeEvent::LoadRefused => Transition(self.refuse()),
             LifeEvent::Report(report) => {
                 self.record(event.now, report);
                 self.begin()
--- a/crates/azurestand_target/src/order/event.rs
+++ b/crates/azurestand_target/src/order/event.rs
@@ -67,7 +67,8 @@
 pub enum OrderEvent {
     /// This process holds or has renewed the lease on ordering the target.
     LeaseHeld {
-        /// The fencing number, which grows with each holder.
+        /// The fencing number, which grows by at least one whenever the lease
+        /// is taken.
         fence: Fence,
         /// Until when, counted from before the store was asked.
         until: Moment,
--- a/crates/azurestand_target/src/order/rights.rs
+++ b/crates/azurestand_target/src/order/rights.rs
@@ -31,9 +31,11 @@
             return;
         }
         if fence > self.fence {
+            // The next number after its own: nobody held the lease in between.
+            let own = self.fence != Fence::default() && fence == self.fence.next();
             self.quiet = match prior {
-                Some(lease) if !settings.fenced => now + lease + settings.longest,
-                _ => now,
+                Some(lease) if !settings.fenced && !own => now + lease + settings.longest,
+                _ => self.quiet.max(now),
             };
         }
         self.fence = fence;
--- a/crates/azurestand_target/tests/exchange.rs
+++ b/crates/azurestand_target/tests/exchange.rs
@@ -211,6 +211,32 @@
     );
 }
 
+#[test]
+fn a_request_that_the_engine_declined_did_not_run() {
+    let mut exchanges = running(Keep::All);
+    exchanges.end(at(2), ID, Ending::Declined(Refusal::Busy));
+    assert_eq!(exchanges.outcome(ID), Some(Outcome::NotRun(Refusal::Busy)));
+
+    let mut exchanges = running(Keep::All);
+    exchanges.append(ID, Bytes::from_static(b"x"));
+    exchanges.end(at(2), ID, Ending::Declined(Refusal::Busy));
+    let unknown = Outcome::Unknown(Uncertainty::TargetFailed);
+    assert_eq!(
+        exchanges.outcome(ID),
+        Some(unknown),
+        "it had begun to answer"
+    );
+}
+
+#[test]
+fn a_request_answered_from_another_one_is_forgotten_in_time() {
+    let mut exchanges = exchanges();
+    exchanges.send(at(0), ID, stamp(0), Keep::All);
+    exchanges.end(at(1), ID, Ending::Unknown(Uncertainty::Unreachable));
+    exchanges.tick(at(10_001));
+    assert!(exchanges.is_empty());
+}
+
 #[test]
 fn a_send_of_a_forgotten_request_is_stale_and_not_run_again() {
     let mut exchanges = running(Keep::Unread);
--- a/crates/azurestand_target/tests/life.rs
+++ b/crates/azurestand_target/tests/life.rs
@@ -202,6 +202,39 @@
     );
 }
 
+#[test]
+fn a_refused_load_that_took_effect_is_served() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(report(1, None));
+    bench.send(report(1, Some(2)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+    assert_eq!(bench.life.ordered(), Some(digest(2)));
+}
+
+#[test]
+fn an_order_refused_after_a_crash_leaves_its_weights_ordered() {
+    let mut bench = Bench::cold();
+    bench.send(report(2, None));
+    bench.send(LifeEvent::LoadOrdered(digest(1)));
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(report(2, Some(1)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn a_load_that_ends_in_a_crash_lets_the_old_weights_serve() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(LifeEvent::LoadAccepted);
+    bench.send(report(2, None));
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(report(2, Some(1)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
 #[test]
 fn a_data_centre_out_of_service_gets_nothing_new_and_comes_back() {
     let mut bench = Bench::warm();
