Leave a shard to the later life of its host

Cause: two live processes of one host name took a proved shard from each other at every renewal. Change: only a later life takes over at once; an earlier one that wakes waits like any other home. Before: the new test fails, the shard goes back to the earlier life. Conclusion: a paused process that wakes doesn't disturb its successor.

--- a/crates/azurestand_target/src/claim/record.rs
+++ b/crates/azurestand_target/src/claim/record.rs
@@ -18,6 +18,13 @@
     pub life: Incarnation,
 }
 
+impl Holder {
+    /// Whether this is an earlier life of the same host's process.
+    pub(crate) fn is_before(&self, other: &Self) -> bool {
+        self.host == other.host && self.life < other.life
+    }
+}
+
 /// The store's revision at which a key was last written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
 pub struct Version(pub u64);
--- a/crates/azurestand_target/src/claim/watch.rs
+++ b/crates/azurestand_target/src/claim/watch.rs
@@ -61,9 +61,9 @@
                 None => turn,
                 // This process's own write, whose answer was lost.
                 Some(holder) if holder == me => Duration::ZERO,
-                // An earlier life of this process. Every run of it was proved, so
-                // that the version alone fences it.
-                Some(holder) if holder.host == me.host && record.proved => Duration::ZERO,
+                // Every run of an earlier life was proved, so that the version
+                // alone fences it. An earlier life that wakes has to wait.
+                Some(holder) if record.proved && holder.is_before(me) => Duration::ZERO,
                 Some(_) => record.lease + settings.margin + turn,
             },
         };
--- a/crates/azurestand_target/src/life/machine.rs
+++ b/crates/azurestand_target/src/life/machine.rs
@@ -179,8 +179,7 @@
     }
 
     #[state(superstate = "idle")]
-    fn staging(event: &Input) -> Outcome<State> {
-        let _ = event;
+    fn staging() -> Outcome<State> {
         Super
     }
 
--- a/crates/azurestand_target/tests/claims/cases.rs
+++ b/crates/azurestand_target/tests/claims/cases.rs
@@ -364,6 +364,20 @@
     assert_eq!(world.holder(key), Some(HOSTS));
 }
 
+#[test]
+fn an_earlier_life_that_wakes_leaves_its_shards_to_the_later_one() {
+    let (mut world, _) = settled(Outage::Wait);
+    let key = key_held_by(&world, 0);
+    world.pause(0, true);
+    world.restart(HOSTS);
+    world.settle(seconds(1));
+    world.pause(0, false);
+    for _ in 0..20 {
+        world.settle(millis(100));
+        assert_eq!(world.holder(key), Some(HOSTS));
+    }
+}
+
 #[test]
 fn a_leaving_home_hands_its_shards_on_without_a_window() {
     for outage in [Outage::Wait, Outage::Memory] {
