--- a/crates/azurestand_bench/src/lib.rs
+++ b/crates/azurestand_bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Measurements of the coordination parts.
 
 pub mod control;
+pub mod requests;
