--- a/crates/azurestand_bench/src/requests/world.rs
+++ b/crates/azurestand_bench/src/requests/world.rs
@@ -318,9 +318,10 @@
             prefix: prefix(request.group),
             ..Wanted::subject("dispatch")
         };
-        let choice = match entry.out {
-            true => None,
-            false => entry.table.choose(self.now, &wanted, &mut self.rng),
+        let choice = if entry.out {
+            None
+        } else {
+            entry.table.choose(self.now, &wanted, &mut self.rng)
         };
         if let Some(choice) = choice {
             entry.table.sent(self.now, &choice.target, &wanted.prefix);
