--- a/crates/azurestand_dev/src/pages.rs
+++ b/crates/azurestand_dev/src/pages.rs
@@ -1,6 +1,8 @@
 //! The generated pages.
 
 mod configuration;
+mod events;
+mod metrics;
 #[cfg(test)]
 mod tests;
 
@@ -16,7 +18,7 @@
 
 /// Every generated page.
 pub(crate) fn all() -> Vec<Page> {
-    vec![configuration::page()]
+    vec![configuration::page(), events::page(), metrics::page()]
 }
 
 /// Names the pages that differ from what the code says.
