Take a handed-on shard as soon as callers ask for it

Cause: after a planned stop a shard waited for the next poll of a home, up to 6 s with the default settings. Change: a request for a shard that a home doesn't hold makes it read the record within its patience; handed-on shards wait patience instead of step per place in the order. Before: the new test fails: not served within a second. Conclusion: a data centre that leaves doesn't leave its keys unserved for long.

--- a/crates/azurestand_target/src/claim/home.rs
+++ b/crates/azurestand_target/src/claim/home.rs
@@ -52,6 +52,7 @@
     /// A `Commit` or `Read` without an answer so far.
     asked: bool,
     next_read: Moment,
+    last_read: Moment,
     leaving: bool,
 }
 
@@ -77,6 +78,7 @@
             sending: None,
             asked: false,
             next_read: Moment::START,
+            last_read: Moment::START,
             leaving: false,
         }
     }
@@ -129,6 +131,11 @@
             Some(entry) => Some(repeat(ask.id, print, entry)),
             None => self.refuse_new(ask.id),
         };
+        if self.duty == Duty::Watching {
+            // The holder may be gone; who asks here wants to know soon.
+            let soon = self.last_read + self.settings.patience;
+            self.next_read = self.next_read.min(soon);
+        }
         match action {
             Some(action) => actions.push(action),
             None => self.claim(now, key, ask),
--- a/crates/azurestand_target/src/claim/home/steps.rs
+++ b/crates/azurestand_target/src/claim/home/steps.rs
@@ -29,6 +29,9 @@
         };
         self.asked = true;
         let writes = matches!(action, HomeAction::Commit(..));
+        if !writes {
+            self.last_read = now;
+        }
         actions.push(action);
         writes
     }
--- a/crates/azurestand_target/src/claim/watch.rs
+++ b/crates/azurestand_target/src/claim/watch.rs
@@ -58,7 +58,8 @@
         let wait = match &seen.record {
             None => turn,
             Some((record, _)) => match &record.holder {
-                None => turn,
+                // Handed on: callers wait, so the order matters less than time.
+                None => settings.patience * rank,
                 // This process's own write, whose answer was lost.
                 Some(holder) if holder == me => Duration::ZERO,
                 // Every run of an earlier life was proved, so that the version
--- a/crates/azurestand_target/tests/claims/cases.rs
+++ b/crates/azurestand_target/tests/claims/cases.rs
@@ -344,6 +344,16 @@
     assert_eq!(told(&world, id), None);
 }
 
+#[test]
+fn a_record_that_calls_all_runs_proved_forbids_runs_on_memory() {
+    let (mut world, holder) = settled(Outage::Wait);
+    world.processes[holder].cut = true;
+    world.configure(Outage::Memory);
+    let id = world.ask(KEY, holder).unwrap();
+    world.settle(seconds(1));
+    assert_eq!(told(&world, id), None);
+}
+
 #[test]
 fn a_second_life_waits_while_the_first_may_run_on_memory() {
     let (mut world, _) = settled(Outage::Memory);
@@ -401,6 +411,20 @@
     }
 }
 
+#[test]
+fn a_shard_that_is_asked_for_is_taken_soon_after_it_was_handed_on() {
+    let (mut world, holder) = settled(Outage::Wait);
+    let others: Vec<_> = (0..HOSTS).filter(|index| *index != holder).collect();
+    world.leave(holder);
+    for _ in 0..10 {
+        for other in &others {
+            world.ask(KEY, *other);
+        }
+        world.settle(millis(100));
+    }
+    assert_eq!(world.runs.get(&KEY), Some(&1), "not served within a second");
+}
+
 #[test]
 fn a_home_that_is_no_longer_listed_hands_its_shards_on() {
     let (mut world, holder) = settled(Outage::Wait);
