--- a/crates/azurestand_membership/src/member/sync.rs
+++ b/crates/azurestand_membership/src/member/sync.rs
@@ -9,18 +9,24 @@
 use crate::Role;
 use crate::gossip::{BUCKETS, Body, Brief, MAX_BRIEFS, Summary, record_bytes};
 use crate::record::Record;
-use crate::view::Entry;
 
 /// How many versions one answer lists at most.
 const SUMMARY_BRIEFS: usize = 96;
 
+/// How many entries of a data centre turn to a hub in one round of comparisons.
+const HUB_VISITS: usize = 4;
+
+/// Among how many random peers an entry looks for another entry.
+const SYNC_CANDIDATES: usize = 8;
+
 /// Bytes of records that one exchange carries at most.
 const SYNC_BYTES: usize = 8_192;
 
 /// A member that lacks this many records compares again soon.
-const CATCH_UP: usize = 16;
+const CATCH_UP: usize = 4;
 
-const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
+const MEMBERS_PAUSE: Duration = Duration::from_millis(200);
+const STATUSES_PAUSE: Duration = Duration::from_secs(1);
 
 impl Member {
     pub(super) fn sync_tick(&mut self) {
@@ -29,24 +35,27 @@
         }
         self.timers.sync = self.now + self.limits.sync_every;
         let entry = self.me.identity.role == Role::Entry;
-        let hubs = entry && self.random.bool();
-        let peers = if hubs {
+        let peers = if entry && self.turns_to_hub() {
             self.hub_records()
         } else {
-            self.local_peers(usize::MAX)
+            self.local_peers(SYNC_CANDIDATES)
         };
-        let suited = |peer: &&Record| !entry || peer.identity.role == Role::Entry;
-        let suited: Vec<_> = peers.iter().filter(suited).collect();
-        let peer = match self.random.choice(&suited) {
-            Some(peer) => (*peer).clone(),
-            None => match self.random.choice(&peers) {
-                Some(peer) => peer.clone(),
-                None => return,
-            },
+        // Statuses travel among entries, so an entry prefers one of its kind.
+        let suited = peers.iter().find(|peer| peer.identity.role == Role::Entry);
+        let Some(peer) = suited.filter(|_| entry).or(peers.first()).cloned() else {
+            return;
         };
         self.open_sync(&peer);
     }
 
+    /// Whether an entry compares with a hub this time; the more entries, the rarer,
+    /// so that a hub's share of the work doesn't grow with them.
+    fn turns_to_hub(&mut self) -> bool {
+        let locals = self.view.members_of(&self.me.identity.centre);
+        let entries = locals.filter(|r| r.identity.role == Role::Entry).count();
+        self.random.usize(..entries.max(1)) < HUB_VISITS
+    }
+
     /// Opens a comparison; statuses are compared only among entries and hubs, which keep them.
     pub(super) fn open_sync(&mut self, peer: &Record) {
         let both = self.keeps_statuses() && peer.identity.role == Role::Entry;
@@ -78,13 +87,14 @@
             .filter(|bucket| mine[*bucket] != theirs[*bucket])
             .collect();
         self.random.shuffle(&mut differing);
+        let mut held = self.briefs(&differing);
         let mut summary = Summary {
             statuses,
             buckets: Vec::new(),
             briefs: Vec::new(),
         };
         for bucket in differing {
-            let briefs = self.briefs(bucket);
+            let briefs = std::mem::take(&mut held[bucket]);
             let full = summary.briefs.len() + briefs.len() > SUMMARY_BRIEFS;
             if full && !summary.buckets.is_empty() {
                 break;
@@ -96,15 +106,19 @@
         self.send_news(sender, Body::Summary(summary));
     }
 
-    fn briefs(&self, wanted: usize) -> Vec<Brief> {
-        let held =
-            |entry: &&Entry| entry.print.bucket == wanted && entry.record.state().is_present();
-        let brief = |entry: &Entry| Brief {
-            host: entry.record.identity.host.clone(),
-            version: entry.record.version(),
-            counter: entry.record.status.counter,
-        };
-        self.view.entries().filter(held).map(brief).collect()
+    /// What is held in the wanted buckets, by bucket.
+    fn briefs(&self, wanted: &[usize]) -> Vec<Vec<Brief>> {
+        let mut held = vec![Vec::new(); BUCKETS];
+        if wanted.is_empty() {
+            return held;
+        }
+        for entry in self.view.entries() {
+            let bucket = entry.print.bucket;
+            if entry.record.state().is_present() && wanted.contains(&bucket) {
+                held[bucket].push(Brief::of(&entry.record));
+            }
+        }
+        held
     }
 
     /// Sends what the other lacks and asks for what this member lacks.
@@ -144,9 +158,7 @@
                 mine.push(host.clone());
             }
         }
-        if hosts.len() >= CATCH_UP {
-            self.timers.sync = self.timers.sync.min(self.now + CATCH_UP_PAUSE);
-        }
+        self.catch_up(&hosts);
         if hosts.is_empty() && mine.is_empty() {
             return;
         }
@@ -160,6 +172,19 @@
         self.send(sender.identity.address, answer);
     }
 
+    /// Compares again soon when much is lacking: sooner for unknown members than for statuses.
+    fn catch_up(&mut self, lacking: &[HostName]) {
+        let unknown = lacking.iter().filter(|host| self.view.get(host).is_none());
+        let pause = if unknown.count() >= CATCH_UP {
+            MEMBERS_PAUSE
+        } else if lacking.len() >= CATCH_UP {
+            STATUSES_PAUSE
+        } else {
+            return;
+        };
+        self.timers.sync = self.timers.sync.min(self.now + pause);
+    }
+
     /// Sends the records that were asked for.
     pub(super) fn supply(&mut self, sender: &Record, statuses: bool, hosts: &[HostName]) {
         let mut answer = self.message(Body::Push);
