Serve other data centres first and let idle hosts listen to more

Cause: at 270 hosts single hosts ended 16 s after the rest, and first copies to a data centre waited behind its neighbours' requests. Change: uploads to other data centres go first; a host with an idle link subscribes to more hosts; silent subscriptions are replaced; links to regions are kept by view.

--- a/crates/azurestand_spread/src/transfer/goal.rs
+++ b/crates/azurestand_spread/src/transfer/goal.rs
@@ -24,6 +24,8 @@
     /// How many known hosts hold each chunk, by where they stand.
     pub(crate) counts: Counts,
     pub(crate) orders: Orders,
+    /// Hosts to listen to beyond the usual number.
+    pub(crate) extra: usize,
     pub(crate) begun: Moment,
     /// The other hosts were heard, so that drawing may begin.
     pub(crate) settled: bool,
@@ -134,6 +136,7 @@
             missing: length,
             counts: Counts::new(length),
             orders: Orders::default(),
+            extra: 0,
             begun: now,
             settled: false,
             grown: now,
--- a/crates/azurestand_spread/src/transfer/listen.rs
+++ b/crates/azurestand_spread/src/transfer/listen.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use super::Transfer;
+use super::flight::Lane;
 use super::peers::{Heard, Place};
 use crate::bitmap::Bitmap;
 use crate::limits::Policy;
@@ -14,6 +15,12 @@
 const SUBSCRIPTION: Duration = Duration::from_secs(20);
 const RENEWAL: Duration = Duration::from_secs(6);
 const DECLINED: Duration = Duration::from_secs(5);
+/// Fewer chunks in flight than this leave a host's link idle.
+const IDLE_FLIGHTS: usize = 2;
+
+/// How many more hosts an idle one listens to.
+const WIDEN_BY: usize = 2;
+
 const MAX_LISTENERS: usize = 128;
 
 /// What an announcement needs beside its bitmap, in bytes.
@@ -61,7 +68,7 @@
         }
         hosts.sort();
         hosts.dedup();
-        let fanout = self.limits.fanout;
+        let fanout = self.limits.fanout + self.widen(index);
         match self.limits.policy {
             Policy::Ordered => {
                 hosts.extend(self.sample(id, fanout, now, |place| place == Place::Centre));
@@ -76,6 +83,17 @@
         hosts
     }
 
+    /// Lets a host whose link idles listen to more hosts, a few more each time.
+    fn widen(&mut self, index: usize) -> usize {
+        let idle = self.flights.count(Lane::Near) < IDLE_FLIGHTS;
+        let most = self.limits.fanout;
+        let goal = &mut self.goals[index];
+        if idle && goal.have.count() > 0 {
+            goal.extra = (goal.extra + WIDEN_BY).min(most);
+        }
+        goal.extra
+    }
+
     /// Keeps up to `count` hosts of a kind that are subscribed to already and fills up at random.
     fn sample<T>(&mut self, id: Digest, count: usize, now: Moment, test: T) -> Vec<HostName>
     where
@@ -96,13 +114,15 @@
             if !test(neighbour.place) || declined || !neighbour.peer.models.contains(&model) {
                 continue;
             }
-            if neighbour.subscribed.contains_key(&id) {
+            let asked = neighbour.subscribed.get(&id);
+            let fresh_ask = asked.is_some_and(|asked| now.since(*asked) < RENEWAL);
+            if fresh_ask || neighbour.heard.contains_key(&id) && asked.is_some() {
                 kept.push(host.clone());
             } else {
                 fresh.push(host.clone());
             }
         }
-        kept.truncate(count.max(kept.len().min(2 * count)));
+        kept.truncate(2 * count);
         while kept.len() < count && !fresh.is_empty() {
             kept.push(fresh.swap_remove(self.rng.usize(..fresh.len())));
         }
--- a/crates/azurestand_spread/src/transfer/serve.rs
+++ b/crates/azurestand_spread/src/transfer/serve.rs
@@ -17,7 +17,7 @@
     pub(crate) to: HostName,
     incarnation: Incarnation,
     digest: Digest,
-    cross: bool,
+    place: Place,
     length: u32,
 }
 
@@ -28,13 +28,14 @@
 }
 
 impl Uploads {
-    fn count(&self, cross: bool) -> usize {
+    fn count(&self, place: Place) -> usize {
         let all = self.queue.iter().chain(&self.running);
-        all.filter(|job| job.cross == cross).count()
+        all.filter(|job| job.place == place).count()
     }
 
-    fn running(&self, cross: bool) -> usize {
-        self.running.iter().filter(|job| job.cross == cross).count()
+    fn running_near(&self) -> usize {
+        let near = self.running.iter().filter(|job| job.place != Place::Cross);
+        near.count()
     }
 
     fn contains(&self, to: &HostName, digest: Digest) -> bool {
@@ -75,8 +76,8 @@
         let Some(neighbour) = self.peers.get(from) else {
             return;
         };
-        let cross = neighbour.place == Place::Cross;
-        if self.uploads.count(cross) >= self.limits.uploads {
+        let place = neighbour.place;
+        if self.uploads.count(place) >= self.limits.uploads {
             self.refuse(from, digest, Reason::Busy);
             return;
         }
@@ -84,7 +85,7 @@
             to: from.clone(),
             incarnation: neighbour.peer.incarnation,
             digest,
-            cross,
+            place,
             length,
         });
         self.upload(now);
@@ -119,10 +120,17 @@
         }
     }
 
+    /// The first of a kind that may start: those to other regions don't fill
+    /// this host's link, and those to other data centres are first copies there.
     fn next_upload(&self) -> Option<usize> {
-        let near = self.uploads.running(false) < RUNNING_UPLOADS;
-        let is_next = |job: &Job| job.cross || near;
-        self.uploads.queue.iter().position(is_next)
+        let near = self.uploads.running_near() < RUNNING_UPLOADS;
+        let first = |place| {
+            let mut queue = self.uploads.queue.iter();
+            queue.position(|job| job.place == place)
+        };
+        let cross = first(Place::Cross);
+        let others = || first(Place::Region).or_else(|| first(Place::Centre));
+        cross.or_else(|| near.then(others).flatten())
     }
 
     fn refuse(&mut self, to: &HostName, digest: Digest, reason: Reason) {
--- a/crates/azurestand_spread/src/transfer/share.rs
+++ b/crates/azurestand_spread/src/transfer/share.rs
@@ -32,21 +32,10 @@
         self.shared = now;
         let (own, all) = self.backlog();
         let rate = Rate(self.cross_rate().0.saturating_mul(own) / all);
-        let regions: BTreeSet<_> = self
-            .peers
-            .iter()
-            .filter(|neighbour| neighbour.place == Place::Cross)
-            .map(|neighbour| neighbour.peer.region.clone())
-            .collect();
-        self.cross.retain(|region, _| regions.contains(region));
-        let count = regions.len() as u64 + 1;
-        for region in regions {
-            let link = self.cross.entry(region).or_insert_with(|| CrossLink {
-                bucket: Bucket::new(rate, 0, now),
-                flights: 0,
-            });
+        for link in self.cross.values_mut() {
             link.bucket.set_rate(rate, now);
         }
+        let count = self.cross.len() as u64 + 1;
         if let Some(store) = self.limits.store {
             let rate = Rate(store.0.saturating_mul(own) / (all * count));
             // About one chunk in `count` is drawn here, the others by other regions.
@@ -58,6 +47,24 @@
         }
     }
 
+    /// Keeps a link for each other region of the view.
+    pub(crate) fn link_regions(&mut self, now: Moment) {
+        let regions: BTreeSet<_> = self
+            .peers
+            .iter()
+            .filter(|neighbour| neighbour.place == Place::Cross)
+            .map(|neighbour| neighbour.peer.region.clone())
+            .collect();
+        self.cross.retain(|region, _| regions.contains(region));
+        for region in regions {
+            self.cross.entry(region).or_insert_with(|| CrossLink {
+                bucket: Bucket::new(Rate(0), 0, now),
+                flights: 0,
+            });
+        }
+        self.share_links(now);
+    }
+
     fn longest(&self) -> u64 {
         let lengths = self.goals.iter().map(|goal| goal.longest);
         lengths.max().unwrap_or(0)
--- a/crates/azurestand_spread/src/transfer/view.rs
+++ b/crates/azurestand_spread/src/transfer/view.rs
@@ -70,7 +70,7 @@
         for index in 0..self.goals.len() {
             self.reorder_goal(index, now);
         }
-        self.share_links(now);
+        self.link_regions(now);
     }
 
     fn reorder_goal(&mut self, index: usize, now: Moment) {
