--- a/crates/azurestand_bench/src/lib.rs
+++ b/crates/azurestand_bench/src/lib.rs
@@ -2,7 +2,11 @@
 
 /// Membership and dissemination at size.
 pub mod control;
+/// One page of all figures beside the run before.
+pub mod report;
 /// The way of requests, beside a baseline policy.
 pub mod requests;
+/// What one more of something costs, fitted over several sizes.
+pub mod slopes;
 /// The spread of weights, beside two baselines.
 pub mod spread;
--- /dev/null
+++ b/crates/azurestand_bench/src/report.rs
@@ -0,0 +1,1 @@
+//! One page.
