Follow the document's limits, give a share of targets the canary

Cause: a target took its limits when it started, before any document was in force, so operators' limits never held; the canary was not served; a refused connection and an overload answer were called unknown though nothing ran. Change: life and admission take other bounds over at once; a fixed share of targets wants the canary's version; such answers end as not run.

--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -222,11 +222,20 @@
         },
         cold_limit: limits.cold_slots,
         warm_limit: limits.warm_slots,
+        growth: percent(limits.growth),
         good_token: limits.first_token,
         ..LifeSettings::default()
     }
 }
 
+/// A factor such as 1.5 as the 50 percent by which it lets a limit grow.
+fn percent(factor: f64) -> u32 {
+    let percent = ((factor - 1.0) * 100.0).round().clamp(1.0, 1_000.0);
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let percent = percent as u32;
+    percent
+}
+
 impl Controller {
     async fn run(mut self) {
         let mut ticks = interval(TICK);
@@ -338,6 +347,7 @@
         let now = self.now();
         for id in self.exchanges.report(now, taken, weights) {
             self.stop_run(id);
+            self.settle_claim(id);
             self.admit(AdmissionEvent::Finished(id));
         }
         self.pump_all();
@@ -396,10 +406,15 @@
     /// Takes over what the document says about this data centre.
     fn follow_document(&mut self) {
         let document = self.node.document();
-        let centre = &self.node.links.own().centre;
+        let centre = self.node.links.own().centre.clone();
+        let centre = &centre;
         if self.leaving {
             return;
         }
+        let settings = life_settings(&self.settings.kind, &document);
+        self.live(LifeEvent::Configured(settings));
+        let queue = document.limits().queue_length as usize;
+        self.admit(AdmissionEvent::QueueChanged(queue));
         // Before any document is in force there is nothing to take a data centre out.
         self.out = document.centres().contains_key(centre) && !document.in_service(centre);
         if self.out {
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azurestand_target::{AdmissionEvent, Ending, LifeEvent, Read, Weights};
-use azurestand_types::{Moment, Outcome, RequestId, Uncertainty};
+use azurestand_types::{Moment, Outcome, Refusal, RequestId, Uncertainty};
 use azurestand_wire::{Ask, Begin, Body, End, Outbox, Part};
 use bytes::Bytes;
 use tokio::sync::Semaphore;
@@ -170,9 +170,8 @@
                 weights: self.life.reported(),
             },
             RunEnd::Whole => Ending::Whole { weights: None },
-            RunEnd::Unreached | RunEnd::Broken | RunEnd::Overloaded => {
-                Ending::Unknown(Uncertainty::TargetFailed)
-            }
+            RunEnd::Unreached | RunEnd::Overloaded => Ending::Declined(Refusal::Busy),
+            RunEnd::Broken => Ending::Unknown(Uncertainty::TargetFailed),
         };
         match end {
             RunEnd::Whole => {
--- a/crates/azurestand_server/src/agent/target/orders.rs
+++ b/crates/azurestand_server/src/agent/target/orders.rs
@@ -6,7 +6,7 @@
     AdmissionEvent, EngineState as EngineView, LifeEvent, Order, OrderAction, OrderEvent,
     OrderPhase, OrderReply, OrderSettings, Orders, Verified,
 };
-use azurestand_types::{Digest, Fence, Moment, Refusal};
+use azurestand_types::{Digest, Fence, Moment, Refusal, TargetName, rendezvous};
 use http::StatusCode;
 use tokio::sync::mpsc;
 
@@ -102,7 +102,8 @@
         };
         let limit = document.limits().permits;
         loader.permit.tell(Wish::Limit(limit));
-        let wanted = document.models().get(model).and_then(Model::digest);
+        let wanted = document.models().get(model);
+        let wanted = wanted.and_then(|model| wanted_digest(model, &self.settings.name));
         let Some(digest) = wanted.filter(|digest| loader.wanted != Some(*digest)) else {
             return;
         };
@@ -303,6 +304,21 @@
     }
 }
 
+/// The version that this target is to serve: the canary's for a fixed share of
+/// all targets, so that an edit of other sections moves no target between versions.
+fn wanted_digest(model: &Model, target: &TargetName) -> Option<Digest> {
+    let canary = model.canary.as_ref().filter(|canary| {
+        let score = rendezvous::score(canary.version.as_str().as_bytes(), target.as_str());
+        // The upper 32 bits are enough to tell shares apart, and a float keeps them exactly.
+        let place = f64::from(u32::try_from(score >> 32).unwrap_or(u32::MAX));
+        place < canary.share * f64::from(u32::MAX)
+    });
+    match canary {
+        Some(canary) => model.versions.get(&canary.version).copied(),
+        None => model.digest(),
+    }
+}
+
 fn reply(ordered: &Ordered) -> OrderReply {
     match *ordered {
         Ordered::Accepted => OrderReply::Accepted,
--- a/crates/azurestand_target/src/admission.rs
+++ b/crates/azurestand_target/src/admission.rs
@@ -73,6 +73,8 @@
     Close(Refusal),
     /// New work again.
     Open,
+    /// So many requests may wait from now on; who waits already stays.
+    QueueChanged(usize),
     /// Time passed.
     Tick,
 }
@@ -167,6 +169,7 @@
             }
             AdmissionEvent::Close(refusal) => self.close(refusal, &mut actions),
             AdmissionEvent::Open => self.closed = None,
+            AdmissionEvent::QueueChanged(queue) => self.settings.queue = queue,
             AdmissionEvent::Tick => {}
         }
         self.expire(now, &mut actions);
--- a/crates/azurestand_target/src/life.rs
+++ b/crates/azurestand_target/src/life.rs
@@ -26,7 +26,7 @@
 }
 
 /// The limits of a target's states and what moves it between them.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LifeSettings {
     /// Whether the target holds weights.
     pub kind: Kind,
@@ -117,6 +117,8 @@
     CentreOut,
     /// The operators brought the data centre back.
     CentreIn,
+    /// The document sets other bounds; what the target has shown so far stays.
+    Configured(LifeSettings),
     /// Time passed.
     Tick,
 }
--- a/crates/azurestand_target/src/life/machine.rs
+++ b/crates/azurestand_target/src/life/machine.rs
@@ -288,7 +288,7 @@
             }
             LifeEvent::LoadOrdered(digest) => Transition(self.order(digest)),
             LifeEvent::Leave => Transition(State::draining()),
-            _ => self.note_centre(event),
+            _ => self.note_common(event),
         }
     }
 
@@ -300,21 +300,25 @@
                 self.record(event.now, report);
                 Handled
             }
-            _ => self.note_centre(event),
+            _ => self.note_common(event),
         }
     }
 
     #[state]
     fn left(&mut self, event: &Input) -> Outcome<State> {
-        self.note_centre(event)
+        self.note_common(event)
     }
 }
 
 impl Core {
-    fn note_centre(&mut self, event: &Input) -> Outcome<State> {
+    fn note_common(&mut self, event: &Input) -> Outcome<State> {
         match event.event {
             LifeEvent::CentreOut => self.out = true,
             LifeEvent::CentreIn => self.out = false,
+            LifeEvent::Configured(settings) => {
+                self.settings = settings;
+                self.warmth.configure(&settings);
+            }
             _ => {}
         }
         Handled
--- a/crates/azurestand_target/src/life/warmth.rs
+++ b/crates/azurestand_target/src/life/warmth.rs
@@ -56,6 +56,25 @@
         }
     }
 
+    /// Takes other bounds over; what was shown so far counts on within them.
+    pub(crate) fn configure(&mut self, settings: &LifeSettings) {
+        let Self {
+            limit,
+            good,
+            failures,
+            waiting,
+            ..
+        } = *self;
+        let fresh = Self::new(settings);
+        *self = Self {
+            limit: limit.clamp(fresh.floor, fresh.full),
+            good,
+            failures,
+            waiting,
+            ..fresh
+        };
+    }
+
     pub(crate) fn limit(&self) -> u32 {
         self.limit
     }
--- a/crates/azurestand_target/tests/life.rs
+++ b/crates/azurestand_target/tests/life.rs
@@ -323,3 +323,35 @@
         }
     }
 }
+
+#[test]
+fn other_bounds_of_the_document_hold_at_once_and_forget_nothing() {
+    let settings = LifeSettings {
+        kind: Kind::Service,
+        cold_limit: 2,
+        warm_limit: 8,
+        ..LifeSettings::default()
+    };
+    let mut life = Life::new(settings);
+    let report = Report {
+        boot: BootId(1),
+        digest: None,
+        ready: true,
+        waiting: 0,
+    };
+    life.handle(Moment::from_millis(1), LifeEvent::Report(report));
+    assert_eq!(life.limit(), 2);
+    let raised = LifeSettings {
+        cold_limit: 3,
+        ..settings
+    };
+    life.handle(Moment::from_millis(2), LifeEvent::Configured(raised));
+    assert_eq!((life.phase(), life.limit()), (Phase::Cold, 3));
+    let lowered = LifeSettings {
+        cold_limit: 1,
+        warm_limit: 1,
+        ..settings
+    };
+    life.handle(Moment::from_millis(3), LifeEvent::Configured(lowered));
+    assert_eq!(life.limit(), 1);
+}
