Finish other entries' requests before a stop, cancel orphans, feed link news

Cause: a stopping entry did not wait for requests of other data centres; work of a dead entry went on unread; membership heard nothing of links; a killed process kept its datagram socket. Change: a stop waits for them, idempotent work without a reader for 5 s is cancelled, links opening and ending are told to membership, one port is bound for links and datagrams and freed at the end. Before: not shown by a test.

--- a/crates/azurestand_server/src/agent/inbound.rs
+++ b/crates/azurestand_server/src/agent/inbound.rs
@@ -29,6 +29,7 @@
 
     async fn take(&self, message: Inbound) {
         let Inbound { peer, outbox, news } = message;
+        self.node.note_link(&peer, &news);
         match news {
             News::Opened if peer.role == Role::Entry => {
                 let _ = self.entries.send(EntryLink { outbox }).await;
--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -288,6 +288,7 @@
         self.exchanges.tick(now);
         self.pump_all();
         self.forget_old();
+        self.cancel_orphans();
         self.tend_orders();
         self.tend_claims();
         if now.since(self.probe.asked) >= POLL_INTERVAL {
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -19,6 +19,8 @@
 /// Bytes of one answer that are read ahead of its reader.
 const WINDOW_BYTES: usize = 192 * 1024;
 const MAX_PART_BYTES: usize = 64 * 1024;
+/// How long an entry may take to come back for an answer.
+const ORPHAN_LIMIT: Duration = Duration::from_secs(5);
 
 /// Who reads an answer, and how far.
 #[derive(Debug)]
@@ -56,6 +58,8 @@
     acked: u64,
     stop: CancellationToken,
     pub(super) reader: Option<Reader>,
+    /// Since when nobody reads the answer, although nobody has all of it.
+    orphaned: Option<Moment>,
     pub(super) revoker: Option<Outbox>,
 }
 
@@ -72,6 +76,7 @@
             acked: 0,
             stop: CancellationToken::new(),
             reader: Some(reader),
+            orphaned: None,
             revoker: None,
         }
     }
@@ -293,6 +298,27 @@
         }
     }
 
+    /// Cancels work whose entry went away for good, when a repeat does no harm.
+    /// What may not be repeated is finished, so that its outcome is known.
+    pub(super) fn cancel_orphans(&mut self) {
+        let now = self.now();
+        let mut left = Vec::new();
+        for (id, request) in &mut self.requests {
+            let reader = request.reader.as_ref();
+            if !reader.is_some_and(|reader| reader.outbox.is_closed()) {
+                request.orphaned = None;
+                continue;
+            }
+            let since = *request.orphaned.get_or_insert(now);
+            if request.ask.idempotent && now.since(since) >= ORPHAN_LIMIT {
+                left.push(*id);
+            }
+        }
+        for id in left {
+            self.admit(AdmissionEvent::Cancel(id));
+        }
+    }
+
     /// Drops what the exchanges have forgotten.
     pub(super) fn forget_old(&mut self) {
         let exchanges = &self.exchanges;
--- a/crates/azurestand_server/src/entry.rs
+++ b/crates/azurestand_server/src/entry.rs
@@ -40,11 +40,13 @@
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 /// How long the balancer may take to see that this entry isn't ready any more.
 const LEAVE_NOTICE: Duration = Duration::from_millis(600);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
     node: Node,
+    fleet: Fleet,
     web: SocketAddr,
     served: tokio::task::JoinHandle<()>,
 }
@@ -78,9 +80,15 @@
             fleet,
         });
         dispatch::start(service.clone(), arrivals);
-        let served = tokio::spawn(serve(listener, routes(service), node.clone()));
+        let served = tokio::spawn(serve(listener, routes(service.clone()), node.clone()));
         Event::Started.log(format_args!("entry of {} at {web}", node.settings.host));
-        Ok(Self { node, web, served })
+        let fleet = service.fleet.clone();
+        Ok(Self {
+            node,
+            fleet,
+            web,
+            served,
+        })
     }
 
     /// Where other processes reach the entry.
@@ -108,14 +116,26 @@
         self.node.unready.cancel();
         sleep(LEAVE_NOTICE).await;
         self.node.leaving.cancel();
-        let drained = timeout(self.node.settings.drain, self.served).await.is_ok();
+        let Self {
+            node,
+            served,
+            fleet,
+            ..
+        } = self;
+        let drained = timeout(node.settings.drain, async {
+            let _ = served.await;
+            while !fleet.relays(|relays| relays.is_idle()) {
+                sleep(DRAIN_POLL).await;
+            }
+        });
+        let drained = drained.await.is_ok();
         let event = if drained {
             Event::Stopped
         } else {
             Event::StopCut
         };
-        event.log(&self.node.settings.host);
-        self.node.end().await;
+        event.log(&node.settings.host);
+        node.end().await;
         drained
     }
 
--- a/crates/azurestand_server/src/entry/dispatch.rs
+++ b/crates/azurestand_server/src/entry/dispatch.rs
@@ -30,6 +30,7 @@
 fn take(service: &Arc<Service>, message: Inbound) {
     let Inbound { peer, outbox, news } = message;
     let fleet = &service.fleet;
+    service.node.note_link(&peer, &news);
     match news {
         News::Opened => (),
         News::Ended => fleet.lose(&peer, &outbox),
--- a/crates/azurestand_server/src/entry/relay.rs
+++ b/crates/azurestand_server/src/entry/relay.rs
@@ -52,6 +52,11 @@
             .retain(|_, relay| !relay.answers.is_closed() || now.since(relay.heard) < MEMORY);
     }
 
+    /// Whether no request of another entry is on its way.
+    pub(super) fn is_idle(&self) -> bool {
+        self.0.values().all(|relay| relay.answers.is_closed())
+    }
+
     fn tell(&self, id: RequestId, answer: Answer) -> bool {
         let relay = self.0.get(&id);
         relay.is_some_and(|relay| relay.answers.send(answer).is_ok())
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -19,7 +19,6 @@
 use azurestand_types::{HostName, Incarnation};
 use azurestand_wire::{Identity, Role};
 use bytes::Bytes;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch as latest};
 use tokio_util::sync::CancellationToken;
 
@@ -27,7 +26,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
-use links::{Arrivals, Links};
+use links::{Arrivals, Links, News};
+use post::Port;
 
 /// How long the last messages may take to leave.
 const GOODBYE_TIME: Duration = Duration::from_millis(50);
@@ -84,7 +84,7 @@
 impl Node {
     /// Binds the peer address and starts links and membership.
     pub(crate) async fn start(settings: Settings, role: Role) -> io::Result<Started> {
-        let listener = TcpListener::bind(settings.peers).await?;
+        let Port { listener, socket } = Port::bind(settings.peers).await?;
         let address = listener.local_addr()?;
         let own = Identity {
             host: settings.host.clone(),
@@ -117,7 +117,7 @@
             documents,
             views,
         };
-        gossip::Controller::start(node.clone(), channels).await?;
+        gossip::Controller::start(node.clone(), channels, socket);
         tokio::spawn(
             node.stop
                 .clone()
@@ -145,6 +145,16 @@
         }
     }
 
+    /// Lets membership know that a link opened or ended, which tells more than probes.
+    pub(crate) fn note_link(&self, peer: &Identity, news: &News) {
+        let event = match news {
+            News::Opened => GossipEvent::Connected(peer.host.clone()),
+            News::Ended => GossipEvent::Lost(peer.host.clone()),
+            News::Message(_) => return,
+        };
+        let _ = self.gossip.try_send(event);
+    }
+
     /// Tells membership what this host's targets are like.
     pub(crate) fn publish(&self, status: Bytes) {
         let _ = self.gossip.try_send(GossipEvent::Status(status));
--- a/crates/azurestand_server/src/node/gossip.rs
+++ b/crates/azurestand_server/src/node/gossip.rs
@@ -1,13 +1,13 @@
 //! Runs the membership machine: feeds it events and carries out its actions.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::sync::Arc;
 
 use azurestand_config::Document;
 use azurestand_membership::{
     Action, Change, Config, Event as MemberEvent, Identity, Limits, Member, Note, Role, State,
 };
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch as latest};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -36,8 +36,14 @@
 }
 
 impl Controller {
-    pub(crate) async fn start(node: Node, channels: Channels) -> io::Result<()> {
-        let post = Post::open(node.links.clone(), &node.settings, node.gossip.clone()).await?;
+    pub(crate) fn start(node: Node, channels: Channels, socket: UdpSocket) {
+        let post = Post::open(
+            socket,
+            node.links.clone(),
+            &node.settings,
+            node.gossip.clone(),
+            node.stop.clone(),
+        );
         let own = node.links.own();
         let identity = Identity {
             host: own.host.clone(),
@@ -61,7 +67,6 @@
             stale: false,
         };
         tokio::spawn(controller.run());
-        Ok(())
     }
 
     async fn run(mut self) {
--- a/crates/azurestand_server/src/node/post.rs
+++ b/crates/azurestand_server/src/node/post.rs
@@ -6,13 +6,17 @@
 
 use azurestand_membership::Gossip;
 use azurestand_wire::{Body, MAX_DATAGRAM_BYTES, Opener, Sealer};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use super::GossipEvent;
 use super::links::Links;
 use crate::settings::Settings;
 
+/// Port numbers that are tried before a process gives up.
+const MAX_TRIES: u32 = 16;
+
 /// The way out for gossip.
 #[derive(Debug, Clone)]
 pub(crate) struct Post {
@@ -22,23 +26,24 @@
 }
 
 impl Post {
-    /// Binds the datagram socket on the number of the links' port, so that one
-    /// address reaches a process both ways, and reads from it.
-    pub(crate) async fn open(
+    /// Reads from `socket` until `stop`.
+    pub(crate) fn open(
+        socket: UdpSocket,
         links: Links,
         settings: &Settings,
         events: mpsc::Sender<GossipEvent>,
-    ) -> io::Result<Self> {
+        stop: CancellationToken,
+    ) -> Self {
         let own = links.own();
-        let socket = Arc::new(UdpSocket::bind(own.address).await?);
+        let socket = Arc::new(socket);
         let sealer = Sealer::new(&settings.key, own.host.clone(), own.incarnation);
         let opener = Opener::new(&settings.key);
-        tokio::spawn(read(socket.clone(), opener, events));
-        Ok(Self {
+        tokio::spawn(stop.run_until_cancelled_owned(read(socket.clone(), opener, events)));
+        Self {
             socket,
             sealer: Arc::new(sealer),
             links,
-        })
+        }
     }
 
     /// Sends without waiting; a lost message is made good by a later one.
@@ -70,3 +75,25 @@
         }
     }
 }
+
+/// One port for links and datagrams, so that one address reaches a process both ways.
+pub(crate) struct Port {
+    pub(crate) listener: TcpListener,
+    pub(crate) socket: UdpSocket,
+}
+
+impl Port {
+    /// Binds both; with port 0 another number is tried when the datagrams' is taken.
+    pub(crate) async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let mut tries = 0;
+        loop {
+            let listener = TcpListener::bind(address).await?;
+            let bound = listener.local_addr()?;
+            match UdpSocket::bind(bound).await {
+                Ok(socket) => return Ok(Self { listener, socket }),
+                Err(_) if address.port() == 0 && tries < MAX_TRIES => tries += 1,
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
