--- a/crates/azurestand_standin/examples/local/main.rs
+++ b/crates/azurestand_standin/examples/local/main.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use azurestand_standin::{Deployment, DeploymentError, Traffic};
+use azurestand_standin::{Deployment, DeploymentError, FaultPlan, Limits, Traffic, drive};
 
 use options::Options;
 use table::Table;
@@ -18,6 +18,8 @@
 const FORCE_LIMIT: Duration = Duration::from_secs(4);
 const CALLERS: usize = 40;
 const CALLER_PAUSE: Duration = Duration::from_millis(40);
+const FAULT_LENGTH: Duration = Duration::from_secs(20);
+const QUIET_LIMIT: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_secs(3);
 
 fn main() -> ExitCode {
@@ -64,7 +66,59 @@
         .collect();
     let traffic = Traffic::start(&plan, doors, CALLERS, CALLER_PAUSE);
     tokio::time::sleep(STEP).await;
+    match options.faults {
+        Some(seed) => {
+            disturb(
+                &mut deployment,
+                &traffic,
+                &mut table,
+                seed,
+                &options.weights,
+            )
+            .await?;
+        }
+        None => go_through(&mut deployment, &traffic, &mut table, &options).await?,
+    }
+    step("everything stops");
+    let tally = traffic.stop().await;
+    let record = deployment.record();
+    let whole = deployment.stop().await;
+    table.requests(&tally, &record, whole);
+    Ok(table.print())
+}
 
+/// Lets faults from a seed loose.
+async fn disturb(
+    deployment: &mut Deployment,
+    traffic: &Traffic,
+    table: &mut Table,
+    seed: u64,
+    weights: &[u8],
+) -> Result<(), DeploymentError> {
+    step("faults are let loose");
+    let faults = FaultPlan::draw(seed, &deployment.plan, FAULT_LENGTH);
+    for event in &faults.events {
+        eprintln!("  at {:>5.2} s: {:?}", event.at.as_secs_f64(), event.fault);
+    }
+    let limits = Limits {
+        quiet: QUIET_LIMIT,
+        settle: LIVE_LIMIT,
+    };
+    let driven = drive(deployment, traffic, &faults, weights, limits).await?;
+    tokio::time::sleep(STEP).await;
+    table.faults(deployment, &driven);
+    Ok(())
+}
+
+/// A data centre goes out and comes back, and the version changes twice.
+async fn go_through(
+    deployment: &mut Deployment,
+    traffic: &Traffic,
+    table: &mut Table,
+    options: &Options,
+) -> Result<(), DeploymentError> {
+    let plan = deployment.plan.clone();
+    let n = plan.engines();
     step("a data centre is taken out");
     let runs = deployment.runs_in(plan.moving);
     let revision = deployment.set_service(plan.moving, false).await?;
@@ -93,18 +147,13 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     deployment.want("v3").await?;
     let live = deployment.wait_live("v3", n, LIVE_LIMIT).await;
-    table.live("v3", n, live, &deployment);
+    table.live("v3", n, live, deployment);
     tokio::time::sleep(STEP).await;
 
     if options.hold {
-        hold(&deployment).await;
+        hold(deployment).await;
     }
-    step("everything stops");
-    let tally = traffic.stop().await;
-    let record = deployment.record();
-    let whole = deployment.stop().await;
-    table.requests(&tally, &record, whole);
-    Ok(table.print())
+    Ok(())
 }
 
 fn step(text: &str) {
--- a/crates/azurestand_standin/examples/local/table.rs
+++ b/crates/azurestand_standin/examples/local/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azurestand_standin::{Deployment, Plan, Record, Settled, Tally};
+use azurestand_standin::{Deployment, Driven, Plan, Record, Settled, Tally};
 
 const QUIET_LIMIT: Duration = Duration::from_secs(2);
 const FORCE_LIMIT: Duration = Duration::from_secs(4);
@@ -63,6 +63,32 @@
         );
     }
 
+    pub(crate) fn faults(&mut self, deployment: &Deployment, driven: &Driven) {
+        self.row(
+            "new work in a data centre that was out",
+            &driven.late_work,
+            Some(driven.late_work == 0),
+        );
+        self.row(
+            "configuration went back",
+            &driven.reverts,
+            Some(driven.reverts == 0),
+        );
+        let n = deployment.plan.engines();
+        let live = driven.live;
+        self.row(
+            "wanted version live after all was mended",
+            &format!("{} of {n}, {}", live.count, seconds(live.time)),
+            Some(live.time.is_some()),
+        );
+        let current = driven.current;
+        self.row(
+            "entries with the newest document then",
+            &format!("{}, {}", current.count, seconds(current.time)),
+            Some(current.time.is_some()),
+        );
+    }
+
     pub(crate) fn in_force(&mut self, what: &str, force: Settled) {
         let value = seconds(force.time);
         let held = force.time.is_some_and(|time| time <= FORCE_LIMIT);
@@ -96,6 +122,7 @@
         self.row("told not run, after all tries", &tally.not_run, None);
         self.row("told unknown", &tally.unknown, None);
         self.row("lost", &tally.lost, Some(tally.lost == 0));
+        self.row("no word, as the entry was killed", &tally.severed, None);
         let doubled = record.runs.values().filter(|runs| **runs > 1).count();
         self.row("doubled", &doubled, Some(doubled == 0));
         let missing = tally
@@ -115,6 +142,11 @@
             &tally.mixed,
             Some(tally.mixed + u64::from(record.mixed) == 0),
         );
+        self.row(
+            "weights never published",
+            &record.partial,
+            Some(record.partial == 0),
+        );
         self.row("foreign answers", &tally.foreign, Some(tally.foreign == 0));
         self.row(
             "overloads in cold start",
--- a/crates/azurestand_standin/src/deployment.rs
+++ b/crates/azurestand_standin/src/deployment.rs
@@ -1,9 +1,11 @@
 //! A whole deployment in one process: the real daemons on loopback, between stand-ins.
 
+mod fault;
 mod publish;
+mod record;
 mod settings;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -22,6 +24,8 @@
     Engine, EngineOptions, Origin, OriginOptions, Service, ServiceOptions, Store, StoreOptions,
 };
 
+pub use record::Record;
+use record::Retired;
 use settings::{AgentTarget, Place, agent_settings, entry_settings};
 
 const POLL: Duration = Duration::from_millis(20);
@@ -56,17 +60,6 @@
     pub count: usize,
 }
 
-/// What the stand-ins recorded, which the system can't embellish.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Record {
-    /// Runs of each idempotency key.
-    pub runs: BTreeMap<String, u32>,
-    /// Answers that came from more than one set of weights.
-    pub mixed: u32,
-    /// Times that an engine fell over in cold start.
-    pub overloads: u32,
-}
-
 /// A model runner with its agent.
 #[derive(Debug)]
 pub struct Runner {
@@ -79,6 +72,8 @@
     /// The agent; none while it is dead.
     pub agent: Option<Agent>,
     seed: u64,
+    /// Times that a test made the engine cold.
+    crashes: u32,
 }
 
 /// A plain service with its agent.
@@ -99,6 +94,8 @@
 /// An entry and its place.
 #[derive(Debug)]
 pub struct Door {
+    /// The host's name.
+    pub host: String,
     /// The data centre.
     pub centre: &'static str,
     /// The entry; none while it is dead.
@@ -122,7 +119,7 @@
     pub booths: Vec<Booth>,
     versions: BTreeMap<String, Digest>,
     contents: BTreeMap<Digest, Digest>,
-    seeds: Vec<SocketAddr>,
+    retired: Vec<Retired>,
     changes: u64,
 }
 
@@ -145,7 +142,7 @@
             booths: Vec::new(),
             versions: BTreeMap::new(),
             contents: BTreeMap::new(),
-            seeds: Vec::new(),
+            retired: Vec::new(),
             changes: 0,
         };
         let digest = deployment.publish("v1", weights).await?;
@@ -271,10 +268,8 @@
                 let entry = Entry::start(read(&entry_settings(&place))?)
                     .await
                     .map_err(wrap)?;
-                if self.seeds.len() < self.plan.centres.len() * 2 {
-                    self.seeds.push(entry.address());
-                }
                 self.entries.push(Door {
+                    host,
                     centre: centre.name,
                     entry: Some(entry),
                 });
@@ -300,6 +295,7 @@
                     engine,
                     agent: Some(agent.map_err(wrap)?),
                     seed,
+                    crashes: 0,
                 });
             }
         }
@@ -348,10 +344,17 @@
             region: centre.region,
             store: self.store.address(),
             origin: self.origin.address(),
-            seeds: self.seeds.clone(),
+            seeds: self.seeds(),
         }
     }
 
+    /// A few entries that live now, as a platform's list would name them.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let live = self.entries.iter().filter_map(|door| door.entry.as_ref());
+        let few = self.plan.centres.len() * 2;
+        live.take(few).map(Entry::address).collect()
+    }
+
     /// The entries that live, with their data centres.
     pub fn doors(&self) -> Vec<(&'static str, SocketAddr)> {
         let doors = self.entries.iter();
@@ -388,59 +391,6 @@
             .count()
     }
 
-    /// Kills the agent of a runner as a crash of its host would, engine and all.
-    pub fn kill_runner(&mut self, n: usize) {
-        let runner = &mut self.runners[n];
-        runner.engine.die();
-        if let Some(agent) = runner.agent.take() {
-            agent.kill();
-        }
-    }
-
-    /// Starts a killed runner again, with nothing, under its old name.
-    ///
-    /// # Errors
-    ///
-    /// [`DeploymentError`] when a port can't be bound.
-    pub async fn revive_runner(&mut self, n: usize) -> Result<(), DeploymentError> {
-        let (name, centre, seed) = {
-            let runner = &self.runners[n];
-            (runner.name.clone(), runner.centre, runner.seed + 1_000)
-        };
-        let planned = self
-            .plan
-            .centres
-            .iter()
-            .find(|planned| planned.name == centre);
-        let planned = planned
-            .cloned()
-            .ok_or_else(|| DeploymentError("no data centre".into()))?;
-        let engine = Engine::start(EngineOptions::default(), seed)
-            .await
-            .map_err(wrap)?;
-        let place = self.place(&name, &planned);
-        let target = AgentTarget::engine(&name, self.plan.model, engine.address());
-        let agent = Agent::start(read(&agent_settings(&place, &target))?)
-            .await
-            .map_err(wrap)?;
-        let runner = &mut self.runners[n];
-        runner.engine = engine;
-        runner.agent = Some(agent);
-        runner.seed = seed;
-        Ok(())
-    }
-
-    /// Requests that targets of a data centre have run so far.
-    pub fn runs_in(&self, centre: &str) -> usize {
-        let runners = self.runners.iter().filter(|runner| runner.centre == centre);
-        let booths = self.booths.iter().filter(|booth| booth.centre == centre);
-        let engines: usize = runners
-            .map(|runner| runner.engine.record().runs.len())
-            .sum();
-        let services: usize = booths.map(|booth| booth.service.runs().len()).sum();
-        engines + services
-    }
-
     /// How long after now the last new work came to a data centre that began
     /// with `runs`; none if some came later than `limit`.
     pub async fn wait_quiet(&self, centre: &str, runs: usize, limit: Duration) -> Option<Duration> {
@@ -458,43 +408,6 @@
         (last <= limit).then_some(last)
     }
 
-    /// What the stand-ins recorded.
-    pub fn record(&self) -> Record {
-        let engines = self.runners.iter().map(|runner| runner.engine.record());
-        let mut record = Record {
-            runs: self.runs_by_key(),
-            ..Record::default()
-        };
-        for engine in engines {
-            record.mixed += engine.mixed;
-            record.overloads += engine.overloads;
-        }
-        record
-    }
-
-    /// Runs of each idempotency key over all booking runners.
-    pub fn runs_by_key(&self) -> BTreeMap<String, u32> {
-        let mut runs = BTreeMap::new();
-        for booth in self
-            .booths
-            .iter()
-            .filter(|booth| booth.kind == self.plan.booking)
-        {
-            for (key, count) in booth.service.runs_by_key() {
-                *runs.entry(key).or_default() += count;
-            }
-        }
-        runs
-    }
-
-    /// Ids of requests that some service ran.
-    pub fn ran_requests(&self) -> BTreeSet<String> {
-        let booths = self.booths.iter();
-        booths
-            .flat_map(|booth| booth.service.runs_by_request().into_keys())
-            .collect()
-    }
-
     /// Stops every daemon gracefully; gives whether all work ended in time.
     pub async fn stop(mut self) -> bool {
         let mut whole = true;
--- a/crates/azurestand_standin/src/lib.rs
+++ b/crates/azurestand_standin/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod deployment;
 mod engine;
+mod faults;
 mod origin;
 mod plan;
 mod serve;
@@ -28,6 +29,7 @@
 
 pub use deployment::{Booth, Deployment, DeploymentError, Door, Record, Runner, Settled};
 pub use engine::{Engine, EngineOptions, EngineRecord, EngineRun, EngineState};
+pub use faults::{Driven, Fault, FaultEvent, FaultPlan, Limits, drive};
 pub use origin::{Origin, OriginOptions, Served};
 pub use plan::{CentrePlan, Plan};
 pub use service::{Service, ServiceOptions, ServiceRun};
--- a/crates/azurestand_standin/src/traffic.rs
+++ b/crates/azurestand_standin/src/traffic.rs
@@ -23,7 +23,8 @@
 /// How often a caller repeats a request that it was told did not run.
 const CALLER_TRIES: u32 = 20;
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(150);
-const TOKENS: u32 = 24;
+const TOKENS: u64 = 24;
+const TOKEN_SPREAD: u64 = 17;
 
 /// What all callers were told, counted.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -38,6 +39,9 @@
     pub unknown: u64,
     /// Requests without any word, or with an answer cut off without a word.
     pub lost: u64,
+    /// Requests whose entry was killed before it gave the whole answer. The
+    /// process that owed the word is gone, so no word is allowed here alone.
+    pub severed: u64,
     /// Answers that came from more than one set of weights.
     pub mixed: u64,
     /// Answers to somebody else's request.
@@ -75,6 +79,7 @@
 pub struct Caller {
     client: HttpClient,
     doors: Arc<RwLock<Vec<SocketAddr>>>,
+    killed: Arc<RwLock<BTreeSet<SocketAddr>>>,
     turn: Arc<AtomicU64>,
 }
 
@@ -92,7 +97,8 @@
 }
 
 impl Told {
-    fn says(&self, outcome: &str) -> bool {
+    /// Whether the answer says this outcome, in its head or as a stream's last event.
+    pub fn says(&self, outcome: &str) -> bool {
         let header = self.headers.get("x-azurestand-outcome");
         let streamed = format!("\"outcome\":\"{outcome}\"");
         header.is_some_and(|value| value == outcome)
@@ -111,6 +117,7 @@
         Self {
             client,
             doors: Arc::new(RwLock::new(doors)),
+            killed: Arc::default(),
             turn: Arc::default(),
         }
     }
@@ -120,6 +127,17 @@
         *self.doors.write().unwrap_or_else(PoisonError::into_inner) = doors;
     }
 
+    /// Notes that the entry at `door` is about to be killed.
+    pub fn note_killed(&self, door: SocketAddr) {
+        let mut killed = self.killed.write().unwrap_or_else(PoisonError::into_inner);
+        killed.insert(door);
+    }
+
+    fn is_killed(&self, door: SocketAddr) -> bool {
+        let killed = self.killed.read().unwrap_or_else(PoisonError::into_inner);
+        killed.contains(&door)
+    }
+
     fn door(&self) -> Option<SocketAddr> {
         let doors = self.doors.read().unwrap_or_else(PoisonError::into_inner);
         let turn = usize::try_from(self.turn.fetch_add(1, Ordering::Relaxed)).unwrap_or(0);
@@ -134,7 +152,18 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> Option<Told> {
-        let door = self.door()?;
+        self.call_at(self.door()?, key, path, headers, body).await
+    }
+
+    /// Sends one request to a certain entry; none when nothing came.
+    pub async fn call_at(
+        &self,
+        door: SocketAddr,
+        key: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Option<Told> {
         let mut request = Request::post(format!("http://{door}{path}"))
             .header("authorization", format!("Bearer {key}"))
             .header("content-type", "application/json");
@@ -236,6 +265,11 @@
         self.caller.set_doors(doors);
     }
 
+    /// Notes that the entry at `door` is about to be killed.
+    pub fn note_killed(&self, door: SocketAddr) {
+        self.caller.note_killed(door);
+    }
+
     /// What callers were told so far.
     pub fn tally(&self) -> Tally {
         let tally = self.shared.tally.lock();
@@ -258,6 +292,21 @@
     }
 }
 
+/// What came of one try.
+enum Word {
+    Told(Told),
+    /// The entry was killed before the answer was whole.
+    Severed,
+    Silence,
+}
+
+/// Why a caller can't say that its request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    Severed,
+    Unknown,
+}
+
 struct Work {
     plan: Plan,
     caller: Caller,
@@ -283,32 +332,46 @@
 
     async fn complete(&self, count: u64, stream: bool) {
         let mark = format!("caller {} request {count}", self.number);
+        // Answers differ in length, so that somebody else's shows.
+        let tokens = TOKENS + (self.number as u64 * 7 + count) % TOKEN_SPREAD;
         let body = json!({
             "model": self.plan.model,
             "stream": stream,
-            "max_tokens": TOKENS,
+            "max_tokens": tokens,
             "messages": [{ "role": "user", "content": mark }],
         });
         let body = Bytes::from(body.to_string());
         let started = Instant::now();
         for _ in 0..CALLER_TRIES {
-            let path = "/v1/chat/completions";
-            let told = self.caller.call(&self.key, path, &[], body.clone()).await;
-            let Some(told) = told else {
-                self.shared.count(|tally| tally.lost += 1);
-                return;
+            let word = self.call("/v1/chat/completions", &[], body.clone()).await;
+            let told = match word {
+                Word::Told(told) => told,
+                Word::Severed => return self.shared.count(|tally| tally.severed += 1),
+                Word::Silence => return self.shared.count(|tally| tally.lost += 1),
             };
             if told.says("not-run") {
                 sleep(PAUSE_AFTER_REFUSAL).await;
                 continue;
             }
-            self.judge(&told, started);
+            self.judge(&told, tokens, started);
             return;
         }
         self.shared.count(|tally| tally.not_run += 1);
     }
 
-    fn judge(&self, told: &Told, started: Instant) {
+    async fn call(&self, path: &str, headers: &[(&str, &str)], body: Bytes) -> Word {
+        let Some(door) = self.caller.door() else {
+            return Word::Severed;
+        };
+        let told = self.caller.call_at(door, &self.key, path, headers, body);
+        match told.await {
+            Some(told) if told.whole => Word::Told(told),
+            _ if self.caller.is_killed(door) => Word::Severed,
+            _ => Word::Silence,
+        }
+    }
+
+    fn judge(&self, told: &Told, tokens: u64, started: Instant) {
         if told.says("unknown") {
             self.shared.count(|tally| tally.unknown += 1);
             return;
@@ -316,10 +379,13 @@
         let text = String::from_utf8_lossy(&told.body);
         let streamed = text.contains("data: [DONE]");
         let complete = streamed || serde_json::from_str::<Value>(&text).is_ok();
-        if !told.whole || !told.status.is_success() || !complete {
+        if !told.status.is_success() || !complete {
             self.shared.count(|tally| tally.lost += 1);
             return;
         }
+        if !words(&text).eq(1..=tokens) {
+            self.shared.count(|tally| tally.foreign += 1);
+        }
         if weights(&text).len() > 1 {
             self.shared.count(|tally| tally.mixed += 1);
         }
@@ -331,32 +397,38 @@
         let key = format!("booking-{}-{count}", self.number);
         let body = Bytes::from(json!({ "slot": key }).to_string());
         let started = Instant::now();
-        let mut refused = 0;
+        let mut doubt = None;
         for _ in 0..CALLER_TRIES {
             let headers = [("idempotency-key", key.as_str())];
-            let told = self
-                .caller
-                .call(&self.key, &path, &headers, body.clone())
-                .await;
-            let Some(told) = told else {
-                self.shared.count(|tally| tally.lost += 1);
-                return;
+            let told = match self.call(&path, &headers, body.clone()).await {
+                Word::Told(told) => told,
+                // A caller without a word asks again under the same key.
+                Word::Severed => {
+                    doubt = doubt.or(Some(Doubt::Severed));
+                    sleep(PAUSE_AFTER_REFUSAL).await;
+                    continue;
+                }
+                Word::Silence => return self.shared.count(|tally| tally.lost += 1),
             };
-            if told.says("not-run") {
-                refused += 1;
-                sleep(PAUSE_AFTER_REFUSAL).await;
-                continue;
+            if told.says("answered") {
+                self.judge_booking(&told, &key, started);
+                return;
             }
             if told.says("unknown") {
-                self.shared.count(|tally| tally.unknown += 1);
-                return;
+                // Once more, since a second run would be the worst answer.
+                if doubt.replace(Doubt::Unknown) == Some(Doubt::Unknown) {
+                    break;
+                }
+            } else if !told.says("not-run") {
+                return self.shared.count(|tally| tally.lost += 1);
             }
-            self.judge_booking(&told, &key, started);
-            return;
+            sleep(PAUSE_AFTER_REFUSAL).await;
         }
-        self.shared.count(|tally| {
-            tally.not_run += 1;
-            if refused == CALLER_TRIES {
+        self.shared.count(|tally| match doubt {
+            Some(Doubt::Unknown) => tally.unknown += 1,
+            Some(Doubt::Severed) => tally.severed += 1,
+            None => {
+                tally.not_run += 1;
                 tally.unbooked.insert(key);
             }
         });
@@ -383,3 +455,12 @@
     let marks = text.split("\"weights\":\"").skip(1);
     marks.filter_map(|rest| rest.split('"').next()).collect()
 }
+
+/// The numbers of the answer's words, in the order in which they came.
+fn words(text: &str) -> impl Iterator<Item = u64> {
+    let marks = text.split("word").skip(1);
+    marks.filter_map(|rest| {
+        let end = rest.find(|letter: char| !letter.is_ascii_digit());
+        rest[..end.unwrap_or(rest.len())].parse().ok()
+    })
+}
