--- a/crates/azurestand_bench/src/requests/world.rs
+++ b/crates/azurestand_bench/src/requests/world.rs
@@ -312,8 +312,11 @@
 
     fn choose_weighed(&mut self, id: u64) {
         let request = &self.requests[at(id)];
+        let limits = &self.entries[request.entry].limits;
+        let depth = limits.depth(&account(request.account));
         let entry = &mut self.entries[request.chooser];
         let wanted = Wanted {
+            depth,
             avoid: request.avoid.clone(),
             prefix: prefix(request.group),
             ..Wanted::subject("dispatch")
