Leave out hosts that don't serve a model; follow the document's link limits

Cause: every agent counted as a drawing agent, so a quarter of the chunks waited 5 s for hosts of plain services; link limits of the document never reached a transfer; unasked chunks were taken; live traffic went unnoticed. Change: an identity carries a 32-bit set of what its targets serve; the transfer takes other limits over; chunks nobody asked for are dropped; the rate of live answers is fed to the transfer.

--- a/crates/azurestand_bench/src/control/fleet.rs
+++ b/crates/azurestand_bench/src/control/fleet.rs
@@ -89,6 +89,7 @@
         centre: DataCentre::try_from(format!("centre-{centre}")).ok()?,
         region: Region::try_from(format!("region-{}", region(centre))).ok()?,
         address: address(number),
+        subjects: azurestand_membership::Subjects::of(["model"]),
         incarnation: Incarnation(incarnation),
     })
 }
--- a/crates/azurestand_membership/src/gossip/records.rs
+++ b/crates/azurestand_membership/src/gossip/records.rs
@@ -7,6 +7,7 @@
 
 use super::wire;
 use super::{Brief, GossipError};
+use crate::identity::Subjects;
 use crate::record::{Health, MAX_STATUS_BYTES, Record, Stage, Status, Version};
 use crate::{Identity, Role, Stamp};
 
@@ -61,6 +62,7 @@
         region: identity.region.to_string(),
         address: encode_address(identity.address),
         incarnation: identity.incarnation.0,
+        subjects: identity.subjects.0,
         refutation: record.refutation,
         stage: record.stage as u32,
         health: record.health as u32,
@@ -101,6 +103,7 @@
             centre: DataCentre::try_from(raw.centre)?,
             region: Region::try_from(raw.region)?,
             address: decode_address(&raw.address)?,
+            subjects: Subjects(raw.subjects),
             incarnation: Incarnation(raw.incarnation),
         };
         Ok(Self {
--- a/crates/azurestand_membership/src/gossip/wire.rs
+++ b/crates/azurestand_membership/src/gossip/wire.rs
@@ -83,6 +83,8 @@
     pub(crate) health: u32,
     #[prost(message, optional, tag = "10")]
     pub(crate) status: Option<Status>,
+    #[prost(fixed32, tag = "11")]
+    pub(crate) subjects: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/azurestand_membership/src/lib.rs
+++ b/crates/azurestand_membership/src/lib.rs
@@ -5,7 +5,7 @@
 //! weighs the ways and gives the figures.
 //!
 //! ```
-//! use azurestand_membership::{Action, Event, Identity, Limits, Member, Role};
+//! use azurestand_membership::{Action, Event, Identity, Limits, Member, Role, Subjects};
 //! use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Region};
 //!
 //! let identity = |host: &str, port| Identity {
@@ -14,6 +14,7 @@
 //!     centre: DataCentre::try_from("north-1").unwrap(),
 //!     region: Region::try_from("north").unwrap(),
 //!     address: ([127, 0, 0, 1], port).into(),
+//!     subjects: Subjects::default(),
 //!     incarnation: Incarnation(1),
 //! };
 //! let (a, b) = (identity("a", 1), identity("b", 2));
@@ -45,7 +46,7 @@
 };
 pub use event::{Action, Change, Event, Listing, Note, Source, StoreNews};
 pub use gossip::{Gossip, GossipError, MAX_GOSSIP_BYTES};
-pub use identity::{Identity, Role};
+pub use identity::{Identity, Role, Subjects};
 pub use limits::Limits;
 pub use member::Member;
 pub use record::{MAX_STATUS_BYTES, Record, State, Status};
--- a/crates/azurestand_membership/tests/membership/net.rs
+++ b/crates/azurestand_membership/tests/membership/net.rs
@@ -94,6 +94,7 @@
         centre: DataCentre::try_from(centre).unwrap(),
         region: Region::try_from("region").unwrap(),
         address: SocketAddr::from(([10, 0, 0, last], port)),
+        subjects: azurestand_membership::Subjects::default(),
         incarnation: Incarnation(incarnation),
     }
 }
--- a/crates/azurestand_server/src/agent/spread.rs
+++ b/crates/azurestand_server/src/agent/spread.rs
@@ -2,14 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use azurestand_config::Document;
-use azurestand_membership::Role;
+use azurestand_membership::{Role, Subjects};
 use azurestand_spread::{
-    Action, Envelope, Event as SpreadEvent, Failure, Limits, Manifest, Note, Peer, Progress, Rate,
-    Site, Source, Transfer,
+    Action, Envelope, Event as SpreadEvent, Failure, Limits, Load, Manifest, Note, Peer, Progress,
+    Rate, Site, Source, Transfer,
 };
-use azurestand_types::{Digest, HostName, ModelName};
+use azurestand_types::{Digest, HostName, ModelName, Moment};
 use azurestand_wire::Body;
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch as latest};
@@ -25,6 +27,9 @@
 use crate::node::Node;
 use crate::node::links::BulkLink;
 
+/// How often the rate of live traffic is taken.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What the controller is told by the rest of the agent.
 #[derive(Debug)]
 pub(crate) enum SpreadInput {
@@ -62,6 +67,7 @@
     running: BTreeMap<(Digest, Source), CancellationToken>,
     completed: latest::Sender<Completed>,
     progress: latest::Sender<Vec<Progress>>,
+    measured: Moment,
 }
 
 /// What the controller is made of.
@@ -100,6 +106,7 @@
         running: BTreeMap::new(),
         completed,
         progress,
+        measured: Moment::START,
     };
     tokio::spawn(accept_bulk(parts.bulk, own.clone()));
     tokio::spawn(controller.run());
@@ -158,7 +165,7 @@
             tokio::select! {
                 _ = ticks.tick() => self.tick(),
                 Some(input) = self.inputs.recv() => self.take(input),
-                Ok(()) = documents.changed() => self.want(),
+                Ok(()) = documents.changed() => self.follow_document(),
                 Ok(()) = views.changed() => self.see(),
                 () = stop.cancelled() => break,
             }
@@ -174,6 +181,7 @@
 
     fn tick(&mut self) {
         self.feed(SpreadEvent::Tick);
+        self.feed_load();
         let progress = self.transfer.progress(self.node.clock.now());
         self.progress.send_replace(progress);
         self.node
@@ -203,6 +211,10 @@
             Event::OldLife.log(format_args!("a chunk from {}", pushed.from));
             return;
         }
+        if !self.transfer.expects(&pushed.from, pushed.digest) {
+            Event::FetchFailed.log(format_args!("{} sent a chunk unasked", pushed.from));
+            return;
+        }
         let length = pushed.content.len() as u64;
         self.node.metrics.count(Counter::PeerBytes, length);
         let outcome = self.vault.put(pushed.digest, pushed.content);
@@ -220,6 +232,30 @@
         self.feed(event);
     }
 
+    fn follow_document(&mut self) {
+        let document = self.node.document();
+        let limits = spread_limits(&document, self.node.settings.staging);
+        self.feed(SpreadEvent::Limits(limits));
+        self.want();
+    }
+
+    /// Live traffic goes first: transfers leave it the room that it uses now.
+    fn feed_load(&mut self) {
+        let now = self.node.clock.now();
+        let span = now.since(self.measured);
+        if span < LOAD_INTERVAL {
+            return;
+        }
+        self.measured = now;
+        let bytes = self.node.live.swap(0, Ordering::Relaxed);
+        let rate = u128::from(bytes) * 1_000_000 / span.as_micros().max(1);
+        let outbound = Rate(u64::try_from(rate).unwrap_or(u64::MAX));
+        self.feed(SpreadEvent::Load(Load {
+            outbound,
+            ..Load::default()
+        }));
+    }
+
     /// Tells the machine which versions the document wants on this host.
     fn want(&mut self) {
         let document = self.node.document();
@@ -244,7 +280,6 @@
     /// Tells the machine which hosts take weights.
     fn see(&mut self) {
         let own = self.node.links.own().host.clone();
-        let models: Vec<_> = self.models.iter().cloned().collect();
         let neighbours = self.node.neighbours();
         let present = neighbours.0.values().filter(|neighbour| {
             let identity = &neighbour.record.identity;
@@ -257,11 +292,10 @@
                 incarnation: identity.incarnation,
                 centre: identity.centre.clone(),
                 region: identity.region.clone(),
-                // Agents don't hear of each other's targets; who takes no part says so.
-                models: models.clone(),
+                models: serves(identity.subjects, &self.models),
             }
         });
-        let peers = peers.collect();
+        let peers = peers.filter(|peer| !peer.models.is_empty()).collect();
         self.feed(SpreadEvent::Peers(peers));
     }
 
@@ -369,6 +403,13 @@
     }
 }
 
+/// The models of this host that another may serve too.
+fn serves(subjects: Subjects, models: &BTreeSet<ModelName>) -> Vec<ModelName> {
+    let shared = models.iter();
+    let shared = shared.filter(|model| subjects.may_serve(model.as_str()));
+    shared.cloned().collect()
+}
+
 fn forget(completed: &mut Completed, kept: &BTreeSet<Digest>) -> bool {
     let before = completed.len();
     completed.retain(|digest, _| kept.contains(digest));
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -1,6 +1,7 @@
 //! The calls to a target and the answers that they bring.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use azurestand_target::{AdmissionEvent, Ending, LifeEvent, Read, Weights};
@@ -135,6 +136,8 @@
             }
             RunEvent::Bytes(bytes) => {
                 self.note_first(id);
+                let length = bytes.len() as u64;
+                self.node.live.fetch_add(length, Ordering::Relaxed);
                 self.exchanges.append(id, bytes);
                 self.pump(id);
             }
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use azurestand_config::Document;
@@ -56,6 +57,8 @@
     pub(crate) links: Links,
     pub(crate) store: Arc<HttpStore>,
     pub(crate) metrics: Metrics,
+    /// Bytes of live answers since they were counted last.
+    pub(crate) live: Arc<AtomicU64>,
     pub(crate) document: latest::Receiver<Document>,
     pub(crate) neighbours: latest::Receiver<Neighbours>,
     pub(crate) gossip: mpsc::Sender<GossipEvent>,
@@ -101,6 +104,7 @@
         let store = HttpStore::new(budget::options(&settings, own.incarnation));
         let node = Self {
             metrics: Metrics::open(settings.metrics),
+            live: Arc::default(),
             settings: Arc::new(settings),
             clock: Clock::start(),
             links,
--- a/crates/azurestand_server/src/node/gossip.rs
+++ b/crates/azurestand_server/src/node/gossip.rs
@@ -6,6 +6,7 @@
 use azurestand_config::Document;
 use azurestand_membership::{
     Action, Change, Config, Event as MemberEvent, Identity, Limits, Member, Note, Role, State,
+    Subjects,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch as latest};
@@ -45,6 +46,8 @@
             node.stop.clone(),
         );
         let own = node.links.own();
+        let targets = node.settings.targets.iter();
+        let subjects = targets.map(|target| target.kind.subject());
         let identity = Identity {
             host: own.host.clone(),
             role: match own.role {
@@ -54,6 +57,7 @@
             centre: own.centre.clone(),
             region: node.settings.region.clone(),
             address: own.address,
+            subjects: Subjects::of(subjects),
             incarnation: own.incarnation,
         };
         let random = fastrand::Rng::with_seed(own.incarnation.0 ^ u64::from(own.address.port()));
--- a/crates/azurestand_spread/src/event.rs
+++ b/crates/azurestand_spread/src/event.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 
 use crate::bucket::Rate;
+use crate::limits::Limits;
 use crate::manifest::Manifest;
 use crate::message::Envelope;
 
@@ -135,6 +136,8 @@
     },
     /// What live traffic uses changed.
     Load(Load),
+    /// The operators set other limits.
+    Limits(Limits),
 }
 
 /// What the daemon must do.
--- a/crates/azurestand_spread/src/transfer.rs
+++ b/crates/azurestand_spread/src/transfer.rs
@@ -129,6 +129,7 @@
             } => self.fetched(digest, &source, outcome, now),
             Event::Uploaded { to, digest } => self.uploaded(&to, digest, now),
             Event::Load(load) => self.set_load(load, now),
+            Event::Limits(limits) => self.set_limits(limits, now),
         }
         self.announce(now);
         self.upload(now);
@@ -169,6 +170,13 @@
         }
     }
 
+    /// Transfers under way go on; what starts from now on keeps to the new limits.
+    fn set_limits(&mut self, limits: Limits, now: Moment) {
+        self.limits = limits;
+        self.control.set_rate(self.limits.control, now);
+        self.set_load(self.load, now);
+    }
+
     fn set_load(&mut self, load: Load, now: Moment) {
         self.load = load;
         let rate = self.limits.host.percent(self.limits.share);
