--- a/crates/azurestand_bench/src/requests/rows.rs
+++ b/crates/azurestand_bench/src/requests/rows.rs
@@ -119,7 +119,7 @@
     pub callers: usize,
     /// Calls a second straight to the service.
     pub direct: f64,
-    /// Calls a second through one entry and one agent.
+    /// Calls a second through one entry and six agents.
     pub through: f64,
 }
 
