--- a/crates/azurestand_membership/src/view.rs
+++ b/crates/azurestand_membership/src/view.rs
@@ -1,7 +1,7 @@
 //! The live view: what this member knows of all members.
 
+use std::collections::BTreeMap;
 use std::collections::btree_map::{Keys, Values};
-use std::collections::{BTreeMap, BTreeSet};
 
 use azurestand_types::{DataCentre, HostName, Incarnation, Moment, Revision, rendezvous};
 
@@ -19,7 +19,7 @@
     graves: BTreeMap<HostName, Version>,
     centres: BTreeMap<DataCentre, Moment>,
     /// The members by data centre, so that work on one of them costs by its size.
-    places: BTreeMap<DataCentre, BTreeSet<HostName>>,
+    places: BTreeMap<DataCentre, Vec<HostName>>,
 }
 
 /// A record with what only this member needs to know of it.
@@ -30,8 +30,6 @@
     pub(crate) changed: Moment,
     /// When this incarnation was first seen.
     pub(crate) since: Moment,
-    /// How often the last change was passed on.
-    pub(crate) sent: u32,
     /// The incarnation that the platform's list says is leaving.
     pub(crate) hint: Option<Incarnation>,
     /// The record's part of a digest.
@@ -44,7 +42,6 @@
             record: record.clone(),
             changed: now,
             since: now,
-            sent: 0,
             hint: None,
             print: Print::of(record),
         }
@@ -52,7 +49,6 @@
 
     fn touch(&mut self, now: Moment) {
         self.changed = now;
-        self.sent = 0;
         self.print = Print::of(&self.record);
     }
 }
@@ -79,8 +75,9 @@
         &'a self,
         centre: &DataCentre,
     ) -> impl Iterator<Item = &'a Record> + use<'a> {
-        let hosts = self.places.get(centre).into_iter().flatten();
-        hosts.filter_map(|host| self.get(host))
+        self.hosts_of(centre)
+            .iter()
+            .filter_map(|host| self.get(host))
     }
 
     /// The member under this name.
@@ -150,8 +147,13 @@
         self.members.values()
     }
 
+    /// The names of the hosts of one data centre, departed ones included.
+    pub(crate) fn hosts_of(&self, centre: &DataCentre) -> &[HostName] {
+        self.places.get(centre).map_or(&[], Vec::as_slice)
+    }
+
     /// The data centres that members stand in, departed members included.
-    pub(crate) fn places(&self) -> Keys<'_, DataCentre, BTreeSet<HostName>> {
+    pub(crate) fn places(&self) -> Keys<'_, DataCentre, Vec<HostName>> {
         self.places.keys()
     }
 
@@ -216,12 +218,16 @@
         let identity = &record.identity;
         self.displace(&identity.host);
         let hosts = self.places.entry(identity.centre.clone()).or_default();
-        hosts.insert(identity.host.clone());
+        if let Err(place) = hosts.binary_search(&identity.host) {
+            hosts.insert(place, identity.host.clone());
+        }
     }
 
     fn displace(&mut self, host: &HostName) {
         for hosts in self.places.values_mut() {
-            hosts.remove(host);
+            if let Ok(place) = hosts.binary_search(host) {
+                hosts.remove(place);
+            }
         }
         self.places.retain(|_, hosts| !hosts.is_empty());
     }
--- a/crates/azurestand_spread/src/limits.rs
+++ b/crates/azurestand_spread/src/limits.rs
@@ -43,6 +43,8 @@
     pub drawers: usize,
     /// How many hosts of its data centre this host listens to.
     pub fanout: usize,
+    /// What announcements of held chunks may use in the long run; ten seconds' worth can be saved up.
+    pub control: Rate,
     /// The least time between two announcements of held chunks.
     pub announce: Duration,
     /// How long a drawing agent may make no progress before the next in order steps in.
@@ -65,13 +67,14 @@
             origin: Rate::from_megabits(2_000),
             store: None,
             cross: Rate::from_megabits(20),
-            share: 95,
+            share: 98,
             staging: 64 * MEBIBYTE,
-            fetches: 4,
+            fetches: 6,
             draws: 2,
-            uploads: 4,
-            drawers: 4,
-            fanout: 8,
+            uploads: 2,
+            drawers: 8,
+            fanout: 16,
+            control: Rate(6_000),
             announce: Duration::from_millis(200),
             deadline: Duration::from_secs(5),
             policy: Policy::Ordered,
--- a/crates/azurestand_spread/src/transfer/goal.rs
+++ b/crates/azurestand_spread/src/transfer/goal.rs
@@ -24,15 +24,20 @@
     /// How many known hosts hold each chunk, by where they stand.
     pub(crate) counts: Counts,
     pub(crate) orders: Orders,
+    /// Hosts to listen to beyond the usual number.
+    pub(crate) extra: usize,
     pub(crate) begun: Moment,
+    /// The other hosts were heard, so that drawing may begin.
+    pub(crate) settled: bool,
     /// When a chunk was last verified.
     pub(crate) grown: Moment,
     /// When another region last offered or delivered something new.
     pub(crate) offered: Moment,
     pub(crate) ended: Option<Moment>,
-    /// Held chunks changed since the last announcement.
-    pub(crate) dirty: bool,
-    pub(crate) announced: Moment,
+    /// Announcements to hosts of this region.
+    pub(crate) near: Bulletin,
+    /// Announcements to hosts of other regions.
+    pub(crate) far: Bulletin,
     pub(crate) sourced: Sourced,
     pub(crate) received: u64,
     /// Length of the longest chunk in bytes; times are reckoned with it.
@@ -40,6 +45,34 @@
     places: BTreeMap<Digest, Vec<usize>>,
 }
 
+/// When to announce a change.
+#[derive(Debug, Default)]
+pub(crate) struct Bulletin {
+    pending: bool,
+    /// Goes out without waiting, since nothing follows it.
+    urgent: bool,
+    last: Moment,
+}
+
+impl Bulletin {
+    fn change(&mut self, urgent: bool) {
+        self.pending = true;
+        self.urgent |= urgent;
+    }
+
+    /// Whether there is something to announce and time for it.
+    pub(crate) fn is_due(&self, interval: Duration, now: Moment) -> bool {
+        self.pending && (self.urgent || now.since(self.last) >= interval)
+    }
+
+    /// Takes note that the change is announced now.
+    pub(crate) fn publish(&mut self, now: Moment) {
+        self.pending = false;
+        self.urgent = false;
+        self.last = now;
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Counts {
     centre: Vec<u16>,
@@ -77,15 +110,12 @@
             Place::Cross => &mut self.cross,
         };
         let mut gained = false;
-        for (index, count) in counts.iter_mut().enumerate() {
-            let before = old.is_some_and(|bits| bits.get(index));
-            match (before, new.get(index)) {
-                (false, true) => {
-                    *count += 1;
-                    gained = true;
-                }
-                (true, false) => *count -= 1,
-                _ => {}
+        for (index, value) in new.changes(old) {
+            if value {
+                counts[index] += 1;
+                gained = true;
+            } else {
+                counts[index] -= 1;
             }
         }
         gained
@@ -106,12 +136,14 @@
             missing: length,
             counts: Counts::new(length),
             orders: Orders::default(),
+            extra: 0,
             begun: now,
+            settled: false,
             grown: now,
             offered: now,
             ended: None,
-            dirty: true,
-            announced: Moment::START,
+            near: Bulletin::default(),
+            far: Bulletin::default(),
             sourced: Sourced::default(),
             received: 0,
             longest: u64::from(longest.unwrap_or(1)),
@@ -158,7 +190,9 @@
         self.missing -= news;
         if news > 0 {
             self.grown = now;
-            self.dirty = true;
+            let ended = self.missing == 0;
+            self.near.change(ended);
+            self.far.change(ended);
         }
         news > 0
     }
--- a/crates/azurestand_spread/src/transfer/listen.rs
+++ b/crates/azurestand_spread/src/transfer/listen.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use super::Transfer;
+use super::flight::Lane;
 use super::peers::{Heard, Place};
 use crate::bitmap::Bitmap;
 use crate::limits::Policy;
@@ -14,8 +15,20 @@
 const SUBSCRIPTION: Duration = Duration::from_secs(20);
 const RENEWAL: Duration = Duration::from_secs(6);
 const DECLINED: Duration = Duration::from_secs(5);
+/// Fewer chunks in flight than this leave a host's link idle.
+const IDLE_FLIGHTS: usize = 2;
+
+/// How many more hosts an idle one listens to.
+const WIDEN_BY: usize = 2;
+
 const MAX_LISTENERS: usize = 128;
 
+/// What an announcement needs beside its bitmap, in bytes.
+const HEADER_BYTES: u64 = 80;
+
+/// How much less often hosts of other regions are told.
+const FAR_FACTOR: u32 = 5;
+
 impl Transfer {
     /// Subscribes to the hosts whose chunks matter for each unfinished version.
     pub(crate) fn subscribe(&mut self, now: Moment) {
@@ -27,7 +40,7 @@
             }
             let id = goal.id();
             for host in self.teachers(index, now) {
-                let Some(neighbour) = self.peers.get_mut(&host) else {
+                let Some(neighbour) = self.peers.engage(&host) else {
                     continue;
                 };
                 let last = neighbour.subscribed.get(&id);
@@ -55,7 +68,7 @@
         }
         hosts.sort();
         hosts.dedup();
-        let fanout = self.limits.fanout;
+        let fanout = self.limits.fanout + self.widen(index);
         match self.limits.policy {
             Policy::Ordered => {
                 hosts.extend(self.sample(id, fanout, now, |place| place == Place::Centre));
@@ -70,6 +83,17 @@
         hosts
     }
 
+    /// Lets a host whose link idles listen to more hosts, a few more each time.
+    fn widen(&mut self, index: usize) -> usize {
+        let idle = self.flights.count(Lane::Near) < IDLE_FLIGHTS;
+        let most = self.limits.fanout;
+        let goal = &mut self.goals[index];
+        if idle && goal.have.count() > 0 {
+            goal.extra = (goal.extra + WIDEN_BY).min(most);
+        }
+        goal.extra
+    }
+
     /// Keeps up to `count` hosts of a kind that are subscribed to already and fills up at random.
     fn sample<T>(&mut self, id: Digest, count: usize, now: Moment, test: T) -> Vec<HostName>
     where
@@ -81,7 +105,8 @@
         };
         let mut kept = Vec::new();
         let mut fresh = Vec::new();
-        for (host, neighbour) in &self.peers {
+        for neighbour in self.peers.iter() {
+            let host = &neighbour.peer.host;
             let declined = neighbour
                 .declined
                 .get(&id)
@@ -89,13 +114,15 @@
             if !test(neighbour.place) || declined || !neighbour.peer.models.contains(&model) {
                 continue;
             }
-            if neighbour.subscribed.contains_key(&id) {
+            let asked = neighbour.subscribed.get(&id);
+            let fresh_ask = asked.is_some_and(|asked| now.since(*asked) < RENEWAL);
+            if fresh_ask || neighbour.heard.contains_key(&id) && asked.is_some() {
                 kept.push(host.clone());
             } else {
                 fresh.push(host.clone());
             }
         }
-        kept.truncate(count.max(kept.len().min(2 * count)));
+        kept.truncate(2 * count);
         while kept.len() < count && !fresh.is_empty() {
             kept.push(fresh.swap_remove(self.rng.usize(..fresh.len())));
         }
@@ -103,11 +130,11 @@
     }
 
     pub(crate) fn subscribed(&mut self, from: &HostName, manifest: Digest, now: Moment) {
-        let listeners = self.peers.values();
+        let listeners = self.peers.active();
         let count = listeners
             .filter(|neighbour| neighbour.listens.contains_key(&manifest))
             .count();
-        let Some(neighbour) = self.peers.get_mut(from) else {
+        let Some(neighbour) = self.peers.engage(from) else {
             return;
         };
         if count >= MAX_LISTENERS && !neighbour.listens.contains_key(&manifest) {
@@ -127,28 +154,41 @@
         }
     }
 
-    /// Tells all listeners what is held, as often as allowed.
+    /// Tells listeners what is held, as often as allowed; those of other
+    /// regions less often, since a chunk takes longer to reach them.
     pub(crate) fn announce(&mut self, now: Moment) {
+        let near = self.limits.announce;
         for index in 0..self.goals.len() {
-            let goal = &mut self.goals[index];
-            let due = goal.missing == 0 || now.since(goal.announced) >= self.limits.announce;
-            if !goal.dirty || !due {
-                continue;
+            if self.goals[index].near.is_due(near, now) {
+                self.tell_all(index, false, now);
+            }
+            if self.goals[index].far.is_due(near * FAR_FACTOR, now) {
+                self.tell_all(index, true, now);
             }
-            goal.dirty = false;
-            goal.announced = now;
-            let id = goal.id();
-            let listens = |until: &Moment| *until > now;
-            let hosts: Vec<_> = self
-                .peers
-                .iter()
-                .filter(|(_, neighbour)| neighbour.listens.get(&id).is_some_and(listens))
-                .map(|(host, _)| host.clone())
-                .collect();
-            self.tell(index, &hosts);
         }
     }
 
+    fn tell_all(&mut self, index: usize, far: bool, now: Moment) {
+        if !self.control.ready(now) {
+            return;
+        }
+        let goal = &mut self.goals[index];
+        let bulletin = if far { &mut goal.far } else { &mut goal.near };
+        bulletin.publish(now);
+        let (id, length) = (goal.id(), goal.have.bytes().len() as u64);
+        let listens = |until: &Moment| *until > now;
+        let listeners = self.peers.active().filter(|neighbour| {
+            let is_far = neighbour.place == Place::Cross;
+            is_far == far && neighbour.listens.get(&id).is_some_and(listens)
+        });
+        let hosts: Vec<_> = listeners
+            .map(|neighbour| neighbour.peer.host.clone())
+            .collect();
+        let bytes = hosts.len() as u64 * (length + HEADER_BYTES);
+        self.control.take(bytes, now);
+        self.tell(index, &hosts);
+    }
+
     fn tell(&mut self, index: usize, hosts: &[HostName]) {
         self.sequence += 1;
         let goal = &self.goals[index];
@@ -188,15 +228,10 @@
         if gained && neighbour.place == Place::Cross {
             goal.offered = now;
         }
-        let grown = match old {
-            Some(old) if !gained => old.grown,
-            _ => now,
-        };
-        let heard = Heard {
-            bits,
-            sequence,
-            grown,
-        };
+        if gained {
+            goal.orders.note(from, now);
+        }
+        let heard = Heard { bits, sequence };
         neighbour.heard.insert(manifest, heard);
     }
 
--- a/crates/azurestand_spread/src/transfer/share.rs
+++ b/crates/azurestand_spread/src/transfer/share.rs
@@ -1,10 +1,12 @@
 //! Shares of the links that a region's drawing agents use together.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use azurestand_types::Moment;
 
 use super::Transfer;
+use super::goal::Goal;
 use super::peers::Place;
 use crate::bucket::{Bucket, Rate};
 
@@ -30,28 +32,48 @@
         self.shared = now;
         let (own, all) = self.backlog();
         let rate = Rate(self.cross_rate().0.saturating_mul(own) / all);
+        for link in self.cross.values_mut() {
+            link.bucket.set_rate(rate, now);
+        }
+        let count = self.cross.len() as u64 + 1;
+        if let Some(store) = self.limits.store {
+            let rate = Rate(store.0.saturating_mul(own) / (all * count));
+            // About one chunk in `count` is drawn here, the others by other regions.
+            self.hurried = self.is_slow(rate.time(own * self.longest() / count));
+            let bucket = self.upstream.bucket.take();
+            let mut bucket = bucket.unwrap_or_else(|| Bucket::new(rate, 0, now));
+            bucket.set_rate(rate, now);
+            self.upstream.bucket = Some(bucket);
+        }
+    }
+
+    /// Keeps a link for each other region of the view.
+    pub(crate) fn link_regions(&mut self, now: Moment) {
         let regions: BTreeSet<_> = self
             .peers
-            .values()
+            .iter()
             .filter(|neighbour| neighbour.place == Place::Cross)
             .map(|neighbour| neighbour.peer.region.clone())
             .collect();
         self.cross.retain(|region, _| regions.contains(region));
-        let count = regions.len() as u64 + 1;
         for region in regions {
-            let link = self.cross.entry(region).or_insert_with(|| CrossLink {
-                bucket: Bucket::new(rate, 0, now),
+            self.cross.entry(region).or_insert_with(|| CrossLink {
+                bucket: Bucket::new(Rate(0), 0, now),
                 flights: 0,
             });
-            link.bucket.set_rate(rate, now);
-        }
-        if let Some(store) = self.limits.store {
-            let rate = Rate(store.0.saturating_mul(own) / (all * count));
-            let bucket = self.upstream.bucket.take();
-            let mut bucket = bucket.unwrap_or_else(|| Bucket::new(rate, 0, now));
-            bucket.set_rate(rate, now);
-            self.upstream.bucket = Some(bucket);
         }
+        self.share_links(now);
+    }
+
+    fn longest(&self) -> u64 {
+        let lengths = self.goals.iter().map(|goal| goal.longest);
+        lengths.max().unwrap_or(0)
+    }
+
+    /// Whether `span` is longer than this host's own link needs for all that is missing.
+    fn is_slow(&self, span: Duration) -> bool {
+        let missing = self.goals.iter().map(Goal::missing_bytes).sum();
+        span > self.ingress.rate().time(missing)
     }
 
     /// Chunks that the region lacks: those that this host is to draw, and all.
--- a/crates/azurestand_target/tests/claims/cases.rs
+++ b/crates/azurestand_target/tests/claims/cases.rs
@@ -254,6 +254,67 @@
     assert_eq!(told(&world, id), Some(Outcome::Answered));
 }
 
+#[test]
+fn late_answer_to_an_earlier_commit_starts_nothing() {
+    let (mut world, holder) = settled(Outage::Wait);
+    world.advance(seconds(1));
+    world.deliver_calls_of(KEY, false);
+    world.settle(seconds(1));
+    let id = world.ask(KEY, holder).unwrap();
+    world.deliver_ask(0);
+    until_committing(&mut world);
+    world.deliver_late(0);
+    assert!(!world.is_started(id));
+}
+
+#[test]
+fn paused_home_does_not_start_what_expired_meanwhile() {
+    let (mut world, holder) = settled(Outage::Wait);
+    let id = world.ask(KEY, holder).unwrap();
+    world.deliver_ask(0);
+    until_committing(&mut world);
+    world.pause(holder, true);
+    world.deliver_calls_of(KEY, true);
+    world.advance(seconds(5));
+    world.pause(holder, false);
+    assert!(!world.is_started(id));
+    assert_eq!(told(&world, id), Some(not_run(Refusal::Expired)));
+}
+
+#[test]
+fn lease_counts_from_the_send_of_a_write_and_not_from_its_answer() {
+    let (mut world, holder) = settled(Outage::Memory);
+    // A renewal is sent within a second; its lease is 3.5 seconds.
+    for _ in 0..45 {
+        world.advance(millis(100));
+    }
+    world.deliver_calls_of(KEY, true);
+    world.processes[holder].cut = true;
+    let id = world.ask(KEY, holder).unwrap();
+    world.settle(seconds(2));
+    assert_eq!(told(&world, id), None);
+}
+
+#[test]
+fn successor_that_dies_in_its_window_leaves_a_window_to_the_next() {
+    let (mut world, holder) = settled(Outage::Memory);
+    world.processes[holder].cut = true;
+    let first = world.ask(KEY, holder).unwrap();
+    world.settle(seconds(1));
+    assert_eq!(told(&world, first), Some(Outcome::Answered));
+    world.configure(Outage::Wait);
+    world.settle(seconds(7));
+    let second = world.holder(KEY).unwrap();
+    assert_ne!(second, holder);
+    world.kill(second);
+    world.settle(seconds(9));
+    let third = world.holder(KEY).unwrap();
+    assert!(third != holder && third != second);
+    let again = world.ask(KEY, third).unwrap();
+    world.settle(seconds(1));
+    assert_eq!(told(&world, again), Some(not_run(Refusal::Unproved)));
+}
+
 #[test]
 fn a_key_freed_and_claimed_again_waits_for_its_own_claim() {
     let (mut world, holder) = settled(Outage::Wait);
@@ -283,6 +344,16 @@
     assert_eq!(told(&world, id), None);
 }
 
+#[test]
+fn a_record_that_calls_all_runs_proved_forbids_runs_on_memory() {
+    let (mut world, holder) = settled(Outage::Wait);
+    world.processes[holder].cut = true;
+    world.configure(Outage::Memory);
+    let id = world.ask(KEY, holder).unwrap();
+    world.settle(seconds(1));
+    assert_eq!(told(&world, id), None);
+}
+
 #[test]
 fn a_second_life_waits_while_the_first_may_run_on_memory() {
     let (mut world, _) = settled(Outage::Memory);
@@ -303,6 +374,20 @@
     assert_eq!(world.holder(key), Some(HOSTS));
 }
 
+#[test]
+fn an_earlier_life_that_wakes_leaves_its_shards_to_the_later_one() {
+    let (mut world, _) = settled(Outage::Wait);
+    let key = key_held_by(&world, 0);
+    world.pause(0, true);
+    world.restart(HOSTS);
+    world.settle(seconds(1));
+    world.pause(0, false);
+    for _ in 0..20 {
+        world.settle(millis(100));
+        assert_eq!(world.holder(key), Some(HOSTS));
+    }
+}
+
 #[test]
 fn a_leaving_home_hands_its_shards_on_without_a_window() {
     for outage in [Outage::Wait, Outage::Memory] {
@@ -326,6 +411,20 @@
     }
 }
 
+#[test]
+fn a_shard_that_is_asked_for_is_taken_soon_after_it_was_handed_on() {
+    let (mut world, holder) = settled(Outage::Wait);
+    let others: Vec<_> = (0..HOSTS).filter(|index| *index != holder).collect();
+    world.leave(holder);
+    for _ in 0..10 {
+        for other in &others {
+            world.ask(KEY, *other);
+        }
+        world.settle(millis(100));
+    }
+    assert_eq!(world.runs.get(&KEY), Some(&1), "not served within a second");
+}
+
 #[test]
 fn a_home_that_is_no_longer_listed_hands_its_shards_on() {
     let (mut world, holder) = settled(Outage::Wait);
