--- a/crates/azurestand_server/src/agent.rs
+++ b/crates/azurestand_server/src/agent.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use azurestand_types::ModelName;
+use azurestand_types::{Digest, ModelName};
 use azurestand_wire::Role;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
@@ -30,6 +30,7 @@
 use crate::settings::{Settings, TargetKind, TargetSettings};
 
 use origin::Origin;
+use spread::SpreadView;
 use target::{Handle, Input, Surroundings};
 pub(crate) use target::{failed, raw, refused};
 use vault::Vault;
@@ -43,6 +44,7 @@
 pub struct Agent {
     node: Node,
     targets: Vec<Handle>,
+    spread: SpreadView,
     web: SocketAddr,
 }
 
@@ -91,17 +93,22 @@
             entries,
         };
         tokio::spawn(inbound.run(arrivals.inbound));
-        tokio::spawn(
-            node.stop
-                .clone()
-                .run_until_cancelled_owned(web::serve(listener, vault, view)),
-        );
+        tokio::spawn(node.stop.clone().run_until_cancelled_owned(web::serve(
+            listener,
+            vault,
+            view.clone(),
+        )));
         Event::Started.log(format_args!(
             "agent of {} at {}",
             node.settings.host,
             node.address()
         ));
-        Ok(Self { node, targets, web })
+        Ok(Self {
+            node,
+            targets,
+            spread: view,
+            web,
+        })
     }
 
     /// Where other processes reach the agent.
@@ -114,6 +121,11 @@
         self.web
     }
 
+    /// Whether every chunk of the version with this manifest is here and verified.
+    pub fn holds(&self, manifest: &Digest) -> bool {
+        self.spread.complete.borrow().contains_key(manifest)
+    }
+
     /// Leaves service: no new work, every answer whole, then the end.
     /// Gives whether all work ended within the settings' limit.
     pub async fn stop(self) -> bool {
--- a/crates/azurestand_standin/src/deployment.rs
+++ b/crates/azurestand_standin/src/deployment.rs
@@ -376,6 +376,18 @@
         wait(n, limit, || self.count_live(version)).await
     }
 
+    /// Waits until `n` hosts hold every chunk of `version`, loaded or not.
+    pub async fn wait_whole(&self, version: &str, n: usize, limit: Duration) -> Settled {
+        let digest = self.versions.get(version);
+        let whole = |runner: &&Runner| {
+            let agent = runner.agent.as_ref();
+            agent
+                .zip(digest)
+                .is_some_and(|(agent, digest)| agent.holds(digest))
+        };
+        wait(n, limit, || self.runners.iter().filter(whole).count()).await
+    }
+
     /// Engines that hold exactly the bytes that were published as `version`.
     pub fn count_live(&self, version: &str) -> usize {
         let Some(content) = self
--- a/crates/azurestand_standin/src/plan.rs
+++ b/crates/azurestand_standin/src/plan.rs
@@ -8,6 +8,8 @@
 pub(crate) const FLEET_KEY: &str =
     "a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5";
 
+const LIMITS: &str = "cold_slots = 2\nwarm_slots = 8\npermits = 1\n";
+
 /// One data centre of a plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CentrePlan {
@@ -44,6 +46,8 @@
     pub moving: &'static str,
     /// Bytes a second of the origin's link.
     pub origin: u64,
+    /// The section `limits`.
+    pub limits: String,
 }
 
 fn centre(name: &'static str, region: &'static str, entries: usize, engines: usize) -> CentrePlan {
@@ -75,6 +79,7 @@
             accounts: 10,
             moving: "khentii",
             origin: 32 * 1024 * 1024,
+            limits: LIMITS.to_owned(),
         }
     }
 
@@ -95,6 +100,7 @@
             accounts: 10,
             moving: "central",
             origin: 32 * 1024 * 1024,
+            limits: LIMITS.to_owned(),
         }
     }
 
