--- a/crates/azurestand_bench/src/lib.rs
+++ b/crates/azurestand_bench/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod requests;
 /// What one more of something costs, fitted over several sizes.
 pub mod slopes;
+/// The spread of weights over real sockets, beside the same in virtual time.
+pub mod sockets;
 /// The spread of weights, beside two baselines.
 pub mod spread;
