Fill views sooner when a fleet starts at once

Cause: at 1,260 nodes that start together the last view was complete after 36 s; a member that lacked fewer than four members of one summary waited out its 5 s. Change: any unknown member, at home or abroad, calls for another comparison after 200 ms; statuses still after 1 s. Conclusion: the tail is entries whose summaries are taken up by statuses; left, since a document needs no complete view.

--- a/crates/azurestand_bench/src/control/recover.rs
+++ b/crates/azurestand_bench/src/control/recover.rs
@@ -4,6 +4,7 @@
 
 use super::fleet::Fleet;
 use super::rows::RecoveryRow;
+use super::store::BACK_OFF;
 
 const OUTAGE: Duration = Duration::from_secs(45);
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -31,7 +32,7 @@
     fleet.tally.reset();
     fleet.write(revision);
     let whole = fleet.run_until(PATIENCE, |fleet| fleet.in_force(revision));
-    fleet.run(Duration::from_secs(10));
+    fleet.run(BACK_OFF);
     RecoveryRow {
         case,
         nodes: fleet.nodes.len(),
--- a/crates/azurestand_membership/src/member/sync.rs
+++ b/crates/azurestand_membership/src/member/sync.rs
@@ -22,7 +22,7 @@
 /// Bytes of records that one exchange carries at most.
 const SYNC_BYTES: usize = 8_192;
 
-/// A member that lacks this many records compares again soon.
+/// A member that lacks this many statuses compares again soon.
 const CATCH_UP: usize = 4;
 
 const MEMBERS_PAUSE: Duration = Duration::from_millis(200);
@@ -158,7 +158,7 @@
                 mine.push(host.clone());
             }
         }
-        self.catch_up(&hosts);
+        self.catch_up(sender, &hosts);
         if hosts.is_empty() && mine.is_empty() {
             return;
         }
@@ -173,16 +173,22 @@
     }
 
     /// Compares again soon when much is lacking: sooner for unknown members than for statuses.
-    fn catch_up(&mut self, lacking: &[HostName]) {
-        let unknown = lacking.iter().filter(|host| self.view.get(host).is_none());
-        let pause = if unknown.count() >= CATCH_UP {
+    fn catch_up(&mut self, peer: &Record, lacking: &[HostName]) {
+        let unknown = |host: &HostName| self.view.get(host).is_none();
+        let pause = if lacking.iter().any(unknown) {
             MEMBERS_PAUSE
         } else if lacking.len() >= CATCH_UP {
             STATUSES_PAUSE
         } else {
             return;
         };
-        self.timers.sync = self.timers.sync.min(self.now + pause);
+        let local = peer.identity.centre == self.me.identity.centre;
+        let timer = if local {
+            &mut self.timers.sync
+        } else {
+            &mut self.timers.bridge
+        };
+        *timer = (*timer).min(self.now + pause);
     }
 
     /// Sends the records that were asked for.
