--- /dev/null
+++ b/crates/azurestand/tests/processes.rs
@@ -0,0 +1,292 @@
+//! A small deployment as separate processes of the real binary, started by this
+//! test with settings files, and operated by the binary's own verbs.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use azurestand_standin::{
+    Caller, Engine, EngineOptions, Origin, OriginOptions, Service, ServiceOptions, Store,
+    StoreOptions, Told,
+};
+use azurestand_types::Digest;
+use bytes::Bytes;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::sleep;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_azurestand");
+const CENTRES: [&str; 2] = ["tov", "khentii"];
+const TOKENS: u32 = 30;
+const TRIES: u32 = 600;
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A daemon that this test started.
+struct Daemon {
+    child: Child,
+    web: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Daemon {
+    async fn start(role: &str, file: &Path) -> Self {
+        let mut child = Command::new(BINARY)
+            .arg(role)
+            .arg("--settings")
+            .arg(file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let line = loop {
+            let line = lines.next_line().await.unwrap();
+            let line = line.expect("the daemon says where it listens");
+            if line.contains("listens on") {
+                break line;
+            }
+        };
+        // Whatever it prints later must find a reader.
+        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        let (rest, peers) = line.split_once(" peers ").unwrap();
+        let (_, web) = rest.split_once("http://").unwrap();
+        Self {
+            child,
+            web: web.trim().parse().unwrap(),
+            peers: peers.trim().parse().unwrap(),
+        }
+    }
+
+    /// Sends SIGTERM to the child and gives its exit status.
+    async fn stop(mut self) -> Option<i32> {
+        let id = self.child.id().expect("the daemon still runs").to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().await;
+        assert!(sent.unwrap().success());
+        self.child.wait().await.unwrap().code()
+    }
+}
+
+struct Deployment {
+    files: TempDir,
+    store: Store,
+    origin: Origin,
+    engines: Vec<Engine>,
+    bookings: Vec<Service>,
+    entries: Vec<Daemon>,
+    agents: Vec<Daemon>,
+}
+
+impl Deployment {
+    async fn start() -> Self {
+        let mut deployment = Self {
+            files: tempfile::tempdir().unwrap(),
+            store: Store::start(StoreOptions::default()).await.unwrap(),
+            origin: Origin::start(OriginOptions::default()).await.unwrap(),
+            engines: Vec::new(),
+            bookings: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+        };
+        let digest = deployment.publish().await;
+        deployment.init(&digest).await;
+        for centre in CENTRES {
+            let file = deployment.write_settings(&format!("{centre}-entry"), centre, "");
+            deployment.entries.push(Daemon::start("entry", &file).await);
+        }
+        for centre in CENTRES {
+            let engine = Engine::start(EngineOptions::default(), 7).await.unwrap();
+            let name = format!("{centre}-engine");
+            let kind = "model = \"dispatch\"\nfencing = true";
+            deployment
+                .add_agent(&name, centre, engine.address(), kind)
+                .await;
+            deployment.engines.push(engine);
+            let service = Service::start(ServiceOptions::default()).await.unwrap();
+            let name = format!("{centre}-shifts");
+            let kind = "service = \"shifts\"";
+            deployment
+                .add_agent(&name, centre, service.address(), kind)
+                .await;
+            deployment.bookings.push(service);
+        }
+        deployment
+    }
+
+    async fn add_agent(&mut self, name: &str, centre: &str, address: SocketAddr, kind: &str) {
+        let target = format!("\n[[targets]]\nname = \"{name}\"\naddress = \"{address}\"\n{kind}\n");
+        let file = self.write_settings(name, centre, &target);
+        self.agents.push(Daemon::start("agent", &file).await);
+    }
+
+    fn write_settings(&self, host: &str, centre: &str, targets: &str) -> std::path::PathBuf {
+        let seeds = self
+            .entries
+            .iter()
+            .map(|entry| format!("\"{}\"", entry.peers));
+        let text = format!(
+            "host = \"{host}\"\ndata_centre = \"{centre}\"\nregion = \"{centre}\"\n\
+             listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
+             store = [\"{}\"]\norigin = \"{}\"\nseeds = [{}]\nfleet_key = \"{}\"\n{targets}",
+            self.store.address(),
+            self.origin.address(),
+            seeds.collect::<Vec<_>>().join(", "),
+            "a5".repeat(32),
+        );
+        let file = self.files.path().join(format!("{host}.toml"));
+        std::fs::write(&file, text).unwrap();
+        file
+    }
+
+    /// Runs a verb; it must succeed.
+    async fn run(&self, line: &str) -> Value {
+        let entries = self
+            .entries
+            .iter()
+            .map(|entry| format!("http://{}", entry.web));
+        let output = Command::new(BINARY)
+            .args(line.split(' '))
+            .args(["--format", "json"])
+            .env_clear()
+            .env(
+                "AZURESTAND_STORE",
+                format!("http://{}", self.store.address()),
+            )
+            .env("AZURESTAND_ENTRY", entries.collect::<Vec<_>>().join(","))
+            .env("AZURESTAND_AUTHOR", "ana")
+            .current_dir(self.files.path())
+            .output()
+            .await
+            .unwrap();
+        let (out, err) = (
+            String::from_utf8_lossy(&output.stdout),
+            String::from_utf8_lossy(&output.stderr),
+        );
+        assert!(output.status.success(), "{line}: {out} {err}");
+        serde_json::from_str(&out).unwrap_or(Value::Null)
+    }
+
+    async fn publish(&self) -> String {
+        let weights: Vec<u8> = (0..200_000_u32).map(|n| (n % 251) as u8).collect();
+        std::fs::write(self.files.path().join("weights"), weights).unwrap();
+        let origin = self.origin.address();
+        let line =
+            format!("publish weights --model dispatch --version v1 --origin http://{origin}");
+        let published = self.run(&line).await;
+        let digest = published["digest"]
+            .as_str()
+            .or(published["data"]["digest"].as_str());
+        digest.expect("publish names the digest").to_owned()
+    }
+
+    async fn init(&self, digest: &str) {
+        let key = Digest::of(b"key-1");
+        let text = format!(
+            "[models.dispatch]\nversion = \"v1\"\n\n[models.dispatch.versions]\nv1 = \"{digest}\"\n\n\
+             [services.shifts]\nidempotent = false\nretry_window = \"10m\"\n\
+             homes = [\"tov-shifts\", \"khentii-shifts\"]\n\n\
+             [data_centres.tov]\nregion = \"tov\"\n\n[data_centres.khentii]\nregion = \"khentii\"\n\n\
+             [priorities.normal]\nlevel = 5\n\n\
+             [accounts.one]\nkey = \"{key}\"\npriority = \"normal\"\nrate = 400\nburst = 400\nconcurrency = 400\n"
+        );
+        std::fs::write(self.files.path().join("first.toml"), text).unwrap();
+        self.run("config init first.toml").await;
+    }
+
+    async fn complete(&self, door: SocketAddr, tokens: u32) -> Told {
+        complete(door, tokens).await
+    }
+
+    async fn book(&self, door: SocketAddr, key: &str) -> Told {
+        let headers = [("idempotency-key", key)];
+        let path = "/services/shifts/book";
+        let told = Caller::new(vec![door]).call("key-1", path, &headers, Bytes::from_static(b"{}"));
+        told.await.expect("every caller gets a word")
+    }
+
+    async fn wait_until_served(&self) {
+        for entry in &self.entries {
+            for n in 0.. {
+                assert!(n < TRIES, "not served in time");
+                let completed = self.complete(entry.web, 1).await.says("answered");
+                let key = format!("ready-{}-{n}", entry.web);
+                if completed && self.book(entry.web, &key).await.says("answered") {
+                    break;
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn complete(door: SocketAddr, tokens: u32) -> Told {
+    let body = json!({
+        "model": "dispatch",
+        "stream": true,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": "hello" }],
+    });
+    let body = Bytes::from(body.to_string());
+    let told = Caller::new(vec![door]).call("key-1", "/v1/chat/completions", &[], body);
+    told.await.expect("every caller gets a word")
+}
+
+fn assert_whole(told: &Told) {
+    let text = String::from_utf8_lossy(&told.body);
+    assert!(told.whole && told.says("answered"), "{told:?}");
+    for word in 1..=TOKENS {
+        assert!(text.contains(&format!("\"word{word} \"")), "{word}: {text}");
+    }
+    assert!(text.contains("[DONE]"), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deployment_of_processes_is_started_operated_and_stopped() {
+    let mut deployment = Deployment::start().await;
+    deployment.wait_until_served().await;
+
+    let first = deployment.book(deployment.entries[0].web, "one").await;
+    let again = deployment.book(deployment.entries[1].web, "one").await;
+    assert!(first.says("answered"), "{first:?}");
+    assert_eq!(again.body, first.body);
+    let runs = deployment.bookings.iter();
+    let runs: u32 = runs
+        .filter_map(|service| service.runs_by_key().remove("one"))
+        .sum();
+    assert_eq!(runs, 1);
+
+    deployment.run("dc out khentii --wait --timeout 60").await;
+    // Agents follow by themselves; within a few seconds nothing new comes.
+    sleep(Duration::from_secs(3)).await;
+    let before = deployment.engines[1].record().runs.len();
+    for n in 0..10 {
+        let told = deployment.complete(deployment.entries[n % 2].web, 2).await;
+        assert!(told.says("answered"), "{told:?}");
+    }
+    assert_eq!(deployment.engines[1].record().runs.len(), before);
+    deployment.run("dc in khentii --wait --timeout 60").await;
+    deployment.run("status").await;
+    deployment.wait_until_served().await;
+
+    for engine in &deployment.engines {
+        engine.set_token_time(Duration::from_millis(60));
+    }
+    let doors = deployment.entries.iter().map(|entry| entry.web);
+    let open = doors.map(|door| tokio::spawn(complete(door, TOKENS)));
+    let open: Vec<_> = open.collect();
+    sleep(Duration::from_millis(400)).await;
+    let daemons = deployment
+        .agents
+        .drain(..)
+        .chain(deployment.entries.drain(..));
+    let stops: Vec<_> = daemons.map(|daemon| tokio::spawn(daemon.stop())).collect();
+    for answer in open {
+        assert_whole(&answer.await.unwrap());
+    }
+    for stop in stops {
+        assert_eq!(stop.await.unwrap(), Some(0));
+    }
+}
--- a/crates/azurestand_server/src/agent/target/orders.rs
+++ b/crates/azurestand_server/src/agent/target/orders.rs
@@ -235,9 +235,10 @@
             return;
         };
         let Some(manifest) = self.spread.complete.borrow().get(&order.digest).cloned() else {
-            // Withdrawn in between; nothing was sent.
+            // Withdrawn in between. A refusal pauses the orders and opens the target
+            // again; one merely unsent would be given anew at once, without end.
             let number = order.number;
-            self.order(OrderEvent::Replied(number, OrderReply::NotSent));
+            self.order(OrderEvent::Replied(number, OrderReply::Refused));
             return;
         };
         loader.ordered = Some(order.digest);
--- /dev/null
+++ b/crates/azurestand_server/tests/promises/bench.rs
@@ -0,0 +1,129 @@
+//! A small deployment and callers for the tests of promises.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azurestand_standin::{Caller, Deployment, Plan, Told};
+use bytes::Bytes;
+use serde_json::json;
+
+/// Far above what a loaded machine needs; no test waits for it to pass.
+pub(crate) const LIMIT: Duration = Duration::from_mins(2);
+/// What "a few seconds" is at most.
+pub(crate) const FEW_SECONDS: Duration = Duration::from_secs(3);
+
+const WEIGHT_BYTES: usize = 200_000;
+
+pub(crate) fn weights(mark: u8) -> Vec<u8> {
+    (0..WEIGHT_BYTES).map(|n| (n % 251) as u8 ^ mark).collect()
+}
+
+/// Starts a deployment with `engines` in each of three data centres, all serving.
+pub(crate) async fn start(engines: usize) -> Deployment {
+    let plan = Plan::small(engines);
+    let deployment = Deployment::start(plan, &weights(0)).await.unwrap();
+    let n = deployment.plan.engines();
+    let live = deployment.wait_live("v1", n, LIMIT).await;
+    assert_eq!(live.count, n);
+    let deployment = deployment;
+    serve(&deployment).await;
+    deployment
+}
+
+/// Waits until bookings and completions are answered through every entry.
+async fn serve(deployment: &Deployment) {
+    for (_, door) in deployment.doors() {
+        let mut n = 0;
+        loop {
+            n += 1;
+            let booked = book(deployment, door, &format!("ready-{door}-{n}")).await;
+            let completed = complete(deployment, door, 1, false).await;
+            if booked.says("answered") && completed.says("answered") {
+                break;
+            }
+            assert!(n < 600, "{booked:?} {completed:?}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+pub(crate) fn door(deployment: &Deployment, n: usize) -> SocketAddr {
+    deployment.doors()[n].1
+}
+
+pub(crate) fn prompt(deployment: &Deployment, tokens: u32, stream: bool) -> Bytes {
+    let body = json!({
+        "model": deployment.plan.model,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": "hello" }],
+    });
+    Bytes::from(body.to_string())
+}
+
+/// Sends a prompt through one entry.
+pub(crate) async fn complete(
+    deployment: &Deployment,
+    door: SocketAddr,
+    tokens: u32,
+    stream: bool,
+) -> Told {
+    let body = prompt(deployment, tokens, stream);
+    call(door, "/v1/chat/completions", &[], body).await
+}
+
+/// Books under a key through one entry.
+pub(crate) async fn book(deployment: &Deployment, door: SocketAddr, key: &str) -> Told {
+    let path = format!("/services/{}/book", deployment.plan.booking);
+    let headers = [("idempotency-key", key)];
+    call(door, &path, &headers, Bytes::from_static(b"{}")).await
+}
+
+pub(crate) async fn call(
+    door: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Told {
+    call_as("key-9", door, path, headers, body).await
+}
+
+pub(crate) async fn call_as(
+    key: &str,
+    door: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Told {
+    let told = Caller::new(vec![door]).call(key, path, headers, body).await;
+    told.expect("every caller gets a word")
+}
+
+/// The numbers of an answer's words, in the order in which they came.
+pub(crate) fn words(told: &Told) -> Vec<u32> {
+    let text = String::from_utf8_lossy(&told.body);
+    let marks = text.split("word").skip(1);
+    marks
+        .filter_map(|rest| {
+            let end = rest.find(|letter: char| !letter.is_ascii_digit());
+            rest[..end.unwrap_or(rest.len())].parse().ok()
+        })
+        .collect()
+}
+
+pub(crate) fn assert_whole(told: &Told, tokens: u32) {
+    assert!(told.whole && told.says("answered"), "{told:?}");
+    assert_eq!(words(told), (1..=tokens).collect::<Vec<_>>());
+}
+
+/// How often a key ran, by the services' own records.
+pub(crate) fn runs(deployment: &Deployment, key: &str) -> u32 {
+    deployment.runs_by_key().get(key).copied().unwrap_or(0)
+}
+
+/// The place of the service that ran `key`.
+pub(crate) fn home(deployment: &Deployment, key: &str) -> usize {
+    let mut booths = deployment.booths.iter();
+    let ran = booths.position(|booth| booth.service.runs_by_key().contains_key(key));
+    ran.expect("the key ran")
+}
