--- a/crates/azurestand/src/args.rs
+++ b/crates/azurestand/src/args.rs
@@ -100,7 +100,8 @@
                     help = true;
                     continue;
                 }
-                Short('V') | Long("version") => {
+                // `publish` has an option of this name, so it is the verb's short form only up front.
+                Short('V') | Long("version") if words.is_empty() => {
                     words = vec!["version".to_owned()];
                     continue;
                 }
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Prefix, Wanted};
-use azurestand_types::{DataCentre, Incarnation, Moment, Outcome, Refusal, TargetName};
+use azurestand_types::{
+    DataCentre, Incarnation, Moment, Outcome, Refusal, TargetName, Uncertainty,
+};
 use azurestand_wire::{Ack, Ask, Begin, Body, Cancel, Release, Resume, Revoke};
 use bytes::{Buf, Bytes};
 use tokio::sync::mpsc;
@@ -138,7 +140,9 @@
             return vec![DeliveryAction::Choose];
         };
         let Some(host) = self.service.fleet.host(&place.target) else {
-            return vec![DeliveryAction::Finish(Outcome::NotRun(Refusal::NotServed))];
+            // The request did run, even if nobody here knows its target.
+            let why = Uncertainty::Unreachable;
+            return vec![DeliveryAction::Finish(Outcome::Unknown(why))];
         };
         self.request.id = place.id;
         let choice = Choice {
@@ -406,7 +410,7 @@
             {
                 let incarnation = self.service.incarnation(&holder.agent);
                 if incarnation.is_some_and(|found| found != holder.agent.incarnation) {
-                    return DeliveryEvent::Failed(azurestand_types::Uncertainty::TargetFailed);
+                    return DeliveryEvent::Failed(Uncertainty::TargetFailed);
                 }
                 holder.agent.outbox = outbox;
                 return DeliveryEvent::Reached;
