--- a/crates/azurestand_membership/src/member/hub.rs
+++ b/crates/azurestand_membership/src/member/hub.rs
@@ -11,7 +11,10 @@
 use crate::{Action, Note};
 
 /// How often a status is reported again, in case a report was lost.
-const REFRESH_EVERY: Duration = Duration::from_secs(30);
+const REFRESH_EVERY: Duration = Duration::from_mins(1);
+
+/// How often silent data centres are looked for.
+const LISTEN_EVERY: Duration = Duration::from_secs(1);
 
 /// One bridge message in this many goes to any member instead of a hub, in case
 /// the hubs of the other data centre are others than this member thinks.
@@ -96,12 +99,11 @@
     /// A member of another data centre to talk to, mostly one of its hubs.
     fn contact(&mut self, centre: &DataCentre) -> Option<Record> {
         let stray = self.random.usize(..STRAY_SHARE) == 0;
-        let candidates = if stray {
+        let mut candidates = self.view.hubs(centre, self.limits.watchers);
+        if stray || candidates.is_empty() {
             let members = self.view.members_of(centre);
-            members.filter(|r| r.state().is_present()).collect()
-        } else {
-            self.view.hubs(centre, self.limits.watchers)
-        };
+            candidates = members.filter(|r| r.state().is_present()).collect();
+        }
         let chosen = self.random.choice(candidates);
         chosen.map(Record::without_status)
     }
@@ -134,6 +136,10 @@
 
     /// Notes data centres that fell silent or are heard again.
     fn watch_silence(&mut self) {
+        if self.now < self.timers.listen {
+            return;
+        }
+        self.timers.listen = self.now + LISTEN_EVERY;
         let limit = self.limits.quiet_for;
         let mine = &self.me.identity.centre;
         let silence: Vec<_> = self
--- a/crates/azurestand_server/src/node.rs
+++ b/crates/azurestand_server/src/node.rs
@@ -1,5 +1,6 @@
 //! What entries and agents have in common: identity, links, live view, document.
 
+mod budget;
 pub(crate) mod document;
 mod gossip;
 pub(crate) mod links;
@@ -10,15 +11,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use azurestand_config::Document;
 use azurestand_membership::{Record, State};
-use azurestand_store::{HttpOptions, HttpStore};
+use azurestand_store::HttpStore;
 use azurestand_types::{HostName, Incarnation};
 use azurestand_wire::{Identity, Role};
 use bytes::Bytes;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch as latest};
 use tokio_util::sync::CancellationToken;
 
@@ -26,7 +27,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
-use links::{Arrivals, Links};
+use links::{Arrivals, Links, News};
+use post::Port;
 
 /// How long the last messages may take to leave.
 const GOODBYE_TIME: Duration = Duration::from_millis(50);
@@ -55,6 +57,8 @@
     pub(crate) links: Links,
     pub(crate) store: Arc<HttpStore>,
     pub(crate) metrics: Metrics,
+    /// Bytes of live answers since they were counted last.
+    pub(crate) live: Arc<AtomicU64>,
     pub(crate) document: latest::Receiver<Document>,
     pub(crate) neighbours: latest::Receiver<Neighbours>,
     pub(crate) gossip: mpsc::Sender<GossipEvent>,
@@ -83,7 +87,7 @@
 impl Node {
     /// Binds the peer address and starts links and membership.
     pub(crate) async fn start(settings: Settings, role: Role) -> io::Result<Started> {
-        let listener = TcpListener::bind(settings.peers).await?;
+        let Port { listener, socket } = Port::bind(settings.peers).await?;
         let address = listener.local_addr()?;
         let own = Identity {
             host: settings.host.clone(),
@@ -92,14 +96,15 @@
             centre: settings.centre.clone(),
             address,
         };
-        let (links, arrivals) = Links::new(own, settings.key.clone());
+        let (links, arrivals) = Links::new(own.clone(), settings.key.clone());
         let (documents, document) = latest::channel(Document::empty());
         let (views, neighbours) = latest::channel(Neighbours::default());
         let (gossip, events) = mpsc::channel(1_024);
         let stop = CancellationToken::new();
-        let store = HttpStore::new(HttpOptions::alone(settings.store.clone()));
+        let store = HttpStore::new(budget::options(&settings, own.incarnation));
         let node = Self {
             metrics: Metrics::open(settings.metrics),
+            live: Arc::default(),
             settings: Arc::new(settings),
             clock: Clock::start(),
             links,
@@ -116,7 +121,12 @@
             documents,
             views,
         };
-        gossip::Controller::start(node.clone(), channels).await?;
+        gossip::Controller::start(node.clone(), channels, socket);
+        tokio::spawn(
+            node.stop
+                .clone()
+                .run_until_cancelled_owned(budget::follow(node.clone())),
+        );
         tokio::spawn(
             node.stop
                 .clone()
@@ -139,6 +149,16 @@
         }
     }
 
+    /// Lets membership know that a link opened or ended, which tells more than probes.
+    pub(crate) fn note_link(&self, peer: &Identity, news: &News) {
+        let event = match news {
+            News::Opened => GossipEvent::Connected(peer.host.clone()),
+            News::Ended => GossipEvent::Lost(peer.host.clone()),
+            News::Message(_) => return,
+        };
+        let _ = self.gossip.try_send(event);
+    }
+
     /// Tells membership what this host's targets are like.
     pub(crate) fn publish(&self, status: Bytes) {
         let _ = self.gossip.try_send(GossipEvent::Status(status));
--- a/crates/azurestand_server/src/node/gossip.rs
+++ b/crates/azurestand_server/src/node/gossip.rs
@@ -1,13 +1,14 @@
 //! Runs the membership machine: feeds it events and carries out its actions.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::sync::Arc;
 
 use azurestand_config::Document;
 use azurestand_membership::{
     Action, Change, Config, Event as MemberEvent, Identity, Limits, Member, Note, Role, State,
+    Subjects,
 };
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch as latest};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -36,9 +37,17 @@
 }
 
 impl Controller {
-    pub(crate) async fn start(node: Node, channels: Channels) -> io::Result<()> {
-        let post = Post::open(node.links.clone(), &node.settings, node.gossip.clone()).await?;
+    pub(crate) fn start(node: Node, channels: Channels, socket: UdpSocket) {
+        let post = Post::open(
+            socket,
+            node.links.clone(),
+            &node.settings,
+            node.gossip.clone(),
+            node.stop.clone(),
+        );
         let own = node.links.own();
+        let targets = node.settings.targets.iter();
+        let subjects = targets.map(|target| target.kind.subject());
         let identity = Identity {
             host: own.host.clone(),
             role: match own.role {
@@ -48,6 +57,7 @@
             centre: own.centre.clone(),
             region: node.settings.region.clone(),
             address: own.address,
+            subjects: Subjects::of(subjects),
             incarnation: own.incarnation,
         };
         let random = fastrand::Rng::with_seed(own.incarnation.0 ^ u64::from(own.address.port()));
@@ -61,7 +71,6 @@
             stale: false,
         };
         tokio::spawn(controller.run());
-        Ok(())
     }
 
     async fn run(mut self) {
--- a/crates/azurestand_target/tests/life.rs
+++ b/crates/azurestand_target/tests/life.rs
@@ -202,6 +202,39 @@
     );
 }
 
+#[test]
+fn a_refused_load_that_took_effect_is_served() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(report(1, None));
+    bench.send(report(1, Some(2)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+    assert_eq!(bench.life.ordered(), Some(digest(2)));
+}
+
+#[test]
+fn an_order_refused_after_a_crash_leaves_its_weights_ordered() {
+    let mut bench = Bench::cold();
+    bench.send(report(2, None));
+    bench.send(LifeEvent::LoadOrdered(digest(1)));
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(report(2, Some(1)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
+#[test]
+fn a_load_that_ends_in_a_crash_lets_the_old_weights_serve() {
+    let mut bench = Bench::cold();
+    bench.send(LifeEvent::LoadOrdered(digest(2)));
+    bench.send(LifeEvent::LoadAccepted);
+    bench.send(report(2, None));
+    bench.send(LifeEvent::LoadRefused);
+    bench.send(report(2, Some(1)));
+    assert_eq!(bench.state(), (Phase::Cold, 2));
+}
+
 #[test]
 fn a_data_centre_out_of_service_gets_nothing_new_and_comes_back() {
     let mut bench = Bench::warm();
@@ -290,3 +323,35 @@
         }
     }
 }
+
+#[test]
+fn other_bounds_of_the_document_hold_at_once_and_forget_nothing() {
+    let settings = LifeSettings {
+        kind: Kind::Service,
+        cold_limit: 2,
+        warm_limit: 8,
+        ..LifeSettings::default()
+    };
+    let mut life = Life::new(settings);
+    let report = Report {
+        boot: BootId(1),
+        digest: None,
+        ready: true,
+        waiting: 0,
+    };
+    life.handle(Moment::from_millis(1), LifeEvent::Report(report));
+    assert_eq!(life.limit(), 2);
+    let raised = LifeSettings {
+        cold_limit: 3,
+        ..settings
+    };
+    life.handle(Moment::from_millis(2), LifeEvent::Configured(raised));
+    assert_eq!((life.phase(), life.limit()), (Phase::Cold, 3));
+    let lowered = LifeSettings {
+        cold_limit: 1,
+        warm_limit: 1,
+        ..settings
+    };
+    life.handle(Moment::from_millis(3), LifeEvent::Configured(lowered));
+    assert_eq!(life.limit(), 1);
+}
