--- a/crates/azurestand_server/tests/promises/once.rs
+++ b/crates/azurestand_server/tests/promises/once.rs
@@ -92,6 +92,7 @@
 async fn the_store_is_down_or_loses_answers_during_bookings() {
     let mut deployment = bench::start(1).await;
     let doors = deployment.doors();
+    let path = format!("/services/{}/book", deployment.plan.booking);
     for round in 0..4 {
         deployment.store.lose(Losses {
             after_write: 2,
@@ -99,12 +100,22 @@
             reads: 1,
         });
         deployment.store.set_down(round % 2 == 1);
-        for n in 0..6 {
-            let key = format!("store-{round}-{n}");
-            bench::book(&deployment, doors[n % 3].1, &key).await;
-            bench::book(&deployment, doors[(n + 1) % 3].1, &key).await;
-        }
+        // Both callers of a key at once, and every key at once; the store is back
+        // before any of them has given up.
+        let calls = (0..12).map(|n| {
+            let (door, path) = (doors[n % 3].1, path.clone());
+            let key = format!("store-{round}-{}", n / 2);
+            tokio::spawn(async move {
+                let headers = [("idempotency-key", key.as_str())];
+                bench::call(door, &path, &headers, "{}".into()).await
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        sleep(Duration::from_millis(700)).await;
         deployment.store.set_down(false);
+        for call in calls {
+            call.await.unwrap();
+        }
         if round == 2 {
             let home = deployment.booths.len() - 1;
             deployment.kill_booth(home);
