--- a/crates/azurestand_bench/benches/sockets.rs
+++ b/crates/azurestand_bench/benches/sockets.rs
@@ -6,6 +6,9 @@
     if std::env::args().any(|argument| argument == "--test") {
         return;
     }
+    if std::env::args().any(|argument| argument == "--log") {
+        azurestand_server::start_logs(azurestand_server::settings::LogFormat::Text);
+    }
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be started");
     match runtime.block_on(measure()) {
         Ok(row) => println!(
