Test slow hosts and regions without origin, and bound subscriptions

Cause: no test had a slow host or a region that reaches neither the others nor the origin; one test's name promised a stalled origin that it didn't cause; a host could subscribe to any number of versions.

--- a/crates/azurestand_bench/src/spread.rs
+++ b/crates/azurestand_bench/src/spread.rs
@@ -10,6 +10,8 @@
 mod outcome;
 mod runs;
 mod setup;
+#[cfg(test)]
+mod tests;
 mod traffic;
 mod world;
 
--- a/crates/azurestand_spread/src/limits.rs
+++ b/crates/azurestand_spread/src/limits.rs
@@ -37,7 +37,8 @@
     pub fetches: usize,
     /// The most chunks in flight to this host from the origin and weight store.
     pub draws: usize,
-    /// The most uploads that this host has accepted and not finished.
+    /// The most uploads accepted and not finished, each for this data centre,
+    /// for others of the region and for other regions.
     pub uploads: usize,
     /// How many hosts of a region draw chunks for it, and of a data centre.
     pub drawers: usize,
--- a/crates/azurestand_spread/src/transfer/listen.rs
+++ b/crates/azurestand_spread/src/transfer/listen.rs
@@ -23,6 +23,9 @@
 
 const MAX_LISTENERS: usize = 128;
 
+/// Versions that one host may subscribe to here.
+const MAX_SUBSCRIPTIONS: usize = 32;
+
 /// What an announcement needs beside its bitmap, in bytes.
 const HEADER_BYTES: u64 = 96;
 
@@ -43,7 +46,11 @@
                 let Some(neighbour) = self.peers.engage(&host) else {
                     continue;
                 };
+                let declined = neighbour.declined.get(&id);
                 let last = neighbour.subscribed.get(&id);
+                if declined.is_some_and(|until| *until > now) {
+                    continue;
+                }
                 if last.is_some_and(|last| now.since(*last) < RENEWAL) {
                     continue;
                 }
@@ -140,7 +147,11 @@
         if count >= MAX_LISTENERS && !neighbour.listens.contains_key(&manifest) {
             return;
         }
-        neighbour.listens.insert(manifest, now + SUBSCRIPTION);
+        neighbour.listens.retain(|_, until| *until > now);
+        let known = neighbour.listens.contains_key(&manifest);
+        if known || neighbour.listens.len() < MAX_SUBSCRIPTIONS {
+            neighbour.listens.insert(manifest, now + SUBSCRIPTION);
+        }
         match self.goals.iter().position(|goal| goal.id() == manifest) {
             Some(index) => self.tell(index, std::slice::from_ref(from)),
             None => self.send(from, Message::Decline { manifest }),
--- a/crates/azurestand_spread/tests/spread/faults.rs
+++ b/crates/azurestand_spread/tests/spread/faults.rs
@@ -103,18 +103,37 @@
 }
 
 #[test]
-fn region_cut_with_the_origin_stalled_is_served_after_healing() {
+fn region_without_links_and_origin_is_served_once_the_links_heal() {
     let mut net = Net::new(12, 8);
     let v1 = version("draft", "v1", 60, 0);
     let region = Region::try_from("region-1").unwrap();
     net.want(&[&v1]);
     net.run(200);
     net.cut.insert(region.clone());
-    net.run(30_000);
+    net.dry.insert(region.clone());
+    net.run_until(|net| net.live(v1.manifest.digest()) == 8);
+    net.run(60_000);
+    assert_eq!(net.live(v1.manifest.digest()), 8);
     net.cut.remove(&region);
     net.run_until_live(&v1);
 }
 
+#[test]
+fn one_host_uploads_too_slowly() {
+    let mut net = Net::new(12, 15);
+    let slow = host("host-4");
+    net.slow.insert(slow.clone());
+    let v1 = version("draft", "v1", 60, 0);
+    net.want(&[&v1]);
+    let start = net.now;
+    net.run_until_live(&v1);
+    let from = Source::Peer(slow);
+    let notes = net.nodes.values().flat_map(|node| &node.notes);
+    let is_late = |note: &&Note| matches!(note, Note::Late { from: seen, .. } if *seen == from);
+    assert!(notes.filter(is_late).count() > 0);
+    assert!(net.now - start < 60_000_000, "the slow host was waited for");
+}
+
 #[test]
 fn lost_repeated_and_reordered_messages() {
     let mut net = Net::new(12, 9);
--- a/crates/azurestand_spread/tests/spread/net.rs
+++ b/crates/azurestand_spread/tests/spread/net.rs
@@ -96,6 +96,10 @@
     pub(crate) now: u64,
     pub(crate) noise: Noise,
     pub(crate) liars: BTreeSet<HostName>,
+    /// Hosts whose uploads take a minute.
+    pub(crate) slow: BTreeSet<HostName>,
+    /// Regions that the origin's chunks don't reach.
+    pub(crate) dry: BTreeSet<Region>,
     /// Regions that no other region reaches.
     pub(crate) cut: BTreeSet<Region>,
     pub(crate) stalled: bool,
@@ -123,6 +127,8 @@
             now: 1_000_000,
             noise: Noise::default(),
             liars: BTreeSet::new(),
+            slow: BTreeSet::new(),
+            dry: BTreeSet::new(),
             cut: BTreeSet::new(),
             stalled: false,
             store_down: false,
@@ -369,7 +375,7 @@
         let span = u64::from(CHUNK) * 1_000_000 / ORIGIN_RATE;
         let down = match source {
             Source::WeightStore => self.store_down,
-            _ => self.stalled,
+            _ => self.stalled || self.dry.contains(&self.nodes[to].peer.region),
         };
         if source == Source::WeightStore {
             self.stored += 1;
@@ -400,7 +406,10 @@
         node.uploads += 1;
         let start = now.max(node.sending);
         node.sending = start + u64::from(CHUNK) * 1_000_000 / HOST_RATE;
-        let wait = start + u64::from(CHUNK) * 1_000_000 / rate - now;
+        let mut wait = start + u64::from(CHUNK) * 1_000_000 / rate - now;
+        if self.slow.contains(from) {
+            wait += 60_000_000;
+        }
         if self.liars.contains(from) {
             content[0] ^= 1;
         }
