Test the page of figures; follow the cost of a call over a run

Cause: the cost of a call rose with the calls made (120, 151, 190, 324 us at 800 to 3,200 calls), and the page's comparison had no test.

--- a/crates/azurestand_bench/src/report.rs
+++ b/crates/azurestand_bench/src/report.rs
@@ -7,6 +7,8 @@
 mod page;
 mod plot;
 mod rows;
+#[cfg(test)]
+mod tests;
 
 use std::fs;
 use std::io;
--- a/crates/azurestand_bench/src/slopes/live.rs
+++ b/crates/azurestand_bench/src/slopes/live.rs
@@ -114,6 +114,17 @@
             let own = self.run(deployment, &through, &look, count).await;
             plain.push(own.beyond(&direct));
         }
+        let mut later = Vec::new();
+        let mut made = 0;
+        for _ in 0..5 {
+            let own = self.run(deployment, &through, &look, 400 * scale).await;
+            made += own.good;
+            let y = own.micros / f64::from(own.good.max(1));
+            later.push(Point {
+                x: f64::from(made) / 1_000.0,
+                y,
+            });
+        }
         let (mut keyed, mut writes) = (Vec::new(), Vec::new());
         for count in [16, 32, 48, 64].map(|count| count * scale) {
             let own = self.run(deployment, &through, &book, count).await;
@@ -135,6 +146,12 @@
         }
         vec![
             Slope::fit("call through entry and agent", "us CPU", "call", plain),
+            Slope::fit(
+                "cost of a call, callers and stand-ins too",
+                "us CPU",
+                "thousand calls made",
+                later,
+            ),
             Slope::fit(
                 "booking, callers and stand-ins too",
                 "us CPU",
