Keep a page's figures readable when a cost is below nothing

Cause: a slope whose every cost came out below zero gave an infinite part of its largest in the plot; JSON wrote it as null and the next run refused the file. Before: the second `report` ended with "the run before can't be read". Conclusion: mended.

--- a/crates/azurestand_bench/src/report/plot.rs
+++ b/crates/azurestand_bench/src/report/plot.rs
@@ -39,7 +39,10 @@
         .build_cartesian_2d(0.0..right * 1.05, 0.0..top * 1.1)
         .map_err(text)?;
     let mut mesh = chart.configure_mesh();
-    mesh.x_desc(&plot.across).draw().map_err(text)?;
+    mesh.x_desc(&plot.across)
+        .max_light_lines(1)
+        .draw()
+        .map_err(text)?;
     for (series, colour) in plot.series.iter().zip(COLOURS.iter().cycle()) {
         let style = ShapeStyle::from(colour).stroke_width(2);
         let places: Vec<_> = series.points.iter().map(|p| (p.x, p.y)).collect();
@@ -49,7 +52,8 @@
         drawn.label(&series.name).legend(key);
     }
     let mut legend = chart.configure_series_labels();
-    legend.background_style(WHITE).border_style(BLACK);
+    legend.position(SeriesLabelPosition::UpperLeft);
+    legend.background_style(WHITE.mix(0.8)).border_style(BLACK);
     legend.draw().map_err(text)?;
     root.present().map_err(text)
 }
--- a/crates/azurestand_bench/src/report/rows.rs
+++ b/crates/azurestand_bench/src/report/rows.rs
@@ -227,7 +227,9 @@
     let most = |points: &[Point], part: fn(&Point) -> f64| {
         points.iter().map(part).fold(f64::MIN_POSITIVE, f64::max)
     };
-    let series = slopes.iter().map(|slope| {
+    // A cost that is nowhere above nothing has no part of its largest; JSON knows no infinity.
+    let costs = |slope: &&Slope| slope.points.iter().any(|point| point.y > 0.0);
+    let series = slopes.iter().filter(costs).map(|slope| {
         let across = most(&slope.points, |point| point.x);
         let up = most(&slope.points, |point| point.y);
         let points = slope.points.iter().map(|point| Point {
--- a/crates/azurestand_bench/src/report/tests.rs
+++ b/crates/azurestand_bench/src/report/tests.rs
@@ -1,6 +1,9 @@
 //! The page beside the run before, damaged figures included.
 
 use super::page::render;
+use crate::slopes::{self, Point, Slope};
+
+use super::rows;
 use super::{Figure, Group, Options, ReportError, Run, write};
 
 fn run(unit: &str, value: f64) -> Run {
@@ -57,3 +60,17 @@
         "{refused:?}"
     );
 }
+
+#[test]
+fn a_cost_below_nothing_can_be_read_again() {
+    let points = [(1.0, -2.0), (2.0, -1.0)].map(|(x, y)| Point { x, y });
+    let report = slopes::Report {
+        slopes: vec![Slope::fit("reads", "reads", "daemon", points.to_vec())],
+    };
+    let run = Run {
+        short: true,
+        groups: vec![rows::slopes("daemons", &report)],
+    };
+    let kept = serde_json::to_vec(&run).unwrap();
+    assert_eq!(serde_json::from_slice::<Run>(&kept).unwrap(), run);
+}
--- a/crates/azurestand_bench/src/slopes/live.rs
+++ b/crates/azurestand_bench/src/slopes/live.rs
@@ -237,7 +237,7 @@
     for engines in 1..=4 {
         rows.measure(engines, short).await?;
     }
-    Ok(vec![
+    let mut slopes = vec![
         Slope::fit("idle daemons, a second", "us CPU", "daemon", rows.cpu),
         Slope::fit(
             "memory of daemons and stand-ins",
@@ -275,7 +275,10 @@
             "runner a data centre",
             rows.seconds,
         ),
-    ])
+    ];
+    // A short run makes no rollout; a line through nothing would look measured.
+    slopes.retain(|slope| !slope.points.is_empty());
+    Ok(slopes)
 }
 
 #[derive(Default)]
