--- a/crates/azurestand_bench/src/sockets.rs
+++ b/crates/azurestand_bench/src/sockets.rs
@@ -12,11 +12,11 @@
 use crate::spread::{Outcome, Setup, run};
 
 const HOSTS: usize = 30;
-const CHUNKS: usize = 32;
-const CHUNK_BYTES: u32 = 1024 * 1024;
+const CHUNKS: usize = 256;
+const CHUNK_BYTES: u32 = 128 * 1024;
 /// The time in which the origin's link carries four copies and a host's link two.
-const WINDOW: Duration = Duration::from_secs(16);
-const CROSS: Rate = Rate(512 * 1024);
+const WINDOW: Duration = Duration::from_secs(40);
+const CROSS: Rate = Rate(256 * 1024);
 const FIRST_BYTES: usize = 64 * 1024;
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 const LIMIT: Duration = Duration::from_mins(2);
--- a/crates/azurestand_standin/src/deployment/publish.rs
+++ b/crates/azurestand_standin/src/deployment/publish.rs
@@ -13,7 +13,7 @@
 use super::{DeploymentError, wrap};
 
 /// Small files are cut finer, so that a local run has chunks to spread.
-const MIN_CHUNKS: usize = 32;
+const MIN_CHUNKS: usize = 256;
 const MIN_CHUNK_BYTES: usize = 16 * 1024;
 
 pub(super) async fn publish(
--- a/crates/azurestand_standin/src/plan.rs
+++ b/crates/azurestand_standin/src/plan.rs
@@ -156,9 +156,7 @@
             "# Owned by the service desk.\n[priorities.urgent]\nlevel = 0\n\n[priorities.normal]\nlevel = 5\n"
         );
         text.push_str(&self.account_section());
-        text.push_str(
-            "# Owned by operations.\n[limits]\ncold_slots = 2\nwarm_slots = 8\npermits = 1\n",
-        );
+        let _ = write!(text, "# Owned by operations.\n[limits]\n{}", self.limits);
         text
     }
 
