Fill queues as the document has them, and only this entry's part

Cause: With the document's default queue of 64 the entry's own bound (two or fourteen requests a slot) let the large account fill the agents' queues, and every entry filled the same room between two reports. Change: The table knows the queues' length and how many entries send; a large account fills half of a queue; each entry takes its part of the reported room.

--- a/crates/azurestand_route/src/account.rs
+++ b/crates/azurestand_route/src/account.rs
@@ -31,9 +31,6 @@
 /// Accounts that one entry keeps a raised level for.
 pub const MAX_DEMANDS: usize = 16;
 
-const SMALL_DEPTH: u32 = 14;
-const LARGE_DEPTH: u32 = 2;
-
 /// What one account may do in the whole deployment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Allowance {
@@ -45,6 +42,16 @@
     pub concurrency: u32,
 }
 
+/// How an account stands beside the others of an entry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// It has at most its fair part of the flights, and may fill whole queues.
+    #[default]
+    Modest,
+    /// It has more, and may fill half of each queue.
+    Large,
+}
+
 /// The present use of all accounts at one entry.
 #[derive(Debug, Clone, Default)]
 pub struct AccountLimits {
@@ -85,12 +92,12 @@
         }
     }
 
-    /// How many requests for each slot of a target `account` may wait behind here.
+    /// How much of the targets' queues `account` may fill from here.
     ///
     /// An account with more than its fair part of this entry's flights stands
-    /// in short queues only, so that there is always room for the others. The
+    /// in half queues only, so that there is always room for the others. The
     /// fair part leaves one for an account that isn't there yet.
-    pub fn depth(&self, account: &AccountName) -> u32 {
+    pub fn standing(&self, account: &AccountName) -> Standing {
         let flights = |usage: &Usage| u64::from(usage.flying());
         let active = self
             .usage
@@ -101,9 +108,9 @@
             active.fold((0, 0), |(count, total), flying| (count + 1, total + flying));
         let own = self.usage.get(account).map_or(0, flights);
         if own * (count + 1) > total {
-            LARGE_DEPTH
+            Standing::Large
         } else {
-            SMALL_DEPTH
+            Standing::Modest
         }
     }
 
--- a/crates/azurestand_route/src/lib.rs
+++ b/crates/azurestand_route/src/lib.rs
@@ -32,9 +32,10 @@
 
 pub use account::{
     AccountDemand, AccountLimits, Allowance, DEMAND_INTERVAL, Demand, HOLD, Level, MAX_DEMANDS,
+    Standing,
 };
 pub use delivery::{Attempt, Budget, Delivery, DeliveryAction, DeliveryEvent};
 pub use prefix::{CacheChange, CacheEvent, MAX_BLOCKS, MAX_PLACES, Prefix};
 pub use retry::RetryBudget;
 pub use spill::{MAX_HOPS, Spill, SpillSettings};
-pub use table::{Choice, Load, Report, Table, Wanted};
+pub use table::{Choice, Load, Report, Room, Table, Wanted};
--- a/crates/azurestand_route/src/table.rs
+++ b/crates/azurestand_route/src/table.rs
@@ -12,6 +12,7 @@
 
 use azurestand_types::{Digest, HostName, Incarnation, Moment, TargetName};
 
+use crate::account::Standing;
 use crate::prefix::{CacheEvent, Prefix, Prefixes};
 use row::Row;
 
@@ -19,8 +20,6 @@
 const REPORT_LIFE: Duration = Duration::from_secs(2);
 /// A host that is silent for this long is suspect: agents report twice a second.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
-/// Requests for each slot that wait at most, unless the account has too many already.
-const DEPTH: u32 = 14;
 /// Pressure, as a share of a target's slots, that a cached beginning is worth.
 const PREFIX_WORTH: f64 = 0.25;
 
@@ -67,9 +66,9 @@
     pub only: Option<TargetName>,
     /// The only weights that may answer it, once it was sent to a target that had these.
     pub weights: Option<Digest>,
-    /// Requests for each slot that it may wait behind, by
-    /// [`AccountLimits::depth`](crate::AccountLimits::depth).
-    pub depth: u32,
+    /// How its account stands, by
+    /// [`AccountLimits::standing`](crate::AccountLimits::standing).
+    pub standing: Standing,
     /// The beginning of its prompt; empty for a plain service.
     pub prefix: Prefix,
 }
@@ -82,7 +81,7 @@
             avoid: BTreeSet::new(),
             only: None,
             weights: None,
-            depth: DEPTH,
+            standing: Standing::default(),
             prefix: Prefix::default(),
         }
     }
@@ -99,6 +98,24 @@
     pub weights: Option<Digest>,
 }
 
+/// What bounds the requests that wait at targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Requests that may wait at one target.
+    pub queue: u32,
+    /// Entries that send to the same targets, this one included.
+    pub entries: u32,
+}
+
+impl Default for Room {
+    fn default() -> Self {
+        Self {
+            queue: 64,
+            entries: 1,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Life {
     incarnation: Incarnation,
@@ -112,9 +129,15 @@
     rows: BTreeMap<TargetName, Row>,
     hosts: BTreeMap<HostName, Life>,
     prefixes: Prefixes,
+    room: Room,
 }
 
 impl Table {
+    /// Tells how long queues are and how many entries fill them.
+    pub fn set_room(&mut self, room: Room) {
+        self.room = room;
+    }
+
     /// Takes a report in, unless a later one of the same host is known.
     pub fn report(&mut self, now: Moment, report: Report) {
         if let Some(life) = self.hosts.get(&report.host) {
@@ -225,13 +248,15 @@
 
     /// The best class that has any: heard of lately before suspect, free slots before queues.
     fn candidates<'a>(&'a self, now: Moment, wanted: &'a Wanted) -> Vec<&'a Row> {
-        let able: Vec<_> = self.able(now, wanted).collect();
+        let able = self.able(now, wanted);
+        let able = able.filter(|row| row.may_send(self.room, wanted.standing));
+        let able: Vec<_> = able.collect();
         let is_near = |row: &&Row| now.since(row.heard) < SUSPECT_AFTER;
         let is_free = |row: &&Row| row.free() > 0;
         let classes: [&dyn Fn(&&Row) -> bool; 3] = [
             &|row| is_near(row) && is_free(row),
-            &|row| is_near(row) && row.may_queue(wanted.depth),
-            &|row| row.may_queue(wanted.depth),
+            &|row| is_near(row),
+            &|_| true,
         ];
         for class in classes {
             let rows: Vec<_> = able.iter().copied().filter(|row| class(row)).collect();
--- a/crates/azurestand_route/src/table/row.rs
+++ b/crates/azurestand_route/src/table/row.rs
@@ -5,14 +5,14 @@
 
 use azurestand_types::{HostName, Moment};
 
-use super::Load;
+use super::{Load, Room};
+use crate::account::Standing;
 
 /// The time that a send takes to show in a report.
 const TRANSIT: Duration = Duration::from_millis(20);
 /// Sends remembered until a report shows them; more count as this many.
 const MAX_RECENT: usize = 1_024;
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const MIN_SLOTS: u32 = 8;
 const MAX_DOUBLINGS: u32 = 6;
 /// Refusals in a row from which a report of room isn't believed any more.
 const LIAR_STREAK: u32 = 3;
@@ -93,12 +93,20 @@
         self.load.limit.saturating_sub(self.work())
     }
 
-    /// Whether fewer than `depth` requests wait for each slot; few slots count
-    /// as eight, since a cold target's grow while the queue waits.
-    pub(super) fn may_queue(&self, depth: u32) -> bool {
-        let slots = self.load.limit.max(MIN_SLOTS);
-        let room = self.load.limit.saturating_add(slots.saturating_mul(depth));
-        self.work() < room
+    /// Whether one more fits, by the report and by what this entry may add to it.
+    ///
+    /// All entries see the same room until the next report. Each takes only its
+    /// part of it, or together they would fill it as often as they are many.
+    pub(super) fn may_send(&self, room: Room, standing: Standing) -> bool {
+        let queue = match standing {
+            Standing::Modest => room.queue,
+            Standing::Large => room.queue / 2,
+        };
+        let most = self.load.limit.saturating_add(queue);
+        let reported = self.load.running + self.load.waiting;
+        let part = most.saturating_sub(reported) / room.entries.max(1);
+        let recent = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
+        self.work() < most && recent.saturating_sub(self.ended) < part.max(1)
     }
 
     /// Work for each slot once one more request is there.
--- a/crates/azurestand_server/src/entry/fleet.rs
+++ b/crates/azurestand_server/src/entry/fleet.rs
@@ -7,8 +7,8 @@
 
 use azurestand_membership::{Role, State};
 use azurestand_route::{
-    AccountLimits, Attempt, Choice, Load, Prefix, Report, RetryBudget, Spill, SpillSettings, Table,
-    Wanted,
+    AccountLimits, Attempt, Choice, Load, Prefix, Report, RetryBudget, Room, Spill, SpillSettings,
+    Table, Wanted,
 };
 use azurestand_types::{DataCentre, Digest, HostName, Incarnation, Moment, RequestId, TargetName};
 use azurestand_wire::{Identity, Outbox, TargetLoad};
@@ -204,6 +204,11 @@
         self.inner().table.took(target);
     }
 
+    /// Tells how long targets' queues are and how many entries fill them.
+    fn set_room(&self, room: Room) {
+        self.inner().table.set_room(room);
+    }
+
     /// Does something with the ways to other data centres.
     pub(super) fn spill<F, T>(&self, act: F) -> T
     where
@@ -305,6 +310,10 @@
         fleet.retries(|retries| retries.set_share(share));
         let now = node.clock.now();
         fleet.spill(|spill, _| spill.set(now, spill_settings(&node)));
+        fleet.set_room(Room {
+            queue: node.document().limits().queue_length,
+            entries: u32::try_from(count_near(&node)).unwrap_or(u32::MAX),
+        });
         fleet.relays(|relays| relays.forget_old(now));
         for address in agents(&node) {
             if node.links.known(address).is_none() {
@@ -349,15 +358,20 @@
 fn spill_settings(node: &Node) -> SpillSettings {
     let document = node.document();
     let limits = document.limits();
+    let link = f64::from(u32::try_from(limits.region_link).unwrap_or(u32::MAX));
+    let share = (1.0 - limits.region_share) * LIVE_SHARE;
+    SpillSettings::new(link, share, count_near(node))
+}
+
+/// How many entries send to the targets of this data centre.
+fn count_near(node: &Node) -> usize {
     let centre = node.links.own().centre.clone();
     let neighbours = node.neighbours();
     let near = neighbours.0.values().filter(|neighbour| {
         let identity = &neighbour.record.identity;
         identity.role == Role::Entry && identity.centre == centre && neighbour.state == State::Alive
     });
-    let link = f64::from(u32::try_from(limits.region_link).unwrap_or(u32::MAX));
-    let share = (1.0 - limits.region_share) * LIVE_SHARE;
-    SpillSettings::new(link, share, near.count())
+    near.count().max(1)
 }
 
 /// The entries of other data centres in service, by what membership says.
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Prefix, Wanted};
+use azurestand_route::{Choice, Delivery, DeliveryAction, DeliveryEvent, Prefix, Standing, Wanted};
 use azurestand_types::{DataCentre, Incarnation, Moment, Outcome, Refusal, TargetName};
 use azurestand_wire::{Ack, Ask, Begin, Body, Cancel, Release, Resume, Revoke};
 use bytes::{Buf, Bytes};
@@ -269,17 +269,19 @@
             avoid: refused.cloned().collect::<BTreeSet<_>>(),
             only,
             weights: last.and_then(|choice| choice.weights),
-            depth: self.depth(),
+            standing: self.standing(),
             prefix: self.prefix.clone(),
             ..Wanted::subject(self.request.subject.as_str())
         };
         self.service.fleet.choose(now, &wanted)
     }
 
-    /// How long a queue the account may stand in; passed-on requests count where they came in.
-    fn depth(&self) -> u32 {
+    /// How the account stands here; passed-on requests count where they came in.
+    fn standing(&self) -> Standing {
         let account = &self.request.account;
-        self.service.fleet.accounts(|limits| limits.depth(account))
+        self.service
+            .fleet
+            .accounts(|limits| limits.standing(account))
     }
 
     fn refusal(&self) -> Refusal {
