--- a/crates/azurestand_route/src/delivery.rs
+++ b/crates/azurestand_route/src/delivery.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Clone)]
 pub struct Delivery {
     idempotent: bool,
+    /// Only an answer is taken up; there is no request that could be sent.
+    taken_up: bool,
     stage: Stage,
     began: bool,
     offset: u64,
@@ -47,6 +49,7 @@
     pub fn new(idempotent: bool) -> Self {
         Self {
             idempotent,
+            taken_up: false,
             stage: Stage::Choosing,
             began: false,
             offset: 0,
@@ -61,6 +64,7 @@
     /// Takes up an answer of `choice` whose first `offset` bytes the caller already has.
     pub fn resumed(choice: Choice, offset: u64) -> Self {
         Self {
+            taken_up: true,
             stage: Stage::Asked,
             offset,
             attempt: Attempt(1),
@@ -227,7 +231,7 @@
     where
         B: Budget,
     {
-        if self.began {
+        if self.began || self.offset > 0 {
             // A refusal contradicts the head that came before; believe neither.
             return self.finish(Outcome::Unknown(Uncertainty::TargetFailed));
         }
@@ -240,7 +244,8 @@
                 | Refusal::Unproved
                 | Refusal::Revoked
         );
-        let again = elsewhere && self.stage == Stage::Asked && budget.spend();
+        let may_send = elsewhere && !self.taken_up && self.stage == Stage::Asked;
+        let again = may_send && budget.spend();
         if !again {
             return self.finish_not_run(refusal);
         }
