--- a/crates/azurestand_server/src/entry/dispatch.rs
+++ b/crates/azurestand_server/src/entry/dispatch.rs
@@ -45,6 +45,11 @@
             if let Some(id) = answered(&body) {
                 fleet.deliver(&peer.host, id, body);
             } else if peer.role == Role::Entry {
+                // Who passes work on has no room; a keyed request only looks for its home.
+                if matches!(&body, Body::Ask(ask) if ask.key.is_empty()) {
+                    let now = service.node.clock.now();
+                    fleet.spill(|spill, _| spill.came(now, &peer.centre));
+                }
                 relay::take(service, body, outbox);
             }
         }
