--- a/crates/azurestand_route/tests/delivery/cases.rs
+++ b/crates/azurestand_route/tests/delivery/cases.rs
@@ -56,3 +56,18 @@
     assert_eq!(actions[0], DeliveryAction::Cancel);
     assert_eq!(delivery.choice(), Some(&choice(0)));
 }
+
+/// Whoever takes an answer up has no request, so an empty one would go to the next target.
+#[test]
+fn a_refused_take_up_is_sent_nowhere_else() {
+    let mut budget = RetryBudget::new(0.1);
+    let refused = DeliveryEvent::Refused(Refusal::Draining);
+    let mut delivery = Delivery::resumed(choice(0), 0);
+    let actions = delivery.handle(refused.clone(), &mut budget);
+    let outcome = Outcome::NotRun(Refusal::Draining);
+    assert_eq!(actions, [DeliveryAction::Finish(outcome)]);
+    let mut later = Delivery::resumed(choice(0), 10);
+    let actions = later.handle(refused, &mut budget);
+    let outcome = Outcome::Unknown(Uncertainty::TargetFailed);
+    assert_eq!(actions, [DeliveryAction::Finish(outcome)]);
+}
