Take silent engines' streams up again, resume streams across data centres

Cause: two promises were red: a stream of an engine whose connection went silent ended as unknown after 10 of 30 words, and Last-Event-ID through another data centre's entry was answered unknown. Change: the agent takes a silent stream up at the engine by byte offset; an entry finds a stream's target by its status and resumes through an entry of its data centre.

--- a/crates/azurestand_server/src/agent/target/run.rs
+++ b/crates/azurestand_server/src/agent/target/run.rs
@@ -16,9 +16,11 @@
 use super::Input;
 use crate::agent::sse::Stamper;
 use crate::client::{CallError, HttpClient, request};
+use crate::event::Event;
 
 /// An engine that streams gives no token for this long only when it has lost the stream.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+const MAX_RESUMES: u32 = 3;
 /// Frames between processes stay small, so that no answer delays another.
 const MAX_PART_BYTES: usize = 64 * 1024;
 
@@ -93,7 +95,7 @@
         let headers = keep_headers(&head.headers);
         let status = head.status;
         self.tell(RunEvent::Head { status, headers }).await;
-        self.relay(body, stream).await
+        self.relay(body, stream, client).await
     }
 
     fn request(&self) -> http::Request<http_body_util::Full<Bytes>> {
@@ -115,16 +117,27 @@
         request
     }
 
-    async fn relay(&mut self, mut body: Incoming, stream: bool) -> RunEnd {
+    async fn relay(&mut self, mut body: Incoming, stream: bool, client: &HttpClient) -> RunEnd {
+        let mut offset = 0_u64;
+        let mut resumes = 0;
         loop {
             let frame = match self.next(&mut body, stream).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => break,
+                Err(_) if resumes < MAX_RESUMES => {
+                    resumes += 1;
+                    match self.resume(client, offset).await {
+                        Some(taken) => body = taken,
+                        None => return RunEnd::Broken,
+                    }
+                    continue;
+                }
                 Ok(Some(Err(_))) | Err(_) => return RunEnd::Broken,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            offset += data.len() as u64;
             let data = if stream {
                 self.stamper.push(&data)
             } else {
@@ -139,6 +152,19 @@
         RunEnd::Whole
     }
 
+    /// Takes a silent engine's stream up on a new connection.
+    async fn resume(&self, client: &HttpClient, offset: u64) -> Option<Incoming> {
+        let path = format!("/admin/streams/{}?from={offset}", self.id);
+        let request = request(Method::GET, self.address, &path, Bytes::new());
+        let sent = timeout(SILENCE_LIMIT, client.send(request)).await;
+        let response = sent.ok()?.ok()?;
+        Event::Resumed.log(format_args!(
+            "{} at its engine, from byte {offset}",
+            self.id
+        ));
+        (response.status() == StatusCode::OK).then(|| response.into_body())
+    }
+
     async fn next(
         &self,
         body: &mut Incoming,
--- a/crates/azurestand_server/src/entry/relay.rs
+++ b/crates/azurestand_server/src/entry/relay.rs
@@ -10,7 +10,7 @@
 use azurestand_route::Choice;
 use azurestand_types::{
     AccountName, ModelName, Moment, Priority, Refusal, RequestId, RequestKey, ServiceName,
-    Uncertainty,
+    TargetName, Uncertainty,
 };
 use azurestand_wire::{Ask, Body, Outbox};
 use http::Method;
@@ -70,7 +70,7 @@
         Body::Ask(ask) => take_ask(service, *ask, outbox),
         Body::Resume(resume) => {
             if let Ok(id) = RequestId::try_from(&resume.id[..]) {
-                resume_known(service, id, resume.offset, &resume.account, outbox);
+                take_resume(service, id, &resume, outbox);
             }
         }
         Body::Cancel(cancel) => {
@@ -111,6 +111,33 @@
     }
 }
 
+/// Takes an answer up that this entry passed on, or that a target here has for a
+/// caller who first came through another entry. The agent checks the account.
+fn take_resume(
+    service: &Arc<Service>,
+    id: RequestId,
+    resume: &azurestand_wire::Resume,
+    outbox: Outbox,
+) {
+    if service.fleet.relays(|relays| relays.0.contains_key(&id)) {
+        resume_known(service, id, resume.offset, &resume.account, outbox);
+        return;
+    }
+    let target = TargetName::try_from(resume.target.as_str());
+    let account = AccountName::try_from(resume.account.as_str());
+    let (Ok(target), Ok(account)) = (target, account) else {
+        outbox.offer(failed(id, Uncertainty::Unreachable));
+        return;
+    };
+    let offset = resume.offset;
+    let place = Place { id, target, offset };
+    let request = Classified {
+        place: Some(place),
+        ..blank(id, account)
+    };
+    start(service, request, outbox, offset);
+}
+
 fn start(service: &Arc<Service>, request: Classified, outbox: Outbox, offset: u64) {
     let sink = Sink::entry(request.id, outbox, offset);
     let (id, account) = (request.id, request.account.clone());
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -116,7 +116,7 @@
 
     /// Carries the request to its end.
     pub(in crate::entry) async fn run(mut self) {
-        let mut actions = VecDeque::from(self.first());
+        let mut actions = VecDeque::from(self.first().await);
         let outcome = loop {
             match actions.pop_front() {
                 Some(DeliveryAction::Finish(outcome)) => break outcome,
@@ -135,30 +135,39 @@
     }
 
     /// A caller that takes a stream up again names the target that has it.
-    fn first(&mut self) -> Vec<DeliveryAction> {
+    async fn first(&mut self) -> Vec<DeliveryAction> {
         let Some(place) = self.request.place.clone() else {
             return vec![DeliveryAction::Choose];
         };
-        let Some(host) = self.service.fleet.host(&place.target) else {
-            // The request did run, even if nobody here knows its target.
+        let Some(agent) = self.find_place(&place.target).await else {
+            // The request did run, even if its target can't be found from here.
             let why = Uncertainty::Unreachable;
             return vec![DeliveryAction::Finish(Outcome::Unknown(why))];
         };
         self.request.id = place.id;
         let choice = Choice {
             target: place.target,
-            host,
+            host: agent.host.clone(),
             weights: None,
         };
         self.delivery = Delivery::resumed(choice.clone(), place.offset);
         self.acked = place.offset;
         self.expect(&choice);
-        self.holder = self.service.fleet.agent(&choice.host).map(hold);
+        self.holder = Some(hold(agent));
         vec![DeliveryAction::Resume {
             offset: place.offset,
         }]
     }
 
+    /// The agent of a target, or an entry of the target's data centre.
+    async fn find_place(&self, target: &TargetName) -> Option<Agent> {
+        if let Some(host) = self.service.fleet.host(target) {
+            return self.service.fleet.agent(&host);
+        }
+        let location = homes::locate(&self.service.node, target.clone())?;
+        spill::find_in(&self.service, &self.request, &location.centre).await
+    }
+
     fn decide(&mut self, event: DeliveryEvent) -> Vec<DeliveryAction> {
         let delivery = &mut self.delivery;
         let fleet = &self.service.fleet;
--- a/crates/azurestand_standin/src/engine.rs
+++ b/crates/azurestand_standin/src/engine.rs
@@ -4,6 +4,7 @@
 mod completion;
 mod record;
 mod state;
+mod tape;
 
 use std::io;
 use std::net::SocketAddr;
@@ -171,6 +172,9 @@
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/admin/state") => Ok(admin::report(&shared)),
+        (&Method::GET, path) if path.starts_with("/admin/streams/") => {
+            Ok(completion::resume(&shared, &request))
+        }
         (&Method::POST, "/admin/load") => admin::load(shared, request).await,
         (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
             completion::answer(shared, request).await
--- a/crates/azurestand_standin/src/engine/completion.rs
+++ b/crates/azurestand_standin/src/engine/completion.rs
@@ -1,12 +1,9 @@
 //! Completions in the usual `/v1` shape, streamed or whole.
 
-use std::io;
 use std::sync::Arc;
 
-use axum::body::{Body, Bytes};
+use axum::body::Body;
 use azurestand_types::{BootId, Digest};
-use futures_util::stream;
-use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -15,6 +12,7 @@
 
 use super::Shared;
 use super::state::Hold;
+use super::tape::Tape;
 use crate::serve::{Answer, Closed, header, json};
 
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -49,7 +47,7 @@
     {
         return Ok(refuse(StatusCode::NOT_FOUND, "this model is not loaded"));
     }
-    let mut run = match begin(shared, name, priority.unwrap_or(DEFAULT_PRIORITY)).await {
+    let mut run = match begin(shared, name.clone(), priority.unwrap_or(DEFAULT_PRIORITY)).await {
         Ok(run) => run,
         Err(text) => return Ok(refuse(StatusCode::SERVICE_UNAVAILABLE, text)),
     };
@@ -57,7 +55,7 @@
     run.total = ask.max_tokens.unwrap_or(DEFAULT_TOKENS);
     run.model = ask.model;
     if ask.stream {
-        Ok(streamed(run))
+        Ok(streamed(run, name))
     } else {
         whole(run).await
     }
@@ -250,24 +248,44 @@
     Ok(json(StatusCode::OK, &body))
 }
 
-fn streamed(run: Run) -> Response<Body> {
-    let chunks = stream::unfold(Some(run), |run| async {
-        let mut run = run?;
-        if run.made == run.total {
-            run.finish();
-            return Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), None));
-        }
-        match run.token().await {
-            Ok(weights) => {
-                let line = format!("data: {}\n\n", run.chunk(weights));
-                Some((Ok(Bytes::from(line)), Some(run)))
-            }
-            Err(closed) => Some((Err(io::Error::other(closed)), None)),
-        }
-    });
-    let mut response = Response::new(Body::from_stream(chunks));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+/// The stream is made whether or not its first connection still takes it.
+fn streamed(run: Run, name: Option<String>) -> Response<Body> {
+    let tape = Tape::new();
+    if let Some(name) = name {
+        run.shared.lock().keep_stream(name, Arc::clone(&tape));
+    }
+    let response = tape.response(0);
+    tokio::spawn(make(run, tape));
     response
 }
+
+async fn make(mut run: Run, tape: Arc<Tape>) {
+    while run.made < run.total {
+        let weights = tokio::select! {
+            weights = run.token() => weights,
+            () = tape.abandoned() => Err(Closed),
+        };
+        let Ok(weights) = weights else {
+            tape.close(false);
+            return;
+        };
+        tape.push(format!("data: {}\n\n", run.chunk(weights)).as_bytes());
+    }
+    run.finish();
+    tape.push(b"data: [DONE]\n\n");
+    tape.close(true);
+}
+
+/// Takes a stream up again: `GET /admin/streams/REQUEST?from=BYTES`.
+pub(super) fn resume(shared: &Shared, request: &Request<Body>) -> Response<Body> {
+    let path = request.uri().path();
+    let name = path.strip_prefix("/admin/streams/").unwrap_or_default();
+    let query = request.uri().query().unwrap_or_default();
+    let from = query.strip_prefix("from=").unwrap_or("0");
+    let tape = shared.lock().stream(name);
+    match (tape, from.parse()) {
+        (Some(tape), Ok(from)) => tape.response(from),
+        (None, _) => refuse(StatusCode::NOT_FOUND, "this stream is unknown"),
+        (_, Err(_)) => refuse(StatusCode::BAD_REQUEST, "from is no number"),
+    }
+}
--- a/crates/azurestand_standin/src/engine/state.rs
+++ b/crates/azurestand_standin/src/engine/state.rs
@@ -1,6 +1,7 @@
 //! What the engine holds and what it has recorded.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use azurestand_types::{BootId, Digest, Fence};
 use serde::Serialize;
@@ -8,6 +9,9 @@
 
 use super::EngineOptions;
 use super::record::{EngineRecord, EngineRun};
+use super::tape::Tape;
+
+const MAX_STREAMS: usize = 512;
 
 /// What an engine is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -56,6 +60,8 @@
     pub(super) boot: BootId,
     pub(super) phase: EngineState,
     pub(super) loaded: Option<Loaded>,
+    /// Streams that can be taken up again, by request.
+    streams: BTreeMap<String, Arc<Tape>>,
     /// The version that is being loaded.
     pub(super) loading: Option<Digest>,
     pub(super) fence: Fence,
@@ -80,6 +86,7 @@
             boot: BootId(rng.u64(1..1 << 53)),
             phase: EngineState::Empty,
             loaded: None,
+            streams: BTreeMap::new(),
             loading: None,
             fence: Fence(0),
             order: 0,
@@ -98,6 +105,7 @@
     pub(super) fn reboot(&mut self, empty: bool) {
         // Below 2^53, so that every JSON reader keeps the number whole.
         self.boot = BootId(self.rng.u64(1..1 << 53));
+        self.streams.clear();
         self.loading = None;
         self.order += 1;
         self.running = 0;
@@ -214,6 +222,18 @@
     }
 
     /// Ends run `index`, which began under `boot`.
+    /// Keeps a stream for readers that come back; a few are enough.
+    pub(super) fn keep_stream(&mut self, name: String, tape: Arc<Tape>) {
+        if self.streams.len() >= MAX_STREAMS {
+            self.streams.pop_first();
+        }
+        self.streams.insert(name, tape);
+    }
+
+    pub(super) fn stream(&self, name: &str) -> Option<Arc<Tape>> {
+        self.streams.get(name).cloned()
+    }
+
     pub(super) fn end_run(&mut self, index: usize, boot: BootId, whole: bool) {
         if whole {
             self.record.runs[index].finished = Some(self.start.elapsed());
