--- a/crates/azurestand_standin/src/engine/tape.rs
+++ b/crates/azurestand_standin/src/engine/tape.rs
@@ -3,18 +3,13 @@
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use axum::body::Body;
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
-use tokio::sync::watch;
-use tokio::time::sleep;
-
-/// How long a stream goes on without a reader before it is cancelled.
-const GRACE: Duration = Duration::from_millis(200);
+use tokio::sync::{Notify, watch};
 
 /// How far a stream is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +25,7 @@
     bytes: Mutex<Vec<u8>>,
     end: watch::Sender<End>,
     readers: AtomicUsize,
+    left: Notify,
 }
 
 impl Tape {
@@ -38,6 +34,7 @@
             bytes: Mutex::default(),
             end: watch::channel(End::Open).0,
             readers: AtomicUsize::new(0),
+            left: Notify::new(),
         })
     }
 
@@ -54,17 +51,11 @@
         self.end.send_replace(end);
     }
 
-    /// Completes when nobody has read for a while.
+    /// Completes when the last reader has gone. One who takes the stream up on
+    /// another connection comes before it lets the silent one go.
     pub(super) async fn abandoned(&self) {
-        loop {
-            sleep(GRACE).await;
-            if self.readers.load(Ordering::Relaxed) > 0 {
-                continue;
-            }
-            sleep(GRACE).await;
-            if self.readers.load(Ordering::Relaxed) == 0 {
-                return;
-            }
+        while self.readers.load(Ordering::Relaxed) > 0 {
+            self.left.notified().await;
         }
     }
 
@@ -120,5 +111,6 @@
 impl Drop for Reader {
     fn drop(&mut self) {
         self.tape.readers.fetch_sub(1, Ordering::Relaxed);
+        self.tape.left.notify_one();
     }
 }
