--- a/crates/azurestand_route/src/table.rs
+++ b/crates/azurestand_route/src/table.rs
@@ -17,7 +17,7 @@
 use row::Row;
 
 /// A report older than this tells nothing about room any more.
-const REPORT_LIFE: Duration = Duration::from_secs(2);
+const REPORT_LIFE: Duration = Duration::from_secs(3);
 /// A host that is silent for this long is suspect: agents report twice a second.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
 /// Pressure, as a share of a target's slots, that a cached beginning is worth.
--- a/crates/azurestand_server/src/agent/reports.rs
+++ b/crates/azurestand_server/src/agent/reports.rs
@@ -16,9 +16,12 @@
 use crate::node::Node;
 
 /// The longest time between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// The shortest time between two reports, however often loads change.
-const REPORT_PAUSE: Duration = Duration::from_millis(50);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two reports while only the work changes, of which entries
+/// know their own part anyway.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// How often it is looked whether something changed that can't wait.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// An entry that opened a link.
@@ -34,6 +37,8 @@
     entries: Vec<Outbox>,
     sequence: u64,
     last: Vec<TargetLoad>,
+    /// Whether entries were told that the host is leaving.
+    leaving: bool,
     status: HostStatus,
     shown: Instant,
 }
@@ -52,6 +57,7 @@
         entries: Vec::new(),
         sequence: 0,
         last: Vec::new(),
+        leaving: false,
         status: HostStatus::default(),
         shown: Instant::now(),
     };
@@ -62,7 +68,6 @@
 impl Reporter {
     async fn run(mut self, mut links: mpsc::Receiver<EntryLink>) {
         let stop = self.node.stop.clone();
-        let leaving = self.node.leaving.clone();
         self.publish();
         let mut due = Instant::now();
         let mut sent = Instant::now();
@@ -73,12 +78,11 @@
                     self.entries.push(link.outbox);
                 }
                 () = sleep_until(due) => {
-                    let quiet = sent.elapsed() < REPORT_INTERVAL;
-                    if !(quiet && self.loads() == self.last && !leaving.is_cancelled()) {
+                    if sent.elapsed() >= self.patience() {
                         self.report();
                         sent = Instant::now();
                     }
-                    due = Instant::now() + REPORT_PAUSE;
+                    due = Instant::now() + LOOK_INTERVAL;
                     self.publish_due();
                 }
                 () = stop.cancelled() => return,
@@ -86,6 +90,23 @@
         }
     }
 
+    /// How long the last report may stand.
+    fn patience(&self) -> Duration {
+        let loads = self.loads();
+        let urgent = loads.len() != self.last.len()
+            || loads
+                .iter()
+                .zip(&self.last)
+                .any(|(now, then)| is_urgent(now, then));
+        if urgent || self.node.leaving.is_cancelled() != self.leaving {
+            Duration::ZERO
+        } else if loads == self.last {
+            REPORT_INTERVAL
+        } else {
+            LOAD_INTERVAL
+        }
+    }
+
     fn loads(&self) -> Vec<TargetLoad> {
         let views = self.targets.iter();
         views
@@ -97,7 +118,7 @@
         Body::Report(Report {
             sequence: self.sequence,
             targets: self.last.clone(),
-            leaving: self.node.leaving.is_cancelled(),
+            leaving: self.leaving,
             moment: self.node.clock.now().as_micros(),
         })
     }
@@ -109,6 +130,7 @@
     fn report(&mut self) {
         self.sequence += 1;
         self.last = self.loads();
+        self.leaving = self.node.leaving.is_cancelled();
         self.entries.retain(|outbox| !outbox.is_closed());
         for outbox in &self.entries {
             self.send(outbox);
@@ -160,6 +182,11 @@
     }
 }
 
+/// Whether a change decides where requests may go.
+fn is_urgent(now: &TargetLoad, then: &TargetLoad) -> bool {
+    now.state != then.state || now.limit < then.limit || now.weights != then.weights
+}
+
 /// The head of a digest, by which a status tells versions apart.
 pub(crate) fn head(digest: &Digest) -> u64 {
     let mut head = [0; 8];
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -180,6 +180,7 @@
             RunEnd::Whole => Ending::Whole { weights: None },
             RunEnd::Unreached | RunEnd::Overloaded => Ending::Declined(Refusal::Busy),
             RunEnd::Broken => Ending::Unknown(Uncertainty::TargetFailed),
+            RunEnd::Late => Ending::Unknown(Uncertainty::TimedOut),
         };
         match end {
             RunEnd::Whole => {
@@ -188,8 +189,11 @@
                     self.judge(latency);
                 }
             }
+            // An engine that breaks off has most likely started again: before its next
+            // report tells, it gets no more than a cold one bears.
+            RunEnd::Unreached | RunEnd::Broken if !service => self.live(LifeEvent::Overloaded),
             RunEnd::Overloaded => self.live(LifeEvent::Overloaded),
-            RunEnd::Unreached | RunEnd::Broken => self.live(LifeEvent::Failed),
+            RunEnd::Unreached | RunEnd::Broken | RunEnd::Late => self.live(LifeEvent::Failed),
         }
         self.end(id, ending);
         self.settle_claim(id);
--- a/crates/azurestand_server/src/agent/target/run.rs
+++ b/crates/azurestand_server/src/agent/target/run.rs
@@ -49,8 +49,10 @@
     Unreached,
     /// The engine says that it has no room and did not run it.
     Overloaded,
-    /// The call broke off, or its time ended.
+    /// The call broke off.
     Broken,
+    /// The caller's time ended.
+    Late,
 }
 
 /// What a call needs.
@@ -71,7 +73,7 @@
     pub(crate) async fn carry_out(mut self, client: HttpClient) {
         let end = match timeout_at(self.deadline, self.call(&client)).await {
             Ok(end) => end,
-            Err(_) => RunEnd::Broken,
+            Err(_) => RunEnd::Late,
         };
         self.tell(RunEvent::Done(end)).await;
     }
--- a/crates/azurestand_wire/src/link.rs
+++ b/crates/azurestand_wire/src/link.rs
@@ -22,8 +22,8 @@
 use crate::session::{Half, MAX_FRAME_BYTES, SealError, Session};
 
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_750);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 const QUEUE_FRAMES: usize = 512;
 const MAX_HELLO_BYTES: usize = 1_024;
 const NONCE_BYTES: usize = 24;
