--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -42,6 +42,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// How often a target is asked for its report.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// A target that gave no report for this long is taken to have lost its work.
+const LOST_LIMIT: Duration = Duration::from_secs(5);
 
 /// What a target's controller is told.
 #[derive(Debug)]
@@ -149,6 +151,8 @@
     asked: Moment,
     /// Whether the last one was answered.
     answered: bool,
+    /// When the last answered one was asked.
+    heard: Moment,
 }
 
 /// What all targets of a host share.
@@ -200,6 +204,7 @@
             open: false,
             asked: Moment::START,
             answered: true,
+            heard: Moment::START,
         },
         claims: Claims::start(node, &settings),
         leaving: false,
@@ -270,7 +275,7 @@
                 outbox,
             } => self.resume(id, offset, &account, outbox),
             Input::Revoke { id, stamp, outbox } => self.revoke(id, stamp, &outbox),
-            Input::Cancel(id) => self.admit(AdmissionEvent::Cancel(id)),
+            Input::Cancel(id) => self.cancel(id),
             Input::Ack(id, offset) => self.ack(id, offset),
             Input::Release(id) => self.release(id),
             Input::Run { id, event } => self.take_run(id, event),
@@ -321,6 +326,7 @@
         match report {
             Ok(report) => {
                 self.probe.answered = true;
+                self.probe.heard = taken;
                 self.learn(taken, &report);
             }
             Err(error) => {
@@ -329,10 +335,26 @@
                 }
                 self.probe.answered = false;
                 self.live(LifeEvent::Failed);
+                self.give_up();
             }
         }
     }
 
+    /// Ends what a target is at work on that has not answered for long: no report will
+    /// confirm those answers any more.
+    fn give_up(&mut self) {
+        let now = self.now();
+        if now.since(self.probe.heard) < LOST_LIMIT {
+            return;
+        }
+        for id in self.exchanges.fail(now, Uncertainty::TargetFailed) {
+            self.stop_run(id);
+            self.settle_claim(id);
+            self.admit(AdmissionEvent::Finished(id));
+        }
+        self.pump_all();
+    }
+
     fn learn(&mut self, taken: Moment, report: &EngineReport) {
         let ready = matches!(report.state, EngineState::Cold | EngineState::Warm);
         self.live(LifeEvent::Report(Report {
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -212,6 +212,14 @@
         }
     }
 
+    /// The caller left: nobody reads on, and work that may stop does.
+    pub(super) fn cancel(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.reader = None;
+        }
+        self.admit(AdmissionEvent::Cancel(id));
+    }
+
     pub(super) fn release(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.reader = None;
