--- a/crates/azurestand_route/src/delivery/event.rs
+++ b/crates/azurestand_route/src/delivery/event.rs
@@ -103,7 +103,7 @@
     Finish(Outcome),
 }
 
-/// Whether a request may be sent again, asked of the caller of [`Delivery::handle`]
+/// Whether a request may be sent again, asked of the caller of [`Delivery::handle`](crate::Delivery::handle)
 /// at the moment when it matters, so that no budget is spent in vain.
 pub trait Budget {
     /// Takes one retry out of the budget, if there is one.
--- a/crates/azurestand_server/src/agent/target/orders.rs
+++ b/crates/azurestand_server/src/agent/target/orders.rs
@@ -1,6 +1,9 @@
 //! Carries out the orders to one engine: the right to give them, the permit to
 //! leave service for them, and what becomes of them.
 
+#[cfg(test)]
+mod tests;
+
 use azurestand_config::Model;
 use azurestand_target::{
     AdmissionEvent, EngineState as EngineView, LifeEvent, Order, OrderAction, OrderEvent,
--- a/crates/azurestand_standin/examples/local/main.rs
+++ b/crates/azurestand_standin/examples/local/main.rs
@@ -187,6 +187,7 @@
     );
     println!("    -H 'idempotency-key: one' -d '{{\"slot\":1}}'");
     println!("  export AZURESTAND_STORE={store} AZURESTAND_ENTRY=http://{door}");
+    println!("  export AZURESTAND_AUTHOR=operator");
     println!("  cargo run --release -p azurestand -- status");
     println!(
         "  cargo run --release -p azurestand -- dc out {} --wait",
