Run Winter Roads' deployment as 21 processes of the real binary

Change: three data centres with 7 entries, 10 model runners, 3 booking runners and a clerk service, a process each.

--- a/crates/azurestand/tests/processes.rs
+++ b/crates/azurestand/tests/processes.rs
@@ -1,4 +1,4 @@
-//! A small deployment as separate processes of the real binary, started by this
+//! Winter Roads' deployment as separate processes of the real binary, started by this
 //! test with settings files, and operated by the binary's own verbs.
 
 use std::net::SocketAddr;
@@ -19,11 +19,39 @@
 use tokio::time::sleep;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_azurestand");
-const CENTRES: [&str; 2] = ["tov", "khentii"];
+const CENTRES: [Site; 3] = [
+    Site::new("tov", 3, 4),
+    Site::new("khentii", 2, 3),
+    Site::new("arkhangai", 2, 3),
+];
 const TOKENS: u32 = 30;
 const TRIES: u32 = 600;
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// What stands in one data centre.
+#[derive(Clone, Copy)]
+struct Site {
+    name: &'static str,
+    entries: usize,
+    engines: usize,
+}
+
+impl Site {
+    const fn new(name: &'static str, entries: usize, engines: usize) -> Self {
+        Self {
+            name,
+            entries,
+            engines,
+        }
+    }
+}
+
+/// A model engine and its data centre.
+struct Runner {
+    centre: &'static str,
+    engine: Engine,
+}
+
 /// A daemon that this test started.
 struct Daemon {
     child: Child,
@@ -74,7 +102,8 @@
     files: TempDir,
     store: Store,
     origin: Origin,
-    engines: Vec<Engine>,
+    engines: Vec<Runner>,
+    clerk: Service,
     bookings: Vec<Service>,
     entries: Vec<Daemon>,
     agents: Vec<Daemon>,
@@ -87,35 +116,52 @@
             store: Store::start(StoreOptions::default()).await.unwrap(),
             origin: Origin::start(OriginOptions::default()).await.unwrap(),
             engines: Vec::new(),
+            clerk: Service::start(ServiceOptions::default()).await.unwrap(),
             bookings: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
         };
         let digest = deployment.publish().await;
         deployment.init(&digest).await;
-        for centre in CENTRES {
-            let file = deployment.write_settings(&format!("{centre}-entry"), centre, "");
-            deployment.entries.push(Daemon::start("entry", &file).await);
+        for site in CENTRES {
+            for n in 0..site.entries {
+                let host = format!("{}-entry-{n}", site.name);
+                let file = deployment.write_settings(&host, site.name, "");
+                deployment.entries.push(Daemon::start("entry", &file).await);
+            }
         }
-        for centre in CENTRES {
-            let engine = Engine::start(EngineOptions::default(), 7).await.unwrap();
-            let name = format!("{centre}-engine");
-            let kind = "model = \"dispatch\"\nfencing = true";
-            deployment
-                .add_agent(&name, centre, engine.address(), kind)
-                .await;
-            deployment.engines.push(engine);
-            let service = Service::start(ServiceOptions::default()).await.unwrap();
-            let name = format!("{centre}-shifts");
-            let kind = "service = \"shifts\"";
-            deployment
-                .add_agent(&name, centre, service.address(), kind)
-                .await;
-            deployment.bookings.push(service);
+        for site in CENTRES {
+            deployment.add_targets(site).await;
         }
+        let clerk = deployment.clerk.address();
+        let kind = "service = \"clerk\"";
+        deployment.add_agent("tov-clerk", "tov", clerk, kind).await;
         deployment
     }
 
+    async fn add_targets(&mut self, site: Site) {
+        let centre = site.name;
+        for n in 0..site.engines {
+            let seed = self.engines.len() as u64 + 1;
+            let engine = Engine::start(EngineOptions::default(), seed).await.unwrap();
+            let name = format!("{centre}-engine-{n}");
+            let kind = "model = \"dispatch\"\nfencing = true";
+            self.add_agent(&name, centre, engine.address(), kind).await;
+            self.engines.push(Runner { centre, engine });
+        }
+        let service = Service::start(ServiceOptions::default()).await.unwrap();
+        let name = format!("{centre}-shifts");
+        let kind = "service = \"shifts\"";
+        self.add_agent(&name, centre, service.address(), kind).await;
+        self.bookings.push(service);
+    }
+
+    /// Requests that engines of a data centre have run.
+    fn runs_in(&self, centre: &str) -> usize {
+        let near = self.engines.iter().filter(|runner| runner.centre == centre);
+        near.map(|runner| runner.engine.record().runs.len()).sum()
+    }
+
     async fn add_agent(&mut self, name: &str, centre: &str, address: SocketAddr, kind: &str) {
         let target = format!("\n[[targets]]\nname = \"{name}\"\naddress = \"{address}\"\n{kind}\n");
         let file = self.write_settings(name, centre, &target);
@@ -189,8 +235,10 @@
         let text = format!(
             "[models.dispatch]\nversion = \"v1\"\n\n[models.dispatch.versions]\nv1 = \"{digest}\"\n\n\
              [services.shifts]\nidempotent = false\nretry_window = \"10m\"\n\
-             homes = [\"tov-shifts\", \"khentii-shifts\"]\n\n\
+             homes = [\"tov-shifts\", \"khentii-shifts\", \"arkhangai-shifts\"]\n\n\
+             [services.clerk]\nidempotent = true\n\n\
              [data_centres.tov]\nregion = \"tov\"\n\n[data_centres.khentii]\nregion = \"khentii\"\n\n\
+             [data_centres.arkhangai]\nregion = \"arkhangai\"\n\n\
              [priorities.normal]\nlevel = 5\n\n\
              [accounts.one]\nkey = \"{key}\"\npriority = \"normal\"\nrate = 400\nburst = 400\nconcurrency = 400\n"
         );
@@ -255,7 +303,7 @@
     deployment.wait_until_served().await;
 
     let first = deployment.book(deployment.entries[0].web, "one").await;
-    let again = deployment.book(deployment.entries[1].web, "one").await;
+    let again = deployment.book(deployment.entries[6].web, "one").await;
     assert!(first.says("answered"), "{first:?}");
     assert_eq!(again.body, first.body);
     let runs = deployment.bookings.iter();
@@ -267,18 +315,19 @@
     deployment.run("dc out khentii --wait --timeout 60").await;
     // Agents follow by themselves; within a few seconds nothing new comes.
     sleep(Duration::from_secs(3)).await;
-    let before = deployment.engines[1].record().runs.len();
-    for n in 0..10 {
-        let told = complete(deployment.entries[n % 2].web, 2).await;
+    let before = deployment.runs_in("khentii");
+    for n in 0..21 {
+        let door = deployment.entries[n % deployment.entries.len()].web;
+        let told = complete(door, 2).await;
         assert!(is_answered(&told), "{told:?}");
     }
-    assert_eq!(deployment.engines[1].record().runs.len(), before);
+    assert_eq!(deployment.runs_in("khentii"), before);
     deployment.run("dc in khentii --wait --timeout 60").await;
     deployment.run("status").await;
     deployment.wait_until_served().await;
 
-    for engine in &deployment.engines {
-        engine.set_token_time(Duration::from_millis(60));
+    for runner in &deployment.engines {
+        runner.engine.set_token_time(Duration::from_millis(60));
     }
     let doors = deployment.entries.iter().map(|entry| entry.web);
     let open = doors.map(|door| tokio::spawn(complete(door, TOKENS)));
