--- a/crates/azurestand_server/src/agent/sse.rs
+++ b/crates/azurestand_server/src/agent/sse.rs
@@ -1,6 +1,6 @@
 //! Gives each event of a stream an id by which a caller can take the stream up again.
 
-use azurestand_types::{RequestId, TargetName};
+use azurestand_types::{DataCentre, RequestId, TargetName};
 use bytes::{Bytes, BytesMut};
 
 /// An event longer than this is passed on without an id.
@@ -17,9 +17,10 @@
 }
 
 impl Stamper {
-    pub(crate) fn new(id: RequestId, target: &TargetName) -> Self {
+    /// The id names the target and its data centre, so that any entry finds it.
+    pub(crate) fn new(id: RequestId, target: &TargetName, centre: &DataCentre) -> Self {
         Self {
-            prefix: format!("id: {id}:{target}:"),
+            prefix: format!("id: {id}:{target}@{centre}:"),
             rest: BytesMut::new(),
             offset: 0,
         }
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -106,7 +106,7 @@
             address: self.settings.address,
             engine: matches!(self.settings.kind, TargetKind::Engine { .. }),
             deadline: self.node.clock.instant(request.deadline),
-            stamper: Stamper::new(id, &self.settings.name),
+            stamper: Stamper::new(id, &self.settings.name, &self.node.links.own().centre),
             window: request.window.clone(),
             events: self.own.clone(),
         };
--- a/crates/azurestand_server/src/entry/filter/classify.rs
+++ b/crates/azurestand_server/src/entry/filter/classify.rs
@@ -4,7 +4,8 @@
 
 use azurestand_config::Document;
 use azurestand_types::{
-    AccountName, ModelName, Priority, Refusal, RequestId, RequestKey, ServiceName, TargetName,
+    AccountName, DataCentre, ModelName, Priority, Refusal, RequestId, RequestKey, ServiceName,
+    TargetName,
 };
 use azurestand_wire::Header;
 use bytes::Bytes;
@@ -45,6 +46,7 @@
 pub(in crate::entry) struct Place {
     pub(in crate::entry) id: RequestId,
     pub(in crate::entry) target: TargetName,
+    pub(in crate::entry) centre: DataCentre,
     pub(in crate::entry) offset: u64,
 }
 
@@ -58,9 +60,12 @@
         };
         let mut parts = raw.split(':');
         let mut next = || parts.next().ok_or_else(wrong);
+        let id = next()?;
+        let (target, centre) = next()?.split_once('@').ok_or_else(wrong)?;
         Ok(Self {
-            id: RequestId::try_from(next()?).map_err(|_| wrong())?,
-            target: TargetName::try_from(next()?).map_err(|_| wrong())?,
+            id: RequestId::try_from(id).map_err(|_| wrong())?,
+            target: TargetName::try_from(target).map_err(|_| wrong())?,
+            centre: DataCentre::try_from(centre).map_err(|_| wrong())?,
             offset: next()?.parse().map_err(|_| wrong())?,
         })
     }
--- a/crates/azurestand_server/src/entry/homes.rs
+++ b/crates/azurestand_server/src/entry/homes.rs
@@ -93,7 +93,7 @@
 }
 
 /// The live host that says that it runs `target`.
-pub(super) fn locate(node: &Node, target: TargetName) -> Option<Location> {
+fn locate(node: &Node, target: TargetName) -> Option<Location> {
     let neighbours = node.neighbours();
     let mut live = neighbours
         .0
--- a/crates/azurestand_server/src/entry/relay.rs
+++ b/crates/azurestand_server/src/entry/relay.rs
@@ -130,7 +130,13 @@
         return;
     };
     let offset = resume.offset;
-    let place = Place { id, target, offset };
+    let centre = service.node.links.own().centre.clone();
+    let place = Place {
+        id,
+        target,
+        centre,
+        offset,
+    };
     let request = Classified {
         place: Some(place),
         ..blank(id, account)
@@ -172,6 +178,7 @@
         place: Some(Place {
             id,
             target: choice.target,
+            centre: service.node.links.own().centre.clone(),
             offset,
         }),
         ..blank(id, account)
--- a/crates/azurestand_server/src/entry/send/carrier.rs
+++ b/crates/azurestand_server/src/entry/send/carrier.rs
@@ -16,7 +16,7 @@
 use super::Sink;
 use crate::agent::raw;
 use crate::codes;
-use crate::entry::filter::{Classified, Slot, Subject};
+use crate::entry::filter::{Classified, Place, Slot, Subject};
 use crate::entry::fleet::{Agent, Answer};
 use crate::entry::{Service, homes, spill};
 use crate::event::Event;
@@ -139,7 +139,7 @@
         let Some(place) = self.request.place.clone() else {
             return vec![DeliveryAction::Choose];
         };
-        let Some(agent) = self.find_place(&place.target).await else {
+        let Some(agent) = self.find_place(&place).await else {
             // The request did run, even if its target can't be found from here.
             let why = Uncertainty::Unreachable;
             return vec![DeliveryAction::Finish(Outcome::Unknown(why))];
@@ -160,12 +160,22 @@
     }
 
     /// The agent of a target, or an entry of the target's data centre.
-    async fn find_place(&self, target: &TargetName) -> Option<Agent> {
-        if let Some(host) = self.service.fleet.host(target) {
-            return self.service.fleet.agent(&host);
+    async fn find_place(&self, place: &Place) -> Option<Agent> {
+        let own = &self.service.node.links.own().centre;
+        let until = (Instant::now() + ROOM_LIMIT).min(self.deadline);
+        while Instant::now() < until {
+            if place.centre != *own {
+                return spill::find_in(&self.service, &self.request, &place.centre).await;
+            }
+            let host = self.service.fleet.host(&place.target);
+            let agent = host.and_then(|host| self.service.fleet.agent(&host));
+            if agent.is_some() {
+                return agent;
+            }
+            // A link that was lost is open again soon.
+            sleep(ROOM_POLL).await;
         }
-        let location = homes::locate(&self.service.node, target.clone())?;
-        spill::find_in(&self.service, &self.request, &location.centre).await
+        None
     }
 
     fn decide(&mut self, event: DeliveryEvent) -> Vec<DeliveryAction> {
