Wait for the streams to run before the processes are stopped

Cause of the listed red test (a_deployment_of_processes_is_started_operated_and_stopped, processes.rs: a completion told "not run: the target is leaving service"): the test sent nine streams, slept 400 ms of wall clock and stopped all daemons. Beside load a stream had not begun by then, and agents that leave truthfully refuse what hasn't.

Ruled out: the retry budget (the refusal came from agents that had their stop signal).

Change: the test waits until the engines run all nine streams at once, then stops the daemons; the checks on the answers and exit statuses stay. Stricter than before: a stream that is refused before the stop is red.

--- a/crates/azurestand/tests/processes.rs
+++ b/crates/azurestand/tests/processes.rs
@@ -27,6 +27,7 @@
 const TOKENS: u32 = 30;
 const TRIES: u32 = 600;
 const PAUSE: Duration = Duration::from_millis(100);
+const RUN_PAUSE: Duration = Duration::from_millis(20);
 
 /// What stands in one data centre.
 #[derive(Clone, Copy)]
@@ -162,6 +163,19 @@
         near.map(|runner| runner.engine.record().runs.len()).sum()
     }
 
+    /// Waits until engines run so many requests at the same time.
+    async fn wait_until_running(&self, count: usize) {
+        for _ in 0..TRIES {
+            let records = self.engines.iter().map(|runner| runner.engine.record());
+            let open = records.flat_map(|record| record.runs);
+            if open.filter(|run| run.finished.is_none()).count() == count {
+                return;
+            }
+            sleep(RUN_PAUSE).await;
+        }
+        panic!("engines do not run {count} requests at once");
+    }
+
     async fn add_agent(&mut self, name: &str, centre: &str, address: SocketAddr, kind: &str) {
         let target = format!("\n[[targets]]\nname = \"{name}\"\naddress = \"{address}\"\n{kind}\n");
         let file = self.write_settings(name, centre, &target);
@@ -332,7 +346,7 @@
     let doors = deployment.entries.iter().map(|entry| entry.web);
     let open = doors.map(|door| tokio::spawn(complete(door, TOKENS)));
     let open: Vec<_> = open.collect();
-    sleep(Duration::from_millis(400)).await;
+    deployment.wait_until_running(open.len()).await;
     let daemons = deployment
         .agents
         .drain(..)
