Place requests in the caller's data centre first, tell others less often

Targets were drawn evenly over all data centres, so three of four requests crossed a region; each agent sent 16 reports a second to each of 38 entries.

Change: two targets of the entry's own data centre and one of another are drawn, the other one has to answer 15 ms sooner; entries elsewhere get every third report, and at once what says that an engine closes.

--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -19,8 +19,14 @@
 use crate::rules::Service;
 use row::Row;
 
-/// Targets that are drawn at random for one request; the best of them takes it.
-const DRAWN: usize = 3;
+/// Targets of the own data centre that are drawn at random for one request; the best
+/// of all drawn takes it.
+const DRAWN_NEAR: usize = 2;
+/// Targets of other data centres that are drawn as well.
+const DRAWN_AWAY: usize = 1;
+/// How much sooner a target of another data centre has to answer, in milliseconds,
+/// since what goes there takes a part of a link that all share.
+const AWAY_MS: f64 = 15.0;
 
 /// What a target says it is doing, for all entries together.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -93,6 +99,7 @@
 /// What one entry knows of all targets.
 #[derive(Debug, Clone)]
 pub struct Placement {
+    centre: Arc<str>,
     rows: BTreeMap<Arc<str>, Row>,
     regions: BTreeMap<Arc<str>, Arc<str>>,
     excluded: BTreeSet<Arc<str>>,
@@ -103,9 +110,16 @@
 }
 
 impl Placement {
-    /// Knows no target yet; `regions` tells the region of each data centre.
-    pub fn new(regions: BTreeMap<Arc<str>, Arc<str>>, entries: u32, rng: fastrand::Rng) -> Self {
+    /// Knows no target yet; `centre` is the entry's own data centre, `regions` tells the
+    /// region of each.
+    pub fn new(
+        centre: Arc<str>,
+        regions: BTreeMap<Arc<str>, Arc<str>>,
+        entries: u32,
+        rng: fastrand::Rng,
+    ) -> Self {
         Self {
+            centre,
             rows: BTreeMap::new(),
             regions,
             excluded: BTreeSet::new(),
@@ -261,18 +275,22 @@
         if fitting.iter().any(|(_, row)| row.ends_in_time(now, wanted)) {
             fitting.retain(|(_, row)| row.ends_in_time(now, wanted));
         }
-        // A few drawn at random, so that entries with the same reports don't
-        // all choose the same target.
-        for place in 0..fitting.len().min(DRAWN) {
-            let other = self.rng.usize(place..fitting.len());
-            fitting.swap(place, other);
-        }
-        fitting.truncate(DRAWN);
-        let score = |entry: &(f64, &Row)| entry.0 + entry.1.penalty();
-        let best = fitting
+        let centre = self.centre.as_ref();
+        let (mut near, mut away): (Vec<_>, Vec<_>) = fitting
+            .into_iter()
+            .partition(|(_, row)| row.target.centre.as_ref() == centre);
+        draw(&mut self.rng, &mut near, DRAWN_NEAR);
+        let missing = DRAWN_NEAR - near.len();
+        draw(&mut self.rng, &mut away, DRAWN_AWAY + missing);
+        let near = near.into_iter().map(|(expected, row)| (expected, 0.0, row));
+        let away = away
             .into_iter()
+            .map(|(expected, row)| (expected, AWAY_MS, row));
+        let score = |entry: &(f64, f64, &Row)| entry.0 + entry.1 + entry.2.penalty();
+        let best = near
+            .chain(away)
             .min_by(|one, other| score(one).total_cmp(&score(other)));
-        if let Some((expected, row)) = best {
+        if let Some((expected, _, row)) = best {
             return Ok(Choice {
                 target: row.target.clone(),
                 expected: millis(expected),
@@ -334,6 +352,16 @@
     }
 }
 
+/// Keeps `count` of the targets, drawn at random, so that entries with the same
+/// reports don't all choose the same one.
+fn draw(rng: &mut fastrand::Rng, targets: &mut Vec<(f64, &Row)>, count: usize) {
+    for place in 0..targets.len().min(count) {
+        let other = rng.usize(place..targets.len());
+        targets.swap(place, other);
+    }
+    targets.truncate(count);
+}
+
 fn millis(value: f64) -> Duration {
     Duration::from_secs_f64(value.max(0.0) / 1_000.0)
 }
--- a/crates/azurestand_gateway/src/agent/report.rs
+++ b/crates/azurestand_gateway/src/agent/report.rs
@@ -21,6 +21,9 @@
 
 /// An entry that has not asked for this long is forgotten.
 const ASKED_LIFE: Duration = Duration::from_millis(3_200);
+/// Entries of other data centres get every so many reports, since links between data
+/// centres are narrow.
+const AWAY_EVERY: u32 = 3;
 
 /// What the tasks of one agent know of the engine now.
 #[derive(Debug, Default)]
@@ -49,6 +52,10 @@
     closes_at: Option<Moment>,
     /// Entries that ask, with their data centres.
     entries: BTreeMap<SocketAddr, (Arc<str>, Instant)>,
+    /// Counts the reports.
+    reports: u32,
+    /// Whether the next report goes to all.
+    hurried: bool,
 }
 
 impl Pulse {
@@ -98,8 +105,9 @@
         self.lock().closes_at = closes_at;
     }
 
-    /// Lets entries know at once.
+    /// Lets all entries know at once.
     pub(super) fn hurry(&self) {
+        self.lock().hurried = true;
         self.beaten.notify_one();
     }
 
@@ -117,11 +125,15 @@
         self.lock().entries.insert(from, heard);
     }
 
-    /// The entries to tell.
-    fn entries(&self) -> Vec<SocketAddr> {
+    /// The entries to tell now, for an agent in `centre`.
+    fn due(&self, centre: &str) -> Vec<SocketAddr> {
         let mut inner = self.lock();
         inner.entries.retain(|_, (_, at)| at.elapsed() < ASKED_LIFE);
-        inner.entries.keys().copied().collect()
+        inner.reports = inner.reports.wrapping_add(1);
+        let to_all = std::mem::take(&mut inner.hurried) || inner.reports % AWAY_EVERY == 0;
+        let entries = inner.entries.iter();
+        let due = entries.filter(|(_, (other, _))| to_all || other.as_ref() == centre);
+        due.map(|(address, _)| *address).collect()
     }
 
     fn known(&self) -> Vec<KnownEntry> {
@@ -208,7 +220,7 @@
         return;
     };
     let bytes = report.encode_to_vec();
-    for entry in around.pulse.entries() {
+    for entry in around.pulse.due(&around.settings.centre) {
         // The next report follows in a moment.
         let _ = socket.try_send_to(&bytes, entry);
     }
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -101,7 +101,12 @@
             directory: Directory::default(),
             listed: false,
             freshness: Freshness::default(),
-            placement: Placement::new(settings.regions.clone(), ENTRIES_UNKNOWN, rng),
+            placement: Placement::new(
+                settings.centre.clone(),
+                settings.regions.clone(),
+                ENTRIES_UNKNOWN,
+                rng,
+            ),
             versions: BTreeMap::new(),
             named_before: None,
             excluded: BTreeSet::new(),
