Let one entry of a data centre read the store's news for the others

Change: entries and agents ask the first entry of their data centre, by an order that all agree on (NewsLog, Relay, Peers). Answers carry when the call to the store was sent, as an offset from the question's arrival, so the proof that keys are good stays sound. An entry passes on only what the store itself told it. After 1.6 s without a word the store is asked; an entry that the store turns away asks the others. Of a large value only the last change is passed on. Agents watch only named weights and read the configuration every 10 to 30 s.

Tests: the log and the order; two entries with a store each: the follower hears, the reader is turned away, the reader is silent. They can't pass without the change: the second store has not the value.

--- a/crates/azurestand_gateway/src/agent.rs
+++ b/crates/azurestand_gateway/src/agent.rs
@@ -6,19 +6,24 @@
 mod load;
 mod report;
 
-use std::sync::Arc;
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use azurestand_store::{Entry, Scope, StoreError};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinHandle;
 
 use crate::client::Client;
+use crate::clock::BootClock;
 use crate::edge::Platform;
 use crate::error::GatewayError;
+use crate::feed::FeedNews;
 use crate::log::LogEvent;
 use crate::pieces::{self, Pacer, Shelf};
+use crate::relay::Peers;
 use crate::settings::{EngineSite, GatewaySettings};
 
-use goal::Goals;
+use goal::{Goals, Known};
 use report::Pulse;
 
 /// The part of the machine's link that weights may take.
@@ -33,9 +38,51 @@
     client: Client,
     shelf: Arc<Shelf>,
     goals: Goals,
+    known: Mutex<Known>,
     pulse: Arc<Pulse>,
 }
 
+impl<P> Around<P> {
+    /// The entries of the own data centre, which may be asked for news of the store.
+    fn peers(self: &Arc<Self>) -> Peers<impl Fn() -> Vec<IpAddr> + use<P>> {
+        let around = self.clone();
+        let settings = &self.settings;
+        Peers::new(
+            self.client.clone(),
+            settings.centre.clone(),
+            None,
+            settings.piece_port(),
+            move || around.neighbours(),
+        )
+    }
+
+    /// What is known of the operators' values.
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// All values of a scope, from a near entry that reads the store or the store itself.
+    async fn list(self: &Arc<Self>, scope: &Scope) -> Result<Vec<Entry>, StoreError>
+    where
+        P: Platform,
+    {
+        let mut peers = self.peers();
+        while let Some(peer) = peers.next(BootClock.now(), false) {
+            if let Ok(FeedNews::Whole { listing, .. }) = peers.ask(peer, scope, None).await {
+                return Ok(listing.entries);
+            }
+        }
+        let listing = self.platform.list_all(scope).await?;
+        Ok(listing.entries)
+    }
+
+    fn neighbours(&self) -> Vec<IpAddr> {
+        let helpers = self.pulse.helpers().into_iter();
+        let near = helpers.filter(|(_, centre)| *centre == self.settings.centre);
+        near.map(|(ip, _)| ip).collect()
+    }
+}
+
 /// A running agent.
 #[derive(Debug)]
 pub struct PieceAgent {
@@ -74,6 +121,7 @@
             client,
             shelf: Arc::new(Shelf::default()),
             goals: Goals::default(),
+            known: Mutex::default(),
             pulse: Arc::new(Pulse::default()),
             site,
         });
@@ -84,10 +132,12 @@
             around.platform.clone(),
             Some(around.site.address),
             Pacer::new(around.settings.link_rate * LINK_SHARE),
+            axum::Router::new(),
         );
         let tasks = vec![
             tokio::spawn(serve),
-            tokio::spawn(goal::follow_operators(around.clone())),
+            tokio::spawn(goal::follow_weights(around.clone())),
+            tokio::spawn(goal::read_rules(around.clone())),
             tokio::spawn(fetch::run(around.clone())),
             tokio::spawn(load::run(around.clone())),
             tokio::spawn(report::listen(around, socket)),
--- a/crates/azurestand_gateway/src/agent/fetch.rs
+++ b/crates/azurestand_gateway/src/agent/fetch.rs
@@ -233,13 +233,13 @@
     P: Platform,
 {
     let scope = around.platform.target_scope();
-    let listed = around.platform.list_all(&scope).await;
-    let listing = listed.map_err(|error| error.to_string())?;
+    let listed = around.list(&scope).await;
+    let entries = listed.map_err(|error| error.to_string())?;
     let read = |entry: &azurestand_store::Entry| {
         let target = around.platform.read_target(&entry.key, &entry.value);
         target.ok()
     };
-    let targets = listing.entries.iter().filter_map(read);
+    let targets = entries.iter().filter_map(read);
     Ok(targets
         .filter(|target| target.service == around.site.service)
         .collect())
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use azurestand_direct::{NamedVersion, Origin, Rules, next_version};
-use azurestand_store::{Change, Entry};
+use azurestand_store::{Change, Entry, Version};
 use azurestand_types::Moment;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::Around;
 use crate::clock::BootClock;
@@ -21,6 +22,11 @@
     gather: Duration::from_millis(20),
 };
 
+/// How often the configuration is read.
+const RULES_EVERY: Duration = Duration::from_secs(20);
+/// The pause after it could not be read.
+const RULES_RETRY: Duration = Duration::from_millis(400);
+
 /// What the operators want of one engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Goal {
@@ -70,21 +76,22 @@
 
 /// What is known of the operators' values.
 #[derive(Debug, Default)]
-struct Known {
+pub(super) struct Known {
     rules: Option<Rules>,
     versions: BTreeMap<Arc<str>, Vec<NamedVersion>>,
+    /// The store's version of it.
+    version: Version,
 }
 
-/// Follows the operators' values for ever.
-pub(super) async fn follow_operators<P>(around: Arc<Around<P>>)
+/// Follows which weights the operators name, for ever.
+pub(super) async fn follow_weights<P>(around: Arc<Around<P>>)
 where
     P: Platform,
 {
-    let mut known = Known::default();
     let mut lost = false;
-    let scope = around.platform.operator_scope();
+    let scope = around.platform.weights_scope();
     let platform = around.platform.clone();
-    follow(platform.as_ref(), scope, PACE, |news| {
+    follow(platform.as_ref(), around.peers(), scope, PACE, |news| {
         let entries: Vec<Entry>;
         let store_version;
         let named_at;
@@ -120,14 +127,42 @@
             LogEvent::StoreBack.log(&[]);
             lost = false;
         }
+        let mut known = around.known();
         for entry in &entries {
             take(&around, &mut known, entry, named_at);
         }
-        tell(&around, &known, store_version.0);
+        known.version = known.version.max(store_version);
+        tell(&around, &known);
     })
     .await;
 }
 
+/// Reads the configuration now and then, for ever. What an agent needs of it, its
+/// engine's figures and where weights come from, hardly ever changes.
+pub(super) async fn read_rules<P>(around: Arc<Around<P>>)
+where
+    P: Platform,
+{
+    let scope = around.platform.rules_scope();
+    loop {
+        let pause = match around.list(&scope).await {
+            Ok(entries) => {
+                let mut known = around.known();
+                for entry in &entries {
+                    take(&around, &mut known, entry, None);
+                }
+                tell(&around, &known);
+                RULES_EVERY.mul_f64(0.5 + fastrand::f64())
+            }
+            Err(error) => {
+                LogEvent::StoreLost.log(&[("why", error.to_string().into())]);
+                RULES_RETRY
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
 fn take<P>(around: &Around<P>, known: &mut Known, entry: &Entry, named_at: Option<Moment>)
 where
     P: Platform,
@@ -160,7 +195,7 @@
     }
 }
 
-fn tell<P>(around: &Around<P>, known: &Known, store_version: u64) {
+fn tell<P>(around: &Around<P>, known: &Known) {
     let rules = known.rules.as_ref();
     let service = rules.and_then(|rules| rules.service(&around.site.service));
     let model = service.and_then(|service| service.models.first().cloned());
@@ -171,7 +206,7 @@
         named: named.cloned().unwrap_or_default(),
         origin: origin.cloned(),
         layers: engine.map_or(0, |engine| engine.layers),
-        store_version,
+        store_version: known.version.0,
         model,
     };
     around.goals.0.send_if_modified(|old| {
--- a/crates/azurestand_gateway/src/agent/report.rs
+++ b/crates/azurestand_gateway/src/agent/report.rs
@@ -130,7 +130,7 @@
         let mut inner = self.lock();
         inner.entries.retain(|_, (_, at)| at.elapsed() < ASKED_LIFE);
         inner.reports = inner.reports.wrapping_add(1);
-        let to_all = std::mem::take(&mut inner.hurried) || inner.reports % AWAY_EVERY == 0;
+        let to_all = std::mem::take(&mut inner.hurried) || inner.reports.is_multiple_of(AWAY_EVERY);
         let entries = inner.entries.iter();
         let due = entries.filter(|(_, (other, _))| to_all || other.as_ref() == centre);
         due.map(|(address, _)| *address).collect()
--- a/crates/azurestand_gateway/src/edge.rs
+++ b/crates/azurestand_gateway/src/edge.rs
@@ -107,6 +107,12 @@
 
 /// All that a daemon asks of its platform.
 pub trait Platform: Dialect + EngineControl + ChangeFeed {
+    /// Where the operators write the configuration.
+    fn rules_scope(&self) -> Scope;
+
+    /// Where the operators name weights.
+    fn weights_scope(&self) -> Scope;
+
     /// Where the operators write.
     fn operator_scope(&self) -> Scope;
 
--- a/crates/azurestand_gateway/src/entry/helper.rs
+++ b/crates/azurestand_gateway/src/entry/helper.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use axum::Router;
+use axum::routing::post;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
@@ -18,6 +20,7 @@
 use crate::error::GatewayError;
 use crate::log::LogEvent;
 use crate::pieces::{self, Pacer, Shelf, Staged, Version};
+use crate::relay::{self, NEWS_PATH};
 use crate::spread::{Host, Job, Parts, Role};
 
 /// The part of the machine's link that weights may take.
@@ -110,6 +113,9 @@
     let (sender, wishes) = mpsc::channel(QUESTIONS);
     let shelf = Arc::new(Shelf::default());
     let demand = Arc::new(Demand::new(sender));
+    let relay = Router::new()
+        .route(NEWS_PATH, post(relay::answer))
+        .with_state(shared.relay.clone());
     tokio::spawn(pieces::serve(
         listener,
         shelf.clone(),
@@ -117,6 +123,7 @@
         shared.platform.clone(),
         None,
         Pacer::new(settings.link_rate * LINK_SHARE),
+        relay,
     ));
     tokio::spawn(run(shared.clone(), shelf, demand, wishes));
     Ok(())
--- a/crates/azurestand_gateway/src/entry/news.rs
+++ b/crates/azurestand_gateway/src/entry/news.rs
@@ -13,6 +13,7 @@
 use crate::edge::{OperatorItem, Platform};
 use crate::feed::{FeedNews, Pace, follow};
 use crate::log::LogEvent;
+use crate::relay::Peers;
 
 /// How changes are asked for. One watch covers the operators' values and the
 /// list of targets; its wait bounds the age of the proof that keys are good.
@@ -43,8 +44,18 @@
     tokio::spawn(async move {
         let platform = follower.platform.clone();
         let mut lost = false;
-        follow(platform.as_ref(), Scope::Everything, PACE, |news| {
+        let known = follower.clone();
+        let settings = &follower.settings;
+        let peers = Peers::new(
+            follower.client.clone(),
+            settings.centre.clone(),
+            Some(settings.ip),
+            settings.piece_port(),
+            move || known.neighbours(),
+        );
+        follow(platform.as_ref(), peers, Scope::Everything, PACE, |news| {
             note_store(&news, &mut lost);
+            follower.relay.take(&news);
             take(&follower, news);
         })
         .await;
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -16,6 +16,7 @@
 use crate::client::Client;
 use crate::clock::BootClock;
 use crate::presence::KnownEntry;
+use crate::relay::Relay;
 use crate::settings::GatewaySettings;
 
 /// Entries that are taken to exist as long as no agent tells.
@@ -84,6 +85,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) platform: Arc<P>,
     pub(crate) client: Client,
+    /// News of the store for others.
+    pub(crate) relay: Arc<Relay>,
     state: Mutex<State>,
     leaving: watch::Sender<bool>,
     closing: watch::Sender<bool>,
@@ -117,6 +120,7 @@
             settings,
             platform,
             client,
+            relay: Arc::default(),
             state: Mutex::new(state),
             leaving: watch::Sender::new(false),
             closing: watch::Sender::new(false),
@@ -165,6 +169,13 @@
         entries.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The entries of the own data centre that agents know.
+    pub(crate) fn neighbours(&self) -> Vec<IpAddr> {
+        let entries = self.entries().into_iter();
+        let near = entries.filter(|(_, centre)| *centre == self.settings.centre);
+        near.map(|(ip, _)| ip).collect()
+    }
+
     /// Not ready any more; answers tell callers to go elsewhere.
     pub(crate) fn leave(&self) {
         self.leaving.send_replace(true);
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -3,13 +3,16 @@
 #[cfg(test)]
 mod tests;
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use azurestand_store::{Change, ChangeFeed, Changes, Listing, Scope, StoreError, Version};
 use azurestand_types::Moment;
 use tokio::time::sleep;
 
+use crate::client::CallError;
 use crate::clock::BootClock;
+use crate::relay::{NEWS_LIMIT, Peers};
 
 /// The first wait after a failed call; each further one in a row doubles it.
 const FIRST_WAIT: Duration = Duration::from_millis(40);
@@ -38,10 +41,12 @@
     Whole {
         /// The values.
         listing: Listing,
-        /// When the call that brought them was sent.
+        /// When the call to the store that brought them was sent, at the latest.
         sent: Moment,
         /// When the changes among them were made, if that is known.
         made: Option<Moment>,
+        /// Whether the store itself told it.
+        direct: bool,
     },
     /// Changes, or none within the wait.
     Changed {
@@ -49,10 +54,12 @@
         changes: Vec<Change>,
         /// The store's version after them.
         version: Version,
-        /// When the call that brought them was sent.
+        /// When the call to the store that brought them was sent, at the latest.
         sent: Moment,
         /// When they were made, if that is known.
         made: Option<Moment>,
+        /// Whether the store itself told it.
+        direct: bool,
     },
     /// A call failed.
     Failed(StoreError),
@@ -67,54 +74,64 @@
     pub(crate) gather: Duration,
 }
 
-/// Follows `scope` for ever.
-pub(crate) async fn follow<S, F>(store: &S, scope: Scope, pace: Pace, mut tell: F)
-where
+/// How long the store may let an entry wait that passes news on to others.
+const RELAY_WAIT: Duration = Duration::from_secs(1);
+
+/// Follows `scope` for ever, through an entry that reads the store for others where
+/// there is one.
+pub(crate) async fn follow<S, K, F>(
+    store: &S,
+    mut peers: Peers<K>,
+    scope: Scope,
+    pace: Pace,
+    mut tell: F,
+) where
     S: ChangeFeed,
+    K: Fn() -> Vec<IpAddr>,
     F: FnMut(FeedNews),
 {
     let mut known: Option<Version> = None;
     let mut pause = FIRST_WAIT;
-    // When the call before this one was answered.
+    // When what the call before this one told was up to date.
     let mut last: Option<Moment> = None;
+    let mut store_failed = false;
     loop {
-        let sent = BootClock.now();
-        let news = match known {
-            None => match store.list_all(&scope).await {
-                Ok(listing) => {
-                    known = Some(listing.version);
-                    let made = made(last, sent, BootClock.now());
-                    FeedNews::Whole {
-                        listing,
-                        sent,
-                        made,
-                    }
+        if let Some(peer) = peers.next(BootClock.now(), store_failed) {
+            match peers.ask(peer, &scope, known).await {
+                Ok(news) => {
+                    (known, last) = reached(&news);
+                    store_failed = false;
+                    tell(news);
                 }
-                Err(error) => FeedNews::Failed(error),
-            },
-            Some(version) => match store.changes(&scope, version, pace.wait).await {
-                Ok(Changes::Since { changes, version }) => {
-                    known = Some(version);
-                    let made = made(last, sent, BootClock.now());
-                    FeedNews::Changed {
-                        changes,
-                        version,
-                        sent,
-                        made,
-                    }
+                // Nothing is known of what happened meanwhile.
+                Err(CallError::Late) => {
+                    last = None;
+                    tell(FeedNews::Failed(StoreError::TimedOut(NEWS_LIMIT)));
                 }
-                Ok(Changes::Forgotten) => {
-                    known = None;
-                    continue;
-                }
-                Err(error) => FeedNews::Failed(error),
-            },
+                // The next one is asked, or the store.
+                Err(_) => {}
+            }
+            continue;
+        }
+        let wait = if peers.has_any() {
+            pace.wait.min(RELAY_WAIT)
+        } else {
+            pace.wait
+        };
+        let Some(news) = ask_store(store, &scope, known, wait, last).await else {
+            known = None;
+            continue;
         };
-        let failed = matches!(news, FeedNews::Failed(_));
-        last = (!failed).then(|| BootClock.now());
+        store_failed = matches!(news, FeedNews::Failed(_));
+        if store_failed {
+            last = None;
+        } else {
+            (known, _) = reached(&news);
+            last = Some(BootClock.now());
+        }
         let moved = matches!(&news, FeedNews::Changed { changes, .. } if !changes.is_empty());
         tell(news);
-        if failed {
+        if store_failed {
             sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
             pause = (pause * 2).min(LONGEST_WAIT);
         } else {
@@ -125,3 +142,48 @@
         }
     }
 }
+
+/// The store's version that the news lead to, and when they were up to date.
+fn reached(news: &FeedNews) -> (Option<Version>, Option<Moment>) {
+    match news {
+        FeedNews::Whole { listing, sent, .. } => (Some(listing.version), Some(*sent)),
+        FeedNews::Changed { version, sent, .. } => (Some(*version), Some(*sent)),
+        FeedNews::Failed(_) => (None, None),
+    }
+}
+
+/// Asks the store what happened after `known`; none if it doesn't know any more.
+async fn ask_store<S>(
+    store: &S,
+    scope: &Scope,
+    known: Option<Version>,
+    wait: Duration,
+    last: Option<Moment>,
+) -> Option<FeedNews>
+where
+    S: ChangeFeed,
+{
+    let sent = BootClock.now();
+    let Some(version) = known else {
+        return Some(match store.list_all(scope).await {
+            Ok(listing) => FeedNews::Whole {
+                listing,
+                sent,
+                made: made(last, sent, BootClock.now()),
+                direct: true,
+            },
+            Err(error) => FeedNews::Failed(error),
+        });
+    };
+    match store.changes(scope, version, wait).await {
+        Ok(Changes::Since { changes, version }) => Some(FeedNews::Changed {
+            changes,
+            version,
+            sent,
+            made: made(last, sent, BootClock.now()),
+            direct: true,
+        }),
+        Ok(Changes::Forgotten) => None,
+        Err(error) => Some(FeedNews::Failed(error)),
+    }
+}
--- a/crates/azurestand_gateway/src/lib.rs
+++ b/crates/azurestand_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod pieces;
 mod presence;
+mod relay;
 mod settings;
 mod spread;
 
--- a/crates/azurestand_gateway/src/pieces/server.rs
+++ b/crates/azurestand_gateway/src/pieces/server.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Serves pieces to other agents.
+/// Serves pieces to other agents, and whatever `others` serves.
 pub(crate) async fn serve<P, S>(
     listener: TcpListener,
     shelf: Arc<Shelf>,
@@ -57,6 +57,7 @@
     platform: Arc<P>,
     engine: Option<SocketAddr>,
     pacer: Pacer,
+    others: Router,
 ) where
     P: EngineControl,
     S: Staged,
@@ -75,7 +76,8 @@
         .route("/look/{model}/{version}/{known}", get(look::<P, S>))
         .route("/digests/{model}/{version}", get(digests::<P, S>))
         .route(METRICS_PATH, get(async || metrics::text()))
-        .with_state(source);
+        .with_state(source)
+        .merge(others);
     // The server ends only with the process.
     let _ = axum::serve(listener, routes).await;
 }
--- /dev/null
+++ b/crates/azurestand_gateway/src/relay/log/tests.rs
@@ -0,0 +1,104 @@
+use azurestand_store::{Change, Entry, Key, Listing, Scope, Version};
+use bytes::Bytes;
+
+use super::{LARGE_BYTES, MOST_CHANGES, NewsLog};
+
+fn key(name: &str) -> Key {
+    Key::try_from(name).unwrap()
+}
+
+fn entry(name: &str, version: u64, bytes: usize) -> Entry {
+    Entry {
+        key: key(name),
+        value: Bytes::from(vec![b'x'; bytes]),
+        version: Version(version),
+        lease: None,
+    }
+}
+
+fn put(name: &str, version: u64, bytes: usize) -> Change {
+    Change::Put(entry(name, version, bytes))
+}
+
+fn log() -> NewsLog {
+    let mut log = NewsLog::default();
+    log.replace(&Listing {
+        entries: vec![entry("a/one", 3, 1), entry("b/one", 5, 1)],
+        version: Version(10),
+    });
+    log
+}
+
+fn versions(log: &NewsLog, after: u64) -> Option<Vec<u64>> {
+    let noted = log.since(&Scope::Everything, Version(after))?;
+    Some(noted.iter().map(|noted| noted.change.version().0).collect())
+}
+
+#[test]
+fn changes_are_given_from_where_the_caller_is() {
+    let mut log = log();
+    log.extend(
+        &[put("a/one", 11, 1), put("b/two", 12, 1)],
+        Version(14),
+        None,
+    );
+    assert_eq!(versions(&log, 10), Some(vec![11, 12]));
+    assert_eq!(versions(&log, 11), Some(vec![12]));
+    assert_eq!(versions(&log, 14), Some(vec![]));
+    assert_eq!(log.version(), Version(14));
+    let below = Scope::Below(key("b"));
+    assert_eq!(log.since(&below, Version(10)).unwrap().len(), 1);
+    assert_eq!(log.all(&below).len(), 2);
+}
+
+#[test]
+fn whoever_is_behind_the_listing_gets_all_values() {
+    assert_eq!(versions(&log(), 9), None);
+    assert_eq!(log().all(&Scope::Everything).len(), 2);
+}
+
+#[test]
+fn what_was_removed_is_a_change_and_no_value() {
+    let mut log = log();
+    let gone = Change::Deleted {
+        key: key("a/one"),
+        version: Version(11),
+    };
+    log.extend(&[gone], Version(11), None);
+    assert_eq!(versions(&log, 10), Some(vec![11]));
+    assert_eq!(log.all(&Scope::Everything).len(), 1);
+}
+
+/// The configuration changes several times a second: whoever asks gets the last one once.
+#[test]
+fn of_a_large_value_only_the_last_change_is_passed_on() {
+    let mut log = log();
+    for version in 11..20 {
+        let changes = [put("a/one", version, LARGE_BYTES + 1)];
+        log.extend(&changes, Version(version), None);
+    }
+    assert_eq!(versions(&log, 10), Some(vec![19]));
+}
+
+#[test]
+fn small_changes_of_one_key_are_all_passed_on() {
+    let mut log = log();
+    log.extend(
+        &[put("a/one", 11, 9), put("a/one", 12, 9)],
+        Version(12),
+        None,
+    );
+    assert_eq!(versions(&log, 10), Some(vec![11, 12]));
+}
+
+#[test]
+fn changes_are_bounded() {
+    let mut log = log();
+    let most = u64::try_from(MOST_CHANGES).unwrap();
+    for version in 11..=11 + most {
+        log.extend(&[put("a/one", version, 1)], Version(version), None);
+    }
+    assert_eq!(versions(&log, 10), None);
+    let known = versions(&log, 11).unwrap();
+    assert_eq!(known.len(), MOST_CHANGES);
+}
--- /dev/null
+++ b/crates/azurestand_gateway/src/relay/message.rs
@@ -0,0 +1,130 @@
+//! What is asked and answered about news of the store.
+
+use azurestand_store::{Change, Entry, Key, KeyError, Scope, Version};
+use prost::Message;
+
+/// Which keys are meant.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct KeyScope {
+    /// This key, or what is below it; every key if there is none.
+    #[prost(string, optional, tag = "1")]
+    key: Option<String>,
+    /// Whether what is below the key is meant.
+    #[prost(bool, tag = "2")]
+    below: bool,
+}
+
+impl From<&Scope> for KeyScope {
+    fn from(scope: &Scope) -> Self {
+        let (key, below) = match scope {
+            Scope::Everything => (None, false),
+            Scope::One(key) => (Some(key), false),
+            Scope::Below(key) => (Some(key), true),
+        };
+        Self {
+            key: key.map(|key| key.as_str().to_owned()),
+            below,
+        }
+    }
+}
+
+impl TryFrom<KeyScope> for Scope {
+    type Error = KeyError;
+
+    fn try_from(raw: KeyScope) -> Result<Self, KeyError> {
+        let Some(key) = raw.key else {
+            return Ok(Self::Everything);
+        };
+        let key = Key::try_from(key)?;
+        Ok(if raw.below {
+            Self::Below(key)
+        } else {
+            Self::One(key)
+        })
+    }
+}
+
+/// A daemon asks an entry.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct NewsQuestion {
+    /// Which keys it wants to hear of.
+    #[prost(message, optional, tag = "1")]
+    pub(super) scope: Option<KeyScope>,
+    /// The store's version that it knows; all values are wanted if there is none.
+    #[prost(uint64, optional, tag = "2")]
+    pub(super) after: Option<u64>,
+    /// The number of the last answer; the same number means that nothing came since.
+    #[prost(uint64, tag = "3")]
+    pub(super) number: u64,
+}
+
+/// One key's value, or that it has none any more.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct KeyChange {
+    /// The key.
+    #[prost(string, tag = "1")]
+    key: String,
+    /// Its value; none if it was removed.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    value: Option<bytes::Bytes>,
+    /// The store's version that the change made.
+    #[prost(uint64, tag = "3")]
+    version: u64,
+}
+
+impl From<&Change> for KeyChange {
+    fn from(change: &Change) -> Self {
+        let value = match change {
+            Change::Put(entry) => Some(entry.value.clone()),
+            Change::Deleted { .. } => None,
+        };
+        Self {
+            key: change.key().as_str().to_owned(),
+            value,
+            version: change.version().0,
+        }
+    }
+}
+
+impl TryFrom<KeyChange> for Change {
+    type Error = KeyError;
+
+    /// Leases are left out; only who granted one has a use for its name.
+    fn try_from(raw: KeyChange) -> Result<Self, KeyError> {
+        let key = Key::try_from(raw.key)?;
+        let version = Version(raw.version);
+        Ok(match raw.value {
+            Some(value) => Self::Put(Entry {
+                key,
+                value,
+                version,
+                lease: None,
+            }),
+            None => Self::Deleted { key, version },
+        })
+    }
+}
+
+/// What an entry knows.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct NewsAnswer {
+    /// The store's version after it.
+    #[prost(uint64, tag = "1")]
+    pub(super) version: u64,
+    /// Whether these are all values instead of changes.
+    #[prost(bool, tag = "2")]
+    pub(super) whole: bool,
+    /// The values or changes.
+    #[prost(message, repeated, tag = "3")]
+    pub(super) changes: Vec<KeyChange>,
+    /// Counts what came from the store.
+    #[prost(uint64, tag = "4")]
+    pub(super) number: u64,
+    /// When the call to the store that brought the last of it was sent: milliseconds
+    /// after the question came, negative if before.
+    #[prost(sint64, tag = "5")]
+    pub(super) proof: i64,
+    /// When the first of the changes was made, told in the same way; none if it isn't known.
+    #[prost(sint64, optional, tag = "6")]
+    pub(super) made: Option<i64>,
+}
--- a/crates/azurestand_gateway/src/spread/tests.rs
+++ b/crates/azurestand_gateway/src/spread/tests.rs
@@ -162,6 +162,7 @@
         origin,
         Some(nowhere()),
         pacer,
+        axum::Router::new(),
     ));
     address
 }
