Scale the assumed sends of other entries by the targets they choose from

Cause: an entry took half of all other entries to have sent to a target to which it had just sent itself.

Change: the share is that of a draw among the targets, at most the half of before, so that 9 entries before 9 targets decide as they did.

Test: fifty targets with one own send each; red with the old share, green after.

--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -27,6 +27,11 @@
 /// How much sooner a target of another data centre has to answer, in milliseconds,
 /// since what goes there takes a part of a link that all share.
 const AWAY_MS: f64 = 15.0;
+/// How likely another entry has just sent to a target to which this one has, at most.
+const SAME_CHOICE_MOST: f64 = 0.5;
+/// How much likelier that is than a blind draw among all targets, since entries see
+/// much the same reports.
+const SAME_CHOICE_FACTOR: f64 = 1.5;
 
 /// What a target says it is doing, for all entries together.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -258,15 +263,15 @@
         let correction = self.corrections.get(&wanted.service.name);
         let correction = correction.map_or(0.0, |correction| correction.at(now));
         let limit = wanted.limit.as_secs_f64() * 1_000.0 - correction;
+        let able = self.rows.values().filter(|row| self.may_serve(row, wanted));
+        let able: Vec<&Row> = able.collect();
+        let followers = self.followers(able.len());
         let mut soonest: Option<f64> = None;
         let mut fitting: Vec<(f64, &Row)> = Vec::new();
-        for row in self.rows.values() {
-            if !self.may_serve(row, wanted) {
-                continue;
-            }
-            let expected = row.predict(now, wanted, self.entries);
+        for row in able {
+            let expected = row.predict(now, wanted, followers);
             soonest = Some(soonest.map_or(expected, |known| known.min(expected)));
-            if expected <= limit && row.has_room(now, wanted, self.entries, &self.share) {
+            if expected <= limit && row.has_room(now, wanted, followers, &self.share) {
                 fitting.push((expected, row));
             }
         }
@@ -303,6 +308,15 @@
         Err(soonest.map_or(NoTarget::Nobody, busy))
     }
 
+    /// How many sends of other entries go to the same target with one of this entry's,
+    /// unseen in reports yet, where `targets` may have a request.
+    fn followers(&self, targets: usize) -> f64 {
+        let drawn = u32::try_from(DRAWN_NEAR + DRAWN_AWAY).unwrap_or(u32::MAX);
+        let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
+        let same = SAME_CHOICE_FACTOR * f64::from(drawn) / f64::from(targets);
+        f64::from(self.entries.saturating_sub(1)) * same.min(SAME_CHOICE_MOST)
+    }
+
     /// Drops the suspect targets if there are others.
     fn leave_suspects(&self, now: Moment, fitting: &mut Vec<(f64, &Row)>) {
         let lost = self.lost_centres(now);
--- a/crates/azurestand_direct/src/place/row.rs
+++ b/crates/azurestand_direct/src/place/row.rs
@@ -31,8 +31,6 @@
 
 /// How long a send isn't seen in reports yet.
 const REPORT_LAG: Duration = Duration::from_millis(130);
-/// How likely another entry has just sent to the same target, if this one has.
-const SAME_CHOICE: f64 = 0.5;
 
 /// How much longer than until it closes a request may last at a target, in milliseconds.
 const OVERRUN_MS: f64 = 250.0;
@@ -211,12 +209,12 @@
 
     /// What all entries are likely to have there. The others see the same
     /// reports, so what this one has just sent some of them have sent as well.
-    fn likely_load(&self, now: Moment, entries: u32) -> Report {
+    fn likely_load(&self, now: Moment, followers: f64) -> Report {
         let mut load = self.load(now);
         let recent = self.recent.iter();
         let recent = recent.filter(|at| now.since(**at) < REPORT_LAG).count();
         let recent = u32::try_from(recent).unwrap_or(u32::MAX);
-        let unseen = f64::from(recent * entries.saturating_sub(1)) * SAME_CHOICE;
+        let unseen = f64::from(recent) * followers;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let unseen = unseen.round() as u32;
         load.waiting += unseen;
@@ -248,8 +246,8 @@
     }
 
     /// The milliseconds until the first byte of a request that is sent now.
-    pub(super) fn predict(&self, now: Moment, wanted: &Wanted<'_>, entries: u32) -> f64 {
-        let load = self.likely_load(now, entries);
+    pub(super) fn predict(&self, now: Moment, wanted: &Wanted<'_>, followers: f64) -> f64 {
+        let load = self.likely_load(now, followers);
         let slots = self.target.slots.max(1);
         let work = if let Some(engine) = &wanted.service.engine {
             engine.first_token(wanted.work, load.running, load.waiting, slots)
@@ -276,7 +274,7 @@
         &self,
         now: Moment,
         wanted: &Wanted<'_>,
-        entries: u32,
+        followers: f64,
         share: &ColdShare,
     ) -> bool {
         let rate = wanted.service.cold_rate.filter(|_| self.is_cold(now));
@@ -286,7 +284,7 @@
         };
         let bears = rate.is_none_or(allows);
         let most = self.target.slots * QUEUE_SHARE;
-        let load = self.likely_load(now, entries);
+        let load = self.likely_load(now, followers);
         let fits = load.running + load.waiting < most;
         let open = self
             .closes_at(now)
--- a/crates/azurestand_direct/tests/direct/place.rs
+++ b/crates/azurestand_direct/tests/direct/place.rs
@@ -384,3 +384,18 @@
     };
     assert_eq!(shares(QUIET, pressed), (100, 0));
 }
+
+/// Many entries and many targets: what one entry sends is a small part of the whole, and
+/// a send of its own says little about what others have just sent to the same target.
+#[test]
+fn at_a_large_deployment_a_send_leaves_room_for_the_next() {
+    let service = engines();
+    let targets: Vec<_> = (0..50).map(|n| target(&format!("t{n}"), "llm")).collect();
+    let mut placement = placement(at(0), targets.clone());
+    placement.set_entries(40);
+    for target in &targets {
+        placement.sent(at(10), target, None);
+        placement.began(target);
+    }
+    assert!(placement.choose(at(20), &wanted(&service, &[])).is_ok());
+}
