Count a version as named at the earliest moment it can have been

Its answer was more than a second on its way (log: named at 18.01 s, heard at 19.06 s), and entries counted the naming from its arrival, 0.25 s beyond their margin. A call that took long was taken for one that waited.

Change: a large answer, or a whole listing, tells of changes since the answer before; entries count from the moment that the news tell, else from the last proof that nothing was missing, 2.5 s at most; agents count their loads from the same moment.

--- a/crates/azurestand_direct/src/freshness.rs
+++ b/crates/azurestand_direct/src/freshness.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Up to when everything has been seen; none if nothing is proved.
+    pub fn proved(&self) -> Option<Moment> {
+        self.proved
+    }
+
     /// The age of the last proof; none when there never was one.
     pub fn age(&self, now: Moment) -> Option<Duration> {
         self.proved.map(|proved| now.since(proved))
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -182,7 +182,7 @@
                     ("model", model.as_ref().into()),
                     ("version", version.into()),
                 ]);
-                let since = BootClock.now();
+                let since = named_at.unwrap_or_else(|| BootClock.now());
                 named.push(NamedVersion { version, since });
                 around.pulse.set_named(&model, version, named_at);
             }
--- a/crates/azurestand_gateway/src/entry/news.rs
+++ b/crates/azurestand_gateway/src/entry/news.rs
@@ -11,7 +11,7 @@
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::edge::{OperatorItem, Platform};
-use crate::feed::{FeedNews, Pace, follow};
+use crate::feed::{FeedNews, Pace, follow, named_since};
 use crate::log::LogEvent;
 use crate::relay::Peers;
 
@@ -31,7 +31,7 @@
 enum Naming {
     /// Before this process started, at this moment at the latest.
     Found(Moment),
-    /// At this moment.
+    /// At this moment at the earliest.
     Seen(Moment),
 }
 
@@ -83,23 +83,41 @@
 {
     let now = BootClock.now();
     let mut state = shared.state();
+    let proof = state.freshness.proved();
     match news {
-        FeedNews::Whole { listing, sent, .. } => {
+        FeedNews::Whole {
+            listing,
+            sent,
+            made,
+            ..
+        } => {
             state.directory.contact(now);
-            take_whole(shared, &mut state, now, &listing.entries);
+            let seen = named_since(now, made, proof);
+            take_whole(shared, &mut state, now, seen, &listing.entries);
             state.freshness.prove(sent);
         }
-        FeedNews::Changed { changes, sent, .. } => {
+        FeedNews::Changed {
+            changes,
+            sent,
+            made,
+            ..
+        } => {
             state.directory.contact(now);
-            take_changes(shared, &mut state, now, &changes);
+            let seen = named_since(now, made, proof);
+            take_changes(shared, &mut state, now, seen, &changes);
             state.freshness.prove(sent);
         }
         FeedNews::Failed(_) => state.directory.trouble(),
     }
 }
 
-fn take_whole<P>(shared: &Shared<P>, state: &mut State, now: Moment, entries: &[Entry])
-where
+fn take_whole<P>(
+    shared: &Shared<P>,
+    state: &mut State,
+    now: Moment,
+    seen: Moment,
+    entries: &[Entry],
+) where
     P: Platform,
 {
     let naming = if state.rules.is_none() {
@@ -107,7 +125,7 @@
         state.named_before = Some(before);
         Naming::Found(before)
     } else {
-        Naming::Seen(now)
+        Naming::Seen(seen)
     };
     let operators = shared.platform.operator_scope();
     let listed = shared.platform.target_scope();
@@ -123,8 +141,13 @@
     refresh(shared, state, now);
 }
 
-fn take_changes<P>(shared: &Shared<P>, state: &mut State, now: Moment, changes: &[Change])
-where
+fn take_changes<P>(
+    shared: &Shared<P>,
+    state: &mut State,
+    now: Moment,
+    seen: Moment,
+    changes: &[Change],
+) where
     P: Platform,
 {
     let operators = shared.platform.operator_scope();
@@ -133,7 +156,7 @@
         match change {
             change if listed.covers(change.key()) => change_target(shared, state, now, change),
             Change::Put(entry) if operators.covers(&entry.key) => {
-                take_item(shared, state, entry, Naming::Seen(now));
+                take_item(shared, state, entry, Naming::Seen(seen));
             }
             Change::Deleted { key, .. } => include(shared, state, key),
             Change::Put(_) => {}
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -24,14 +24,39 @@
 /// Two answers this close together tell well enough when a change was made.
 const CLOSE: Duration = Duration::from_millis(500);
 
-/// When the changes of an answer were made: none if that isn't known, since the call
-/// before it failed and they may be of any age.
-fn made(last: Option<Moment>, sent: Moment, back: Moment) -> Option<Moment> {
+/// An answer with more bytes may have been on its way for long.
+const LARGE_BYTES: usize = 32 * 1024;
+/// What is missing for longer than this may have been made at any time.
+const LONGEST_GAP: Duration = Duration::from_millis(2_500);
+
+/// When the changes of an answer with so many bytes were made, at the earliest: none if
+/// that isn't known, since the call before it failed and they may be of any age.
+fn made(last: Option<Moment>, sent: Moment, back: Moment, bytes: usize) -> Option<Moment> {
     let last = last?;
-    if back.since(last) <= CLOSE {
+    let gap = back.since(last);
+    if gap <= CLOSE || (bytes > LARGE_BYTES && gap <= LONGEST_GAP) {
         return Some(last);
     }
-    (back.since(sent) >= WAITED).then_some(back)
+    let has_waited = back.since(sent) >= WAITED;
+    (has_waited && bytes <= LARGE_BYTES).then_some(back)
+}
+
+/// Since when a version counts as named that news at `now` tell of: not later than it
+/// was, since requests for older versions end by that. `proof` is up to when nothing
+/// was missing before.
+pub(crate) fn named_since(now: Moment, made: Option<Moment>, proof: Option<Moment>) -> Moment {
+    let earliest = now - LONGEST_GAP;
+    let proof = proof.map_or(earliest, |proof| proof.max(earliest));
+    made.unwrap_or(proof).min(now)
+}
+
+/// The bytes of the values in an answer.
+fn size(changes: &[Change]) -> usize {
+    let sizes = changes.iter().map(|change| match change {
+        Change::Put(entry) => entry.value.len(),
+        Change::Deleted { .. } => 0,
+    });
+    sizes.sum()
 }
 
 /// What following a scope brings.
@@ -169,7 +194,7 @@
             Ok(listing) => FeedNews::Whole {
                 listing,
                 sent,
-                made: made(last, sent, BootClock.now()),
+                made: made(last, sent, BootClock.now(), usize::MAX),
                 direct: true,
             },
             Err(error) => FeedNews::Failed(error),
@@ -177,10 +202,10 @@
     };
     match store.changes(scope, version, wait).await {
         Ok(Changes::Since { changes, version }) => Some(FeedNews::Changed {
+            made: made(last, sent, BootClock.now(), size(&changes)),
             changes,
             version,
             sent,
-            made: made(last, sent, BootClock.now()),
             direct: true,
         }),
         Ok(Changes::Forgotten) => None,
