Compress large values that an entry passes on, and time the head of its answer

Change: values over 2 KB go as LZ4 (lz4_flex, a library of its own kind in safe Rust); the limit of 1.6 s holds for the head of an answer, another second for the rest.

Test: a large value goes out small and comes out whole.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -242,6 +242,29 @@
         Ok(answer)
     }
 
+    /// Like [`Client::call`], with a limit for the head of the answer and another one for
+    /// its body, so that a peer that is at work isn't taken for one that is silent.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] when no whole answer came in time.
+    pub(crate) async fn call_slow(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        head_limit: Duration,
+        body_limit: Duration,
+        most: usize,
+    ) -> Result<Response<Bytes>, CallError> {
+        let key = (address, Arc::from(""));
+        let sent = timeout(head_limit, self.send(&key, request, Reuse::Kept));
+        let (answer, busy) = sent.await.unwrap_or(Err(CallError::Late))?;
+        let body = timeout(body_limit, whole_body(answer, most));
+        let answer = body.await.unwrap_or(Err(CallError::Late))?;
+        busy.keep();
+        Ok(answer)
+    }
+
     /// Like [`Client::call`], on a connection of its own that is closed at
     /// once, for a peer that takes few connections.
     ///
@@ -270,13 +293,17 @@
     ) -> Result<(Response<Bytes>, Busy), CallError> {
         let key = (address, Arc::from(""));
         let (answer, busy) = self.send(&key, request, reuse).await?;
-        let (head, body) = answer.into_parts();
-        let body = Limited::new(body, most).collect().await;
-        let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
-        Ok((Response::from_parts(head, body.to_bytes()), busy))
+        Ok((whole_body(answer, most).await?, busy))
     }
 }
 
+async fn whole_body(answer: Response<Incoming>, most: usize) -> Result<Response<Bytes>, CallError> {
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, most).collect().await;
+    let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
+
 type Unsent = Option<Box<Request<Full<Bytes>>>>;
 
 /// Sends on an open connection; gives the request back if nothing of it was sent.
--- a/crates/azurestand_gateway/src/relay/log.rs
+++ b/crates/azurestand_gateway/src/relay/log.rs
@@ -5,25 +5,27 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use azurestand_store::{Change, Entry, Key, Listing, Scope, Version};
+use azurestand_store::{Change, Key, Listing, Scope, Version};
 use azurestand_types::Moment;
 
+use super::message::KeyChange;
+
 /// Changes that are remembered; whoever missed more gets all values.
 const MOST_CHANGES: usize = 512;
-/// Of a value with more bytes only the last change is remembered.
-const LARGE_BYTES: usize = 2 * 1024;
 
 /// A change, and when it was made, if that is known.
 #[derive(Debug, Clone)]
 pub(super) struct Noted {
-    pub(super) change: Change,
+    key: Key,
+    pub(super) change: KeyChange,
     pub(super) made: Option<Moment>,
 }
 
-/// All values, and the changes that led to them.
+/// All values as they are passed on, and the changes that led to them. Of a large
+/// value only the last change is remembered.
 #[derive(Debug, Default)]
 pub(super) struct NewsLog {
-    values: BTreeMap<Key, Entry>,
+    values: BTreeMap<Key, KeyChange>,
     changes: VecDeque<Noted>,
     /// Changes up to this version are forgotten.
     floor: Version,
@@ -40,7 +42,7 @@
     pub(super) fn replace(&mut self, listing: &Listing) {
         let values = listing.entries.iter();
         self.values = values
-            .map(|entry| (entry.key.clone(), entry.clone()))
+            .map(|entry| (entry.key.clone(), KeyChange::from(entry)))
             .collect();
         self.changes.clear();
         self.floor = listing.version;
@@ -55,24 +57,20 @@
         self.version = self.version.max(version);
     }
 
-    fn push(&mut self, change: &Change, made: Option<Moment>) {
-        match change {
-            Change::Put(entry) => {
-                self.values.insert(entry.key.clone(), entry.clone());
-                if entry.value.len() > LARGE_BYTES {
-                    self.changes
-                        .retain(|noted| *noted.change.key() != entry.key);
-                }
-            }
-            Change::Deleted { key, .. } => {
-                self.values.remove(key);
-            }
+    fn push(&mut self, raw: &Change, made: Option<Moment>) {
+        let key = raw.key().clone();
+        let change = KeyChange::from(raw);
+        match raw {
+            Change::Put(_) => self.values.insert(key.clone(), change.clone()),
+            Change::Deleted { .. } => self.values.remove(&key),
+        };
+        if change.is_large() {
+            self.changes.retain(|noted| noted.key != key);
         }
-        let change = change.clone();
-        self.changes.push_back(Noted { change, made });
+        self.changes.push_back(Noted { key, change, made });
         if self.changes.len() > MOST_CHANGES {
             let forgotten = self.changes.pop_front();
-            self.floor = forgotten.map_or(self.floor, |noted| noted.change.version());
+            self.floor = forgotten.map_or(self.floor, |noted| Version(noted.change.version));
         }
     }
 
@@ -84,16 +82,14 @@
         let later = self
             .changes
             .iter()
-            .filter(|noted| noted.change.version() > version && scope.covers(noted.change.key()));
+            .filter(|noted| noted.change.version > version.0 && scope.covers(&noted.key));
         Some(later.cloned().collect())
     }
 
     /// All values of `scope`.
-    pub(super) fn all(&self, scope: &Scope) -> Vec<Entry> {
-        let values = self.values.values();
-        values
-            .filter(|entry| scope.covers(&entry.key))
-            .cloned()
-            .collect()
+    pub(super) fn all(&self, scope: &Scope) -> Vec<KeyChange> {
+        let values = self.values.iter();
+        let values = values.filter(|(key, _)| scope.covers(key));
+        values.map(|(_, value)| value.clone()).collect()
     }
 }
--- a/crates/azurestand_gateway/src/relay/log/tests.rs
+++ b/crates/azurestand_gateway/src/relay/log/tests.rs
@@ -1,7 +1,8 @@
 use azurestand_store::{Change, Entry, Key, Listing, Scope, Version};
 use bytes::Bytes;
 
-use super::{LARGE_BYTES, MOST_CHANGES, NewsLog};
+use super::{MOST_CHANGES, NewsLog};
+use crate::relay::message::LARGE_BYTES;
 
 fn key(name: &str) -> Key {
     Key::try_from(name).unwrap()
@@ -31,7 +32,7 @@
 
 fn versions(log: &NewsLog, after: u64) -> Option<Vec<u64>> {
     let noted = log.since(&Scope::Everything, Version(after))?;
-    Some(noted.iter().map(|noted| noted.change.version().0).collect())
+    Some(noted.iter().map(|noted| noted.change.version).collect())
 }
 
 #[test]
@@ -102,3 +103,14 @@
     let known = versions(&log, 11).unwrap();
     assert_eq!(known.len(), MOST_CHANGES);
 }
+
+#[test]
+fn large_values_are_passed_on_compressed_and_come_out_whole() {
+    let entry = entry("a/one", 11, 100 * LARGE_BYTES);
+    let mut log = log();
+    log.extend(&[Change::Put(entry.clone())], Version(11), None);
+    let mut noted = log.since(&Scope::Everything, Version(10)).unwrap();
+    let sent = noted.remove(0).change;
+    assert!(prost::Message::encoded_len(&sent) < 2 * LARGE_BYTES);
+    assert_eq!(Change::try_from(sent).unwrap(), Change::Put(entry));
+}
--- a/crates/azurestand_gateway/src/relay/message.rs
+++ b/crates/azurestand_gateway/src/relay/message.rs
@@ -1,8 +1,17 @@
 //! What is asked and answered about news of the store.
 
 use azurestand_store::{Change, Entry, Key, KeyError, Scope, Version};
+use bytes::Bytes;
+use lz4_flex::block::{compress_prepend_size, decompress_size_prepended, uncompressed_size};
 use prost::Message;
 
+use crate::edge::DecodeError;
+
+/// Values with more bytes are compressed.
+pub(super) const LARGE_BYTES: usize = 2 * 1024;
+/// The largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 16 << 20;
+
 /// Which keys are meant.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct KeyScope {
@@ -66,43 +75,83 @@
     key: String,
     /// Its value; none if it was removed.
     #[prost(bytes = "bytes", optional, tag = "2")]
-    value: Option<bytes::Bytes>,
+    value: Option<Bytes>,
     /// The store's version that the change made.
     #[prost(uint64, tag = "3")]
-    version: u64,
+    pub(super) version: u64,
+    /// Whether the value is compressed.
+    #[prost(bool, tag = "4")]
+    packed: bool,
 }
 
-impl From<&Change> for KeyChange {
-    fn from(change: &Change) -> Self {
-        let value = match change {
-            Change::Put(entry) => Some(entry.value.clone()),
-            Change::Deleted { .. } => None,
+impl KeyChange {
+    /// Whether its value is a large one.
+    pub(super) fn is_large(&self) -> bool {
+        self.packed
+    }
+}
+
+impl From<&Entry> for KeyChange {
+    fn from(entry: &Entry) -> Self {
+        let packed = entry.value.len() > LARGE_BYTES;
+        let value = if packed {
+            compress_prepend_size(&entry.value).into()
+        } else {
+            entry.value.clone()
         };
         Self {
-            key: change.key().as_str().to_owned(),
-            value,
-            version: change.version().0,
+            key: entry.key.as_str().to_owned(),
+            value: Some(value),
+            version: entry.version.0,
+            packed,
+        }
+    }
+}
+
+impl From<&Change> for KeyChange {
+    fn from(change: &Change) -> Self {
+        match change {
+            Change::Put(entry) => Self::from(entry),
+            Change::Deleted { key, version } => Self {
+                key: key.as_str().to_owned(),
+                value: None,
+                version: version.0,
+                packed: false,
+            },
         }
     }
 }
 
 impl TryFrom<KeyChange> for Change {
-    type Error = KeyError;
+    type Error = DecodeError;
 
     /// Leases are left out; only who granted one has a use for its name.
-    fn try_from(raw: KeyChange) -> Result<Self, KeyError> {
-        let key = Key::try_from(raw.key)?;
+    fn try_from(raw: KeyChange) -> Result<Self, DecodeError> {
+        let key = Key::try_from(raw.key);
+        let key = key.map_err(|error| DecodeError::Malformed(error.to_string()))?;
         let version = Version(raw.version);
-        Ok(match raw.value {
-            Some(value) => Self::Put(Entry {
-                key,
-                value,
-                version,
-                lease: None,
-            }),
-            None => Self::Deleted { key, version },
-        })
+        let Some(value) = raw.value else {
+            return Ok(Self::Deleted { key, version });
+        };
+        let value = if raw.packed { unpack(&value)? } else { value };
+        Ok(Self::Put(Entry {
+            key,
+            value,
+            version,
+            lease: None,
+        }))
+    }
+}
+
+fn unpack(packed: &[u8]) -> Result<Bytes, DecodeError> {
+    let malformed =
+        |error: lz4_flex::block::DecompressError| DecodeError::Malformed(error.to_string());
+    let (size, _) = uncompressed_size(packed).map_err(malformed)?;
+    if size > MAX_VALUE_BYTES {
+        return Err(DecodeError::Malformed(format!("a value of {size} bytes")));
     }
+    let value = decompress_size_prepended(packed).map_err(malformed)?;
+    Ok(value.into())
 }
 
 /// What an entry knows.
--- a/crates/azurestand_gateway/src/relay/peers.rs
+++ b/crates/azurestand_gateway/src/relay/peers.rs
@@ -19,9 +19,11 @@
 use crate::clock::BootClock;
 use crate::feed::FeedNews;
 
-/// How long a call may take. An entry that reads the store answers sooner; the store is
-/// asked early enough for what was changed meanwhile to be in force in time.
+/// How long an answer may take to begin. An entry that reads the store answers sooner; the
+/// store is asked early enough for what was changed meanwhile to be in force in time.
 pub(crate) const NEWS_LIMIT: Duration = Duration::from_millis(1_600);
+/// How long the rest of an answer may take.
+const BODY_LIMIT: Duration = Duration::from_secs(1);
 /// The largest answer, in bytes.
 const MAX_NEWS_BYTES: usize = 16 << 20;
 /// An entry that gave no news isn't asked for this long.
@@ -125,9 +127,9 @@
         let address = SocketAddr::new(peer, self.port);
         let body = Bytes::from(question.encode_to_vec());
         let request = plain_request(Method::POST, address, NEWS_PATH, body);
-        let called = self
-            .client
-            .call(address, request, NEWS_LIMIT, MAX_NEWS_BYTES);
+        let called =
+            self.client
+                .call_slow(address, request, NEWS_LIMIT, BODY_LIMIT, MAX_NEWS_BYTES);
         let answer = called.await?;
         if !answer.status().is_success() {
             return Err(CallError::Status(answer.status()));
--- a/crates/azurestand_gateway/src/relay/server.rs
+++ b/crates/azurestand_gateway/src/relay/server.rs
@@ -6,14 +6,14 @@
 use axum::body::Bytes;
 use axum::extract::State;
 use axum::http::StatusCode;
-use azurestand_store::{Change, Scope, Version};
+use azurestand_store::{Scope, Version};
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::log::{NewsLog, Noted};
-use super::message::{KeyChange, NewsAnswer, NewsQuestion};
+use super::message::{NewsAnswer, NewsQuestion};
 use crate::clock::BootClock;
 use crate::feed::FeedNews;
 
@@ -108,13 +108,10 @@
         };
         if let Some(changes) = changes {
             answer.made = first_made(&changes).map(from);
-            let changes = changes.iter().map(|noted| KeyChange::from(&noted.change));
-            answer.changes = changes.collect();
+            answer.changes = changes.into_iter().map(|noted| noted.change).collect();
         } else {
             answer.whole = true;
-            let values = inner.log.all(&question.scope).into_iter();
-            let values = values.map(|entry| KeyChange::from(&Change::Put(entry)));
-            answer.changes = values.collect();
+            answer.changes = inner.log.all(&question.scope);
         }
         Some(answer)
     }
