Fetch elsewhere what a host has lost by starting again

Entries restarted in turn meanwhile. Whoever had heard what pieces an entry held asked it for them for ever (920 answers of 404 from one entry in 7 s), and its board, which only ever added holders, drew them from nowhere else.

Change: the board keeps what each host told last; a host that fails a fetch or a question has nothing until it tells again.

Tests: the board alone, and a whole job against a host that tells of all pieces once and then of none; both never end without the change.

--- a/crates/azurestand_direct/src/pieces.rs
+++ b/crates/azurestand_direct/src/pieces.rs
@@ -6,6 +6,7 @@
 //! Hosts tell which pieces they have; whatever has not come the agreed way
 //! after some time is fetched from anybody, and from the origin at last.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,16 +47,27 @@
     draw_rank: u32,
     /// From when on this host fetches it from another data centre.
     far_at: Moment,
-    /// Whether a host of this data centre has it.
-    near: bool,
-    /// Whether a host of another data centre has it.
-    far: bool,
+    /// Hosts of this data centre that have it.
+    near: u32,
+    /// Hosts of other data centres that have it.
+    far: u32,
+}
+
+impl Piece {
+    fn holders(&mut self, distance: Distance) -> &mut u32 {
+        match distance {
+            Distance::Near => &mut self.near,
+            Distance::Far => &mut self.far,
+        }
+    }
 }
 
 /// The pieces of one version at one host.
 #[derive(Debug, Clone)]
 pub struct PieceBoard {
     pieces: Vec<Piece>,
+    /// What each other host has, as it told last.
+    told: BTreeMap<Arc<str>, Vec<bool>>,
     /// From when on the origin has been there, as far as is known.
     origin_from: Moment,
     rng: fastrand::Rng,
@@ -73,6 +85,7 @@
     ) -> Self {
         let mut board = Self {
             pieces: Vec::with_capacity(count),
+            told: BTreeMap::new(),
             origin_from: now,
             rng,
         };
@@ -86,8 +99,8 @@
                 flight: None,
                 draw_rank: draw,
                 far_at: now + LISTEN_FIRST + STEP_IN * near,
-                near: false,
-                far: false,
+                near: 0,
+                far: 0,
             });
         }
         board
@@ -119,13 +132,16 @@
         self.origin_from = now;
     }
 
-    /// Takes in which pieces another host has.
-    pub fn note(&mut self, distance: Distance, have: &[bool]) {
-        for (piece, had) in self.pieces.iter_mut().zip(have) {
-            match distance {
-                Distance::Near => piece.near |= had,
-                Distance::Far => piece.far |= had,
-            }
+    /// Takes in which pieces another host has now; none if it doesn't answer. A host
+    /// that starts again has lost what it had.
+    pub fn note(&mut self, host: &Arc<str>, distance: Distance, have: &[bool]) {
+        let before = self.told.insert(host.clone(), have.to_vec());
+        let before = before.unwrap_or_default();
+        let had = |told: &[bool], number: usize| told.get(number).copied().unwrap_or_default();
+        for (number, piece) in self.pieces.iter_mut().enumerate() {
+            let holders = piece.holders(distance);
+            *holders += u32::from(had(have, number));
+            *holders -= u32::from(had(&before, number));
         }
     }
 
@@ -133,13 +149,14 @@
     pub fn next_from_peer(
         &mut self,
         now: Moment,
+        host: &Arc<str>,
         distance: Distance,
         have: &[bool],
     ) -> Option<usize> {
-        self.note(distance, have);
+        self.note(host, distance, have);
         let may = |piece: &Piece| match distance {
             Distance::Near => true,
-            Distance::Far => !piece.near && now >= piece.far_at,
+            Distance::Far => piece.near == 0 && now >= piece.far_at,
         };
         let has = |number: usize| have.get(number).copied().unwrap_or_default();
         self.take(now, |number, piece| has(number) && may(piece))
@@ -149,7 +166,7 @@
     pub fn next_from_origin(&mut self, now: Moment) -> Option<usize> {
         let from = self.origin_from + LISTEN_FIRST;
         self.take(now, |_, piece| {
-            !piece.near && !piece.far && now >= from + STEP_IN * piece.draw_rank
+            piece.near == 0 && piece.far == 0 && now >= from + STEP_IN * piece.draw_rank
         })
     }
 
--- a/crates/azurestand_direct/tests/direct/pieces.rs
+++ b/crates/azurestand_direct/tests/direct/pieces.rs
@@ -59,8 +59,9 @@
                 let near = self.hosts[own].centre == self.hosts[other].centre;
                 let distance = if near { Distance::Near } else { Distance::Far };
                 let have = &self.have[other];
+                let name = &self.hosts[other].name;
                 let board = &mut self.boards[own];
-                if let Some(piece) = board.next_from_peer(now, distance, have) {
+                if let Some(piece) = board.next_from_peer(now, name, distance, have) {
                     self.crossed += usize::from(!near);
                     arrivals.push((own, piece));
                 }
@@ -154,3 +155,21 @@
         fleet.drawn
     );
 }
+
+/// A host that told what it had starts again with nothing.
+#[test]
+fn what_its_holder_has_lost_is_drawn_from_the_origin() {
+    let host = |name: &str| PieceHost {
+        name: name.into(),
+        centre: "north".into(),
+    };
+    let hosts = [host("a"), host("b")];
+    let rng = fastrand::Rng::with_seed(1);
+    let mut board = PieceBoard::new(Moment::START, "m/2", 1, &hosts[0], &hosts, rng);
+    let later = Moment::START + Duration::from_secs(10);
+    board.note(&hosts[1].name, Distance::Near, &[true]);
+    assert_eq!(board.next_from_origin(later), None);
+    board.note(&hosts[1].name, Distance::Near, &[true]);
+    board.note(&hosts[1].name, Distance::Near, &[]);
+    assert_eq!(board.next_from_origin(later), Some(0));
+}
--- a/crates/azurestand_gateway/src/spread.rs
+++ b/crates/azurestand_gateway/src/spread.rs
@@ -258,10 +258,15 @@
         let mut board = self.board();
         if self.role == Role::Helper && host.distance == Distance::Near {
             // Agents fetch from each helper what that one has.
-            board.note(host.distance, have);
+            board.note(&host.spot.name, host.distance, have);
             return None;
         }
-        board.next_from_peer(BootClock.now(), host.distance, have)
+        board.next_from_peer(BootClock.now(), &host.spot.name, host.distance, have)
+    }
+
+    /// Takes in that a host has no pieces as far as is known.
+    fn forget(&self, host: &Host) {
+        self.board().note(&host.spot.name, host.distance, &[]);
     }
 
     /// Fetches from one host whatever it has, piece by piece.
@@ -282,6 +287,11 @@
                 let fetched =
                     pieces::fetch(&self.client, host.address, manifest, number, purpose).await;
                 drop(place);
+                if fetched.is_err() {
+                    // It may have started again, with other pieces or none.
+                    have.clear();
+                    self.forget(host);
+                }
                 self.take(number, &host.spot.name, fetched).await;
                 continue;
             }
@@ -296,8 +306,12 @@
                     }
                     have = more;
                 }
-                Err(CallError::Status(_)) => sleep(IDLE_PAUSE).await,
-                Err(_) => sleep(LOST_PAUSE).await,
+                Err(error) => {
+                    have.clear();
+                    self.forget(host);
+                    let is_there = matches!(error, CallError::Status(_));
+                    sleep(if is_there { IDLE_PAUSE } else { LOST_PAUSE }).await;
+                }
             }
         }
     }
--- a/crates/azurestand_gateway/src/spread/tests.rs
+++ b/crates/azurestand_gateway/src/spread/tests.rs
@@ -3,11 +3,16 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::get;
 use azurestand_direct::Distance;
 use bytes::Bytes;
 use sha2::{Digest, Sha256};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 use super::{Host, Job, Parts, PieceHost, Role};
 use crate::client::{CallError, Client};
@@ -15,6 +20,8 @@
 use crate::pieces::{self, Pacer, Shelf, Staged, Version};
 
 const COUNT: usize = 12;
+/// After this a test is red that would else never end.
+const TEST_LIMIT: Duration = Duration::from_mins(1);
 
 fn piece(number: usize) -> Bytes {
     format!("piece {number}").into()
@@ -285,3 +292,38 @@
     assert_eq!(wanted.missing(), 0);
     assert_eq!(origin.given.load(Ordering::Relaxed), COUNT + 3);
 }
+
+/// Serves a list of all pieces once, and then nothing, as a host that starts again.
+async fn serve_a_restart() -> SocketAddr {
+    let told = Arc::new(AtomicUsize::new(0));
+    let list = async move || {
+        if told.fetch_add(1, Ordering::Relaxed) == 0 {
+            Ok("1".repeat(COUNT))
+        } else {
+            Err(StatusCode::NOT_FOUND)
+        }
+    };
+    let routes = Router::new()
+        .route("/have/{model}/{version}/{known}", get(list.clone()))
+        .route("/look/{model}/{version}/{known}", get(list));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    address
+}
+
+/// Entries restarted in turn while a version spread. Whoever had heard what they held asked
+/// them for it for ever, and drew it from nowhere else.
+#[tokio::test]
+async fn what_a_host_has_lost_is_fetched_elsewhere() {
+    for role in [Role::Agent, Role::Helper] {
+        let (origin, wanted) = (Arc::new(Origin::default()), version());
+        let mut other = host(role, "other", serve_a_restart().await, false);
+        other.distance = Distance::Far;
+        let hosts = [host(role, "own", nowhere(), true), other];
+        let job = job(role, &origin, &wanted, &hosts);
+        let ended = timeout(TEST_LIMIT, job.run(hosts.to_vec())).await;
+        assert!(ended.is_ok(), "{role:?}");
+        assert_eq!(wanted.missing(), 0);
+    }
+}
