End the turns to load before what engines hold is of no use

From 29.2 s on, the bound of version 2, engines with version 1 serve nobody.

Change: turns end at the bound of the first version after the one that the engine holds.

Test: the pure decision with fifty hosts, red with the bound of the loaded version.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`Line`] orders the requests that wait for room.
 //! - [`ColdShare`] and [`ColdRate`] bound what one entry sends to a cold target.
 //! - [`PieceBoard`] chooses which piece of weights an agent fetches next.
-//! - [`next_version`] chooses among versions that were named in quick succession.
+//! - [`next_version`] chooses among versions that were named in quick succession, and
+//!   [`useful_until`] tells how long what an engine holds is of use.
 //! - [`LoadTurn`] spreads the loads of a new version over time.
 //!
 //! Nothing here opens a socket or reads a clock: events and the present
@@ -41,4 +42,4 @@
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
 pub use turn::LoadTurn;
-pub use versions::{NamedVersion, NamedVersions, next_version};
+pub use versions::{NamedVersion, NamedVersions, next_version, useful_until};
--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -38,6 +38,13 @@
     Some(on_the_way.unwrap_or(newest).version)
 }
 
+/// When an engine that holds `held` is of no use any more: at the bound of the first
+/// version after it, whichever version the engine loads; none if there is none.
+pub fn useful_until(named: &[NamedVersion], held: u64, bound: Duration) -> Option<Moment> {
+    let later = named.iter().filter(|one| one.version > held);
+    later.map(|one| one.since + bound).min()
+}
+
 /// How a process knows since when a version is named.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
--- a/crates/azurestand_direct/tests/direct/versions.rs
+++ b/crates/azurestand_direct/tests/direct/versions.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{LoadTurn, NamedVersion, NamedVersions, next_version};
+use azurestand_direct::{LoadTurn, NamedVersion, NamedVersions, next_version, useful_until};
 use azurestand_types::Moment;
 
 const BOUND: Duration = Duration::from_secs(8);
@@ -44,6 +44,23 @@
     assert_eq!(next_version(at(9_100), &list, 1, BOUND), Some(3));
 }
 
+/// Versions 2 and 3 were named 4 s apart and version 3 was loaded by all. Its turns
+/// went on until its own bound, 4 s after that of version 2, from which on engines
+/// with version 1 serve nobody.
+#[test]
+fn all_turns_come_before_what_engines_hold_is_of_no_use() {
+    let list = [named(2, 20_000), named(3, 24_000)];
+    assert_eq!(useful_until(&list, 1, BOUND), Some(at(28_000)));
+    assert_eq!(useful_until(&list, 2, BOUND), Some(at(32_000)));
+    assert_eq!(useful_until(&list, 3, BOUND), None);
+    let hosts: Vec<Arc<str>> = (0..50).map(|n| format!("10.0.0.{n}").into()).collect();
+    let until = useful_until(&list, 1, BOUND).unwrap();
+    let turns = hosts
+        .iter()
+        .map(|own| LoadTurn::new(own, b"3", &hosts).at(at(26_000), until));
+    assert!(turns.max() < Some(until));
+}
+
 #[test]
 fn turns_are_spread_until_shortly_before_the_bound() {
     let hosts: Vec<Arc<str>> = (0..15)
--- a/crates/azurestand_gateway/src/agent/load.rs
+++ b/crates/azurestand_gateway/src/agent/load.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{LoadTurn, NamedVersion};
+use azurestand_direct::{LoadTurn, useful_until};
 use azurestand_types::Moment;
 use futures_util::StreamExt;
 use futures_util::stream::iter;
@@ -96,18 +96,21 @@
     if version.missing() > 0 {
         return;
     }
-    if holds > 0 && !is_due(around, turn, wanted, &goal.named).await {
+    let bound = around.settings.bounds.now().version;
+    let until = useful_until(&goal.named, holds, bound);
+    if holds > 0 && !is_due(around, turn, wanted, until).await {
         return;
     }
     order(around, &version, state, goal.store_version).await;
 }
 
-/// Whether it is this engine's turn; an engine without weights has no turn to wait for.
+/// Whether it is the turn of this engine, whose weights are of use until `until`; an
+/// engine without weights has no turn to wait for.
 async fn is_due<P>(
     around: &Arc<Around<P>>,
     turn: &mut Option<Turn>,
     wanted: u64,
-    named: &[NamedVersion],
+    until: Option<Moment>,
 ) -> bool
 where
     P: Platform,
@@ -125,10 +128,8 @@
         .map(|target| target.address.ip().to_string().into())
         .collect();
     let own: Arc<str> = around.settings.ip.to_string().into();
-    let named = named.iter().find(|named| named.version == wanted);
-    let since = named.map_or(now, |named| named.since);
-    let due = since + around.settings.bounds.now().version;
-    let at = LoadTurn::new(&own, &wanted.to_be_bytes(), &names).at(now, due);
+    let turn_of = LoadTurn::new(&own, &wanted.to_be_bytes(), &names);
+    let at = turn_of.at(now, until.unwrap_or(now));
     *turn = Some(Turn {
         version: wanted,
         at,
