Load versions on the way unless the newest has three seconds for its loads

Change: an older version is skipped only if the newest leaves 3 s for the loads. An agent that lacks pieces of the version on the way loads the newest if that is whole.

--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -12,6 +12,9 @@
 /// How long a version takes to reach an engine and to be loaded there.
 const SPREAD_TIME: Duration = Duration::from_millis(4_800);
 
+/// The time over which loads have to be spread, for enough engines to stay.
+const LOAD_SPAN: Duration = Duration::from_secs(3);
+
 /// A version that operators have named.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NamedVersion {
@@ -30,7 +33,7 @@
     bound: Duration,
 ) -> Option<u64> {
     let newest = named.last().filter(|newest| newest.version > held)?;
-    let reached = newest.since + SPREAD_TIME;
+    let reached = newest.since + SPREAD_TIME + LOAD_SPAN;
     let on_the_way = named.iter().find(|one| {
         let due = one.since + bound;
         one.version > held && due > now && due < reached
--- a/crates/azurestand_gateway/src/agent/load.rs
+++ b/crates/azurestand_gateway/src/agent/load.rs
@@ -90,12 +90,16 @@
     if state.busy {
         return;
     }
-    let Some(version) = around.shelf.get(&model, wanted) else {
-        return;
+    // The newest may be complete although the one before it isn't.
+    let whole = |number| {
+        let version = around.shelf.get(&model, number);
+        version.filter(|version| version.missing() == 0)
     };
-    if version.missing() > 0 {
+    let newest = goal.newest().filter(|newest| *newest > holds);
+    let Some(version) = whole(wanted).or_else(|| newest.and_then(whole)) else {
         return;
-    }
+    };
+    let wanted = version.manifest.version;
     let bound = around.settings.bounds.now().version;
     let until = useful_until(&goal.named, holds, bound);
     if holds > 0 && !is_due(around, turn, wanted, until).await {
