Ask three near agents for the entries' names, not all agents

Change: an entry asks three agents a second for names, drawn at random, near ones first. Test: the order of the agents.

--- a/crates/azurestand_gateway/src/agent/report.rs
+++ b/crates/azurestand_gateway/src/agent/report.rs
@@ -196,8 +196,9 @@
                 // An address that nobody listens at is told so here.
                 let Ok((length, from)) = received else { continue };
                 if let Ok(hello) = Hello::decode(&buffer[..length]) {
+                    let names = hello.names;
                     around.pulse.hear(from, hello);
-                    answer(&around, &socket, from);
+                    answer(&around, &socket, from, names);
                 }
             }
             () = around.pulse.beaten.notified() => tell(&around, &socket),
@@ -206,9 +207,11 @@
 }
 
 /// Answers an entry's question, with what a fresh entry can't know.
-fn answer<P>(around: &Around<P>, socket: &UdpSocket, entry: SocketAddr) {
+fn answer<P>(around: &Around<P>, socket: &UdpSocket, entry: SocketAddr, names: bool) {
     if let Some(mut report) = around.pulse.report() {
-        report.known = around.pulse.known();
+        if names {
+            report.known = around.pulse.known();
+        }
         report.named = around.pulse.named();
         // The entry asks again in a second.
         let _ = socket.try_send_to(&report.encode_to_vec(), entry);
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -1,5 +1,8 @@
 //! Asks agents what their engines do and takes their reports in.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -19,6 +22,8 @@
 
 /// How often agents are asked to go on with reports.
 const HELLO_EVERY: Duration = Duration::from_secs(1);
+/// Agents that are asked each time which entries there are; such an answer is long.
+const NAMERS: usize = 3;
 
 /// Starts to ask and to listen.
 pub(crate) async fn start<P>(shared: &Arc<Shared<P>>) -> Result<(), GatewayError>
@@ -38,15 +43,10 @@
 {
     let mut buffer = [0; MAX_BYTES];
     let mut due = interval(HELLO_EVERY);
-    let hello = Hello {
-        entry: shared.settings.name.to_string(),
-        centre: shared.settings.centre.to_string(),
-    };
-    let hello = hello.encode_to_vec();
     let mut heard: BTreeMap<IpAddr, (u32, Instant)> = BTreeMap::new();
     loop {
         tokio::select! {
-            _ = due.tick() => greet(&shared, &socket, &hello),
+            _ = due.tick() => greet(&shared, &socket),
             received = socket.recv_from(&mut buffer) => {
                 // An address that nobody listens at is told so here.
                 let Ok((length, from)) = received else { continue };
@@ -58,17 +58,34 @@
     }
 }
 
-fn greet<P>(shared: &Shared<P>, socket: &UdpSocket, hello: &[u8]) {
+fn greet<P>(shared: &Shared<P>, socket: &UdpSocket) {
     let port = shared.settings.report_port();
-    let hosts: Vec<IpAddr> = engines(&shared.state())
-        .map(|target| target.address.ip())
+    let hello = |names| {
+        let hello = Hello {
+            entry: shared.settings.name.to_string(),
+            centre: shared.settings.centre.to_string(),
+            names,
+        };
+        hello.encode_to_vec()
+    };
+    let hosts = engines(&shared.state())
+        .map(|target| (target.address.ip(), target.centre.clone()))
         .collect();
-    for host in hosts {
+    let hosts = in_order(hosts, &shared.settings.centre);
+    for (place, host) in hosts.into_iter().enumerate() {
+        let bytes = hello(place < NAMERS);
         // A datagram that can't be sent now is sent again in a second.
-        let _ = socket.try_send_to(hello, SocketAddr::new(host, port));
+        let _ = socket.try_send_to(&bytes, SocketAddr::new(host, port));
     }
 }
 
+/// The hosts in random order, those of `centre` first.
+fn in_order(mut hosts: Vec<(IpAddr, Arc<str>)>, centre: &Arc<str>) -> Vec<IpAddr> {
+    fastrand::shuffle(&mut hosts);
+    hosts.sort_by_key(|(_, other)| other != centre);
+    hosts.into_iter().map(|(ip, _)| ip).collect()
+}
+
 fn engines(state: &State) -> impl Iterator<Item = &Arc<Target>> {
     let rules = state.rules.as_ref();
     state.directory.targets().filter(move |target| {
--- a/crates/azurestand_gateway/src/presence.rs
+++ b/crates/azurestand_gateway/src/presence.rs
@@ -22,6 +22,9 @@
     /// The entry's data centre.
     #[prost(string, tag = "2")]
     pub(crate) centre: String,
+    /// Whether it wants to hear which entries there are.
+    #[prost(bool, tag = "3")]
+    pub(crate) names: bool,
 }
 
 /// An entry as an agent knows it.
@@ -67,7 +70,7 @@
     /// Entries that ask this agent.
     #[prost(uint32, tag = "5")]
     pub(crate) entries: u32,
-    /// These entries; only in the answer to a question.
+    /// These entries; only in the answer to a question for them.
     #[prost(message, repeated, tag = "6")]
     pub(crate) known: Vec<KnownEntry>,
     /// The newest versions that it knows of; only in the answer to a question.
