--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -43,11 +43,10 @@
 
 /// Since when a version counts as named that news at `now` tell of: not later than it
 /// was, since requests for older versions end by that. `proof` is up to when nothing
-/// was missing before.
+/// was missing before. After an outage the bound begins anew.
 pub(crate) fn named_since(now: Moment, made: Option<Moment>, proof: Option<Moment>) -> Moment {
-    let earliest = now - LONGEST_GAP;
-    let proof = proof.map_or(earliest, |proof| proof.max(earliest));
-    made.unwrap_or(proof).min(now)
+    let proof = proof.filter(|proof| now.since(*proof) <= LONGEST_GAP);
+    made.or(proof).unwrap_or(now).min(now)
 }
 
 /// The bytes of the values in an answer.
