Count versions from the store's return at an entry that starts in an outage

They took the versions to be named long ago and refused version 1 from 2.5 s after their first contact on; whether they did so hung on an agent that could tell the age, which after an outage most can't.

Change: an entry whose calls to the store failed before it had read anything counts from its first contact, as entries that lived through the outage do; the bound counts in one stretch in which the store is stable. Agents that know better still tell.

Test: the pure part; red without the change by its case.

--- a/crates/azurestand_gateway/src/entry/news.rs
+++ b/crates/azurestand_gateway/src/entry/news.rs
@@ -107,7 +107,10 @@
             take_changes(shared, &mut state, now, seen, &changes);
             state.freshness.prove(sent);
         }
-        FeedNews::Failed(_) => state.directory.trouble(),
+        FeedNews::Failed(_) => {
+            state.failed_first |= state.rules.is_none();
+            state.directory.trouble();
+        }
     }
 }
 
@@ -121,7 +124,7 @@
     P: Platform,
 {
     let naming = if state.rules.is_none() {
-        let before = shared.named_before_start(now);
+        let before = shared.named_before_start(now, state.failed_first);
         state.named_before = Some(before);
         Naming::Found(before)
     } else {
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -1,5 +1,8 @@
 //! What the requests and the feeds of one entry share.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -57,6 +60,8 @@
     pub(crate) freshness: Freshness,
     pub(crate) placement: Placement,
     pub(crate) versions: BTreeMap<Arc<str>, NamedVersions>,
+    /// Whether the store failed before this process had read anything.
+    pub(crate) failed_first: bool,
     /// When versions that were named before this process started count as named.
     pub(crate) named_before: Option<Moment>,
     pub(crate) excluded: BTreeSet<Arc<str>>,
@@ -111,6 +116,7 @@
                 rng,
             ),
             versions: BTreeMap::new(),
+            failed_first: false,
             named_before: None,
             excluded: BTreeSet::new(),
             lines: BTreeMap::new(),
@@ -223,7 +229,18 @@
 
     /// Since when a version that a fresh process finds is taken to be named, until
     /// an agent that saw the naming tells.
-    pub(crate) fn named_before_start(&self, now: Moment) -> Moment {
-        now - self.version_limit() + VERSION_GRACE
+    pub(crate) fn named_before_start(&self, now: Moment, failed_first: bool) -> Moment {
+        named_before_start(now, self.version_limit(), failed_first)
+    }
+}
+
+/// Since when a version that a fresh process finds at `now` is taken to be named, where
+/// older ones may begin for `limit` after that. If the store failed before, the bound
+/// begins anew with its return, as for everybody else.
+fn named_before_start(now: Moment, limit: Duration, failed_first: bool) -> Moment {
+    if failed_first {
+        now
+    } else {
+        now - limit + VERSION_GRACE
     }
 }
