Stop sending to an older version 1.4 s before the bound

Entries stopped 0.8 s before the bound.

A fresh agent takes a version that it finds to be named a while ago, unless the store failed before.

The check that turns end 0.8 s before the bound asks for 1.4 s now. New test: the case of the trace; red with 0.8 s.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -41,5 +41,5 @@
 pub use rules::{
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
-pub use turn::LoadTurn;
+pub use turn::{LoadTurn, VERSION_MARGIN};
 pub use versions::{NamedVersion, NamedVersions, next_version, useful_until};
--- a/crates/azurestand_direct/src/turn.rs
+++ b/crates/azurestand_direct/src/turn.rs
@@ -9,9 +9,10 @@
 
 use azurestand_types::{Moment, rendezvous};
 
-/// How long before a version's bound the last engine begins to load; from then
-/// on no request is sent to an older version anyway.
-const LAST_TURN: Duration = Duration::from_millis(800);
+/// How long before a version's bound no request is sent to an older one any more, since
+/// a request may wait at a crowded engine before it begins. The last engine begins to
+/// load then.
+pub const VERSION_MARGIN: Duration = Duration::from_millis(1_400);
 /// The longest time between the first and the last turn.
 const LONGEST_SPAN: Duration = Duration::from_secs(5);
 
@@ -40,7 +41,7 @@
     /// When the load may begin, for pieces that were all there at `fetched` and
     /// a version that has to be in use everywhere at `due`.
     pub fn at(self, fetched: Moment, due: Moment) -> Moment {
-        let span = (due - LAST_TURN).since(fetched).min(LONGEST_SPAN);
+        let span = (due - VERSION_MARGIN).since(fetched).min(LONGEST_SPAN);
         fetched + span * self.place / self.count.saturating_sub(1).max(1)
     }
 }
--- a/crates/azurestand_direct/tests/direct/versions.rs
+++ b/crates/azurestand_direct/tests/direct/versions.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{LoadTurn, NamedVersion, NamedVersions, next_version, useful_until};
+use azurestand_direct::{
+    LoadTurn, NamedVersion, NamedVersions, VERSION_MARGIN, next_version, useful_until,
+};
 use azurestand_types::Moment;
 
 const BOUND: Duration = Duration::from_secs(8);
@@ -82,7 +84,7 @@
         .collect();
     turns.sort();
     assert_eq!(turns.first(), Some(&at(4_000)));
-    assert_eq!(turns.last(), Some(&at(7_200)));
+    assert_eq!(turns.last(), Some(&at(6_600)));
     let gaps = turns.windows(2).map(|pair| pair[1].since(pair[0]));
     assert!(
         gaps.into_iter()
@@ -99,6 +101,22 @@
 
 const LIMIT: Duration = Duration::from_millis(7_200);
 
+/// The last engines with version 1 were crowded: a request that was sent 1.2 s before the
+/// bound waited there for 1,294 ms and began beyond it.
+#[test]
+fn the_last_request_for_an_older_version_begins_within_the_bound() {
+    let mut versions = NamedVersions::default();
+    assert!(versions.see(1, at(0)) && versions.see(2, at(10_745)));
+    let bound = Duration::from_secs(10);
+    let waits = Duration::from_millis(1_294);
+    let due = at(10_745) + bound;
+    let last_send = due - waits;
+    assert_eq!(
+        versions.oldest(last_send, bound.saturating_sub(VERSION_MARGIN)),
+        2
+    );
+}
+
 /// A fresh entry assumed that a version was named long ago, and refused all
 /// requests until the first engines had loaded it.
 #[test]
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -27,6 +27,10 @@
 /// The pause after it could not be read.
 const RULES_RETRY: Duration = Duration::from_millis(400);
 
+/// How long the engine's weights are taken to be of use still, where a fresh agent finds
+/// a newer version.
+const FOUND_TIME: Duration = Duration::from_millis(3_500);
+
 /// What the operators want of one engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Goal {
@@ -89,6 +93,7 @@
     P: Platform,
 {
     let mut lost = false;
+    let mut is_first = true;
     let scope = around.platform.weights_scope();
     let platform = around.platform.clone();
     follow(platform.as_ref(), around.peers(), scope, PACE, |news| {
@@ -120,16 +125,19 @@
                     LogEvent::StoreLost.log(&[("why", error.to_string().into())]);
                 }
                 lost = true;
+                is_first = false;
                 return;
             }
         }
+        let found_at = is_first.then(|| found_at(around.settings.bounds.now().version));
+        is_first = false;
         if lost {
             LogEvent::StoreBack.log(&[]);
             lost = false;
         }
         let mut known = around.known();
         for entry in &entries {
-            take(&around, &mut known, entry, named_at);
+            take(&around, &mut known, entry, named_at, found_at);
         }
         known.version = known.version.max(store_version);
         tell(&around, &known);
@@ -137,6 +145,13 @@
     .await;
 }
 
+/// Since when a version counts as named that a fresh agent finds: it was named some time
+/// ago, and entries may hardly send to an older one any more. After an outage of the
+/// store the bound begins anew.
+fn found_at(bound: Duration) -> Moment {
+    BootClock.now() - bound.saturating_sub(FOUND_TIME)
+}
+
 /// Reads the configuration now and then, for ever. What an agent needs of it, its
 /// engine's figures and where weights come from, hardly ever changes.
 pub(super) async fn read_rules<P>(around: Arc<Around<P>>)
@@ -149,7 +164,7 @@
             Ok(entries) => {
                 let mut known = around.known();
                 for entry in &entries {
-                    take(&around, &mut known, entry, None);
+                    take(&around, &mut known, entry, None, None);
                 }
                 tell(&around, &known);
                 RULES_EVERY.mul_f64(0.5 + fastrand::f64())
@@ -163,8 +178,14 @@
     }
 }
 
-fn take<P>(around: &Around<P>, known: &mut Known, entry: &Entry, named_at: Option<Moment>)
-where
+/// Takes a value in; a version of an unknown time counts as named at `found_at`, or now.
+fn take<P>(
+    around: &Around<P>,
+    known: &mut Known,
+    entry: &Entry,
+    named_at: Option<Moment>,
+    found_at: Option<Moment>,
+) where
     P: Platform,
 {
     match around.platform.read_operator(&entry.key, &entry.value) {
@@ -182,7 +203,8 @@
                     ("model", model.as_ref().into()),
                     ("version", version.into()),
                 ]);
-                let since = named_at.unwrap_or_else(|| BootClock.now());
+                let found_at = found_at.unwrap_or_else(|| BootClock.now());
+                let since = named_at.unwrap_or(found_at);
                 named.push(NamedVersion { version, since });
                 around.pulse.set_named(&model, version, named_at);
             }
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    ColdShare, Directory, Freshness, Line, NamedVersions, Placement, Rules, Waiter,
+    ColdShare, Directory, Freshness, Line, NamedVersions, Placement, Rules, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
 use azurestand_types::Moment;
@@ -24,9 +24,6 @@
 
 /// Entries that are taken to exist as long as no agent tells.
 const ENTRIES_UNKNOWN: u32 = 12;
-/// How long before the bound an old version is no longer sent to, since a
-/// request begins some time after it was sent.
-const VERSION_MARGIN: Duration = Duration::from_millis(800);
 /// A process that starts doesn't know since when a version is named.
 const VERSION_GRACE: Duration = Duration::from_millis(2_500);
 
