Emulate engines under overload, and replay seven patterns of load

Engines, entries and callers run in virtual time; entries decide with the daemons' own Placement and Line.

--- a/crates/azurestand_bench/src/lib.rs
+++ b/crates/azurestand_bench/src/lib.rs
@@ -2,6 +2,8 @@
 
 /// Membership and dissemination at size.
 pub mod control;
+/// Overload before emulated engines, by pattern and policy.
+pub mod load;
 /// One page of all figures beside the run before.
 pub mod report;
 /// The way of requests, beside a baseline policy.
--- /dev/null
+++ b/crates/azurestand_bench/src/load/caller.rs
@@ -0,0 +1,113 @@
+//! What callers ask, how long they wait and what an answer is worth to them.
+
+/// A kind of request.
+#[derive(Debug, Clone, Copy)]
+pub struct Class {
+    /// Its name.
+    pub name: &'static str,
+    /// Callers a second.
+    pub rate: f64,
+    /// The mean prompt, in tokens.
+    pub prompt: f64,
+    /// The mean answer, in tokens.
+    pub answer: f64,
+    /// The aim for the first event, in milliseconds.
+    pub aim: f64,
+    /// What an answer within the aim is worth.
+    pub worth: f64,
+    /// What a later one is worth.
+    pub late: f64,
+}
+
+/// The model requests of one of the users' deployments, for fifteen engines.
+pub const CLASSES: [Class; 3] = [
+    Class {
+        name: "long",
+        rate: 55.7,
+        prompt: 1_330.0,
+        answer: 144.0,
+        aim: 400.0,
+        worth: 2.5,
+        late: 0.62,
+    },
+    Class {
+        name: "middle",
+        rate: 39.8,
+        prompt: 827.0,
+        answer: 144.0,
+        aim: 400.0,
+        worth: 2.1,
+        late: 0.53,
+    },
+    Class {
+        name: "short",
+        rate: 46.7,
+        prompt: 647.0,
+        answer: 72.0,
+        aim: 300.0,
+        worth: 1.3,
+        late: 0.33,
+    },
+];
+
+/// How long a caller waits for the first event, in milliseconds.
+pub(super) const PATIENCE_MS: f64 = 2_400.0;
+/// Draws larger than this many means are cut.
+const MOST_MEANS: f64 = 3.0;
+
+/// One caller on its way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Caller {
+    pub(super) class: usize,
+    pub(super) arrived: f64,
+    pub(super) prompt: u32,
+    pub(super) answer: u32,
+    /// Times that it may still come back.
+    pub(super) returns: u32,
+    /// Whether it waits as it is told to before it comes back.
+    pub(super) waits: bool,
+    pub(super) state: State,
+}
+
+/// How far a caller has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum State {
+    /// At an entry, or on its way to one.
+    Asking,
+    /// At a target.
+    Sent {
+        /// Its entry.
+        entry: usize,
+        /// Its target.
+        engine: usize,
+    },
+    /// Its answer has begun.
+    Begun {
+        /// Its entry.
+        entry: usize,
+        /// Its target.
+        engine: usize,
+        /// How long after its arrival, in milliseconds.
+        after: f64,
+    },
+    /// Its answer is whole; it began so many milliseconds after the arrival.
+    Served(f64),
+    /// It was refused at last.
+    Refused,
+    /// It gave up, or its target was lost.
+    Failed,
+}
+
+/// The size of one request around `mean`.
+pub(super) fn size(rng: &mut fastrand::Rng, mean: f64) -> u32 {
+    let drawn = -rng.f64().max(f64::MIN_POSITIVE).ln();
+    let tokens = (mean * drawn.min(MOST_MEANS)).max(8.0);
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let tokens = tokens as u32;
+    tokens
+}
+
+/// The time to the next of `rate` arrivals a second, in milliseconds.
+pub(super) fn gap(rng: &mut fastrand::Rng, rate: f64) -> f64 {
+    -rng.f64().max(f64::MIN_POSITIVE).ln() * 1_000.0 / rate
+}
--- /dev/null
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -0,0 +1,233 @@
+//! One entry: its placement, and the callers that wait there for room.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurestand_direct::{
+    ColdShare, Directory, Line, NoTarget, Placement, Rank, Service, Target, Waiter, Wanted, Work,
+};
+use azurestand_types::Moment;
+
+use super::Policy;
+use super::caller::Class;
+
+/// The part of the aim within which a first event has to be likely.
+const AIM_SHARE: f64 = 0.9;
+/// The part of the aim that a request may wait for room.
+const WAIT_SHARE: f64 = 0.45;
+/// The shortest time to a first event that is asked for, in milliseconds.
+const LEAST_LIMIT_MS: f64 = 60.0;
+/// The shortest and the longest time after which a refused caller may return.
+const RETURN_MS: (f64, f64) = (150.0, 1_200.0);
+/// The same where no entry predicts, in milliseconds.
+const BLIND_RETURN_MS: f64 = 150.0;
+
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Decision {
+    /// To this target.
+    Send(usize),
+    /// Into the line, until this moment in milliseconds.
+    Wait(f64),
+    /// Back to its caller, who may return after this many milliseconds.
+    Refuse(f64),
+}
+
+/// A request as an entry sees it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ask<'a> {
+    pub(super) caller: usize,
+    pub(super) class: &'a Class,
+    pub(super) work: Work,
+    /// When it came to this entry, in milliseconds.
+    pub(super) arrived: f64,
+    /// Whether it stands in line already.
+    pub(super) waits: bool,
+}
+
+/// One entry.
+pub(super) struct Entry {
+    policy: Policy,
+    placement: Placement,
+    targets: Vec<Arc<Target>>,
+    service: Arc<Service>,
+    line: Line,
+    standing: BTreeMap<usize, (Rank, Waiter)>,
+    callers: BTreeMap<Waiter, usize>,
+    /// What this entry has at each target.
+    own: Vec<u32>,
+    open: Vec<bool>,
+    expected: BTreeMap<usize, (f64, Duration)>,
+    rng: fastrand::Rng,
+}
+
+impl Entry {
+    pub(super) fn new(
+        policy: Policy,
+        placement: Placement,
+        targets: Vec<Arc<Target>>,
+        service: Arc<Service>,
+        rng: fastrand::Rng,
+    ) -> Self {
+        let count = targets.len();
+        Self {
+            policy,
+            placement,
+            targets,
+            service,
+            line: Line::default(),
+            standing: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            own: vec![0; count],
+            open: vec![true; count],
+            expected: BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// Takes in which targets there are and may be used.
+    pub(super) fn set_targets(&mut self, now: f64, targets: &[Arc<Target>], open: &[bool]) {
+        let mut directory = Directory::default();
+        for (target, _) in targets.iter().zip(open).filter(|(_, open)| **open) {
+            directory.put(Target::clone(target));
+        }
+        self.targets = targets.to_vec();
+        self.own.resize(targets.len(), 0);
+        self.open = open.to_vec();
+        self.placement.set_targets(moment(now), &directory);
+    }
+
+    pub(super) fn placement(&mut self) -> &mut Placement {
+        &mut self.placement
+    }
+
+    pub(super) fn set_cold_share(&mut self, share: ColdShare) {
+        self.placement.set_cold_share(share);
+    }
+
+    /// The caller whose turn it is.
+    pub(super) fn first(&self) -> Option<usize> {
+        let waiter = self.line.first()?;
+        self.callers.get(&waiter).copied()
+    }
+
+    /// Decides about a request now.
+    pub(super) fn decide(&mut self, now: f64, ask: &Ask<'_>) -> Decision {
+        match self.policy {
+            Policy::Predicted => self.predict(now, ask),
+            Policy::LeastOwn | Policy::Random => self.pick(),
+        }
+    }
+
+    fn pick(&mut self) -> Decision {
+        let open = (0..self.targets.len()).filter(|engine| self.open[*engine]);
+        let mut open: Vec<usize> = open.collect();
+        self.rng.shuffle(&mut open);
+        let chosen = if self.policy == Policy::LeastOwn {
+            open.into_iter().min_by_key(|engine| self.own[*engine])
+        } else {
+            open.first().copied()
+        };
+        chosen.map_or(Decision::Refuse(BLIND_RETURN_MS), Decision::Send)
+    }
+
+    fn predict(&mut self, now: f64, ask: &Ask<'_>) -> Decision {
+        let waited = now - ask.arrived;
+        let until = ask.arrived + ask.class.aim * WAIT_SHARE;
+        let limit = (ask.class.aim * AIM_SHARE - waited).max(LEAST_LIMIT_MS);
+        let rank = Rank {
+            priority: 1,
+            newcomer: true,
+            since: moment(ask.arrived),
+        };
+        if !ask.waits && self.line.ahead(rank) > 0 {
+            self.join(ask.caller, rank);
+            return Decision::Wait(until);
+        }
+        let service = self.service.clone();
+        let wanted = Wanted {
+            service: &service,
+            model: None,
+            oldest: 0,
+            exact: None,
+            work: ask.work,
+            avoid: &[],
+            regions: &[],
+            limit: Duration::from_secs_f64(limit / 1_000.0),
+        };
+        match self.placement.choose(moment(now), &wanted) {
+            Ok(choice) => {
+                let is_it = |target: &Arc<Target>| target.id == choice.target.id;
+                let engine = self.targets.iter().position(is_it);
+                self.expected.insert(ask.caller, (now, choice.expected));
+                engine.map_or(Decision::Refuse(BLIND_RETURN_MS), Decision::Send)
+            }
+            Err(NoTarget::Busy { .. }) if now < until => {
+                if !ask.waits {
+                    self.join(ask.caller, rank);
+                }
+                Decision::Wait(until)
+            }
+            Err(NoTarget::Busy { soonest }) => Decision::Refuse(self.spread(soonest)),
+            Err(NoTarget::Nobody) => Decision::Refuse(self.spread(Duration::from_millis(400))),
+        }
+    }
+
+    fn spread(&mut self, time: Duration) -> f64 {
+        let time = time.as_secs_f64() * 1_000.0;
+        time.clamp(RETURN_MS.0, RETURN_MS.1) * (0.7 + 0.6 * self.rng.f64())
+    }
+
+    fn join(&mut self, caller: usize, rank: Rank) {
+        let waiter = self.line.join(rank);
+        self.standing.insert(caller, (rank, waiter));
+        self.callers.insert(waiter, caller);
+    }
+
+    /// Takes a caller out of the line.
+    pub(super) fn leave(&mut self, caller: usize) {
+        if let Some((rank, waiter)) = self.standing.remove(&caller) {
+            self.line.leave(rank, waiter);
+            self.callers.remove(&waiter);
+        }
+    }
+
+    /// Counts a send.
+    pub(super) fn sent(&mut self, now: f64, engine: usize) {
+        self.own[engine] += 1;
+        let target = self.targets[engine].clone();
+        self.placement
+            .sent(moment(now), &target, self.service.cold_rate);
+    }
+
+    /// Takes in that an answer has begun.
+    pub(super) fn began(&mut self, now: f64, caller: usize, engine: usize) {
+        let target = self.targets[engine].clone();
+        self.placement.began(&target);
+        if let Some((sent, expected)) = self.expected.remove(&caller) {
+            let took = Duration::from_secs_f64((now - sent).max(0.0) / 1_000.0);
+            self.placement.learn(moment(now), &target, expected, took);
+        }
+    }
+
+    /// Takes in that a request has ended.
+    pub(super) fn ended(&mut self, engine: usize, began: bool) {
+        self.own[engine] = self.own[engine].saturating_sub(1);
+        let target = self.targets[engine].clone();
+        self.placement.ended(&target, began);
+    }
+
+    /// Takes in that a target refused or was lost.
+    pub(super) fn failed(&mut self, now: f64, engine: usize, fault: azurestand_direct::Fault) {
+        let target = self.targets[engine].clone();
+        self.placement.failed(moment(now), &target, fault);
+    }
+}
+
+/// A moment in virtual milliseconds.
+pub(super) fn moment(millis: f64) -> Moment {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let micros = (millis.max(0.0) * 1_000.0) as u64;
+    Moment::from_micros(micros)
+}
--- /dev/null
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -0,0 +1,538 @@
+//! The whole deployment in virtual time: callers, entries and engines.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+
+use azurestand_direct::{
+    ColdShare, EngineFigures, Fault, Held, Placement, Service, Target, TargetState, Work,
+};
+
+use super::caller::{CLASSES, Caller, PATIENCE_MS, State, gap, size};
+use super::engine::{Engine, Job, Word};
+use super::entry::{Ask, Decision, Entry, moment};
+use super::{Figures, Pattern, Plan};
+
+/// The data centres.
+const CENTRES: [&str; 3] = ["north", "middle", "south"];
+/// Entries, a third of them in each data centre.
+const ENTRIES: usize = 9;
+/// Engines, a third of them in each data centre.
+const ENGINES: usize = 15;
+/// Requests that an engine runs at once.
+const SLOTS: u32 = 16;
+/// Sends a second that a cold engine bears.
+const COLD_RATE: f64 = 36.0;
+/// How long a new engine is cold, in milliseconds.
+const COLD_MS: f64 = 3_000.0;
+/// How often an agent reports, in milliseconds.
+const REPORT_MS: f64 = 62.0;
+/// How long a load takes, in milliseconds.
+const LOAD_MS: f64 = 300.0;
+/// The time over which loads are spread, in milliseconds.
+const LOAD_SPAN_MS: f64 = 3_000.0;
+/// How long after a refusal a caller comes that doesn't wait, in milliseconds.
+const AT_ONCE_MS: f64 = 5.0;
+
+/// The figures of the emulated engines, as the users' operators publish them.
+pub(super) fn figures() -> EngineFigures {
+    EngineFigures {
+        step_ms: 6.73,
+        writer_ms: 0.0219,
+        context_ms: 0.0068,
+        read_rate: 30.6,
+        pairs_ms: 0.647,
+        chunk: 2_048,
+        stride: 6,
+        usual_prompt: 964,
+        usual_answer: 119,
+        load_time: std::time::Duration::from_millis(300),
+        layers: 16,
+    }
+}
+
+/// What happens at a moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Event {
+    /// A new caller of a class.
+    Arrive(usize),
+    /// A caller comes to an entry, for the first time or again.
+    Ask(usize),
+    /// A caller's wait in line is over.
+    WaitOver { caller: usize, entry: usize },
+    /// A caller gives up if its answer hasn't begun.
+    GiveUp(usize),
+    /// A pass of an engine's life ends.
+    Pass { engine: usize, life: u32 },
+    /// All agents report.
+    Report,
+    /// Engines stop taking requests, and load as soon as they are idle.
+    Close(usize),
+    /// An engine has loaded.
+    Open(usize),
+    /// The pattern's change, and its end.
+    Change(bool),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    at: f64,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    /// The earliest is the greatest.
+    fn cmp(&self, other: &Self) -> Ordering {
+        let time = other.at.total_cmp(&self.at);
+        time.then_with(|| other.number.cmp(&self.number))
+    }
+}
+
+struct Fleet {
+    plan: Plan,
+    now: f64,
+    end: f64,
+    due: BinaryHeap<Due>,
+    events: u64,
+    targets: Vec<Arc<Target>>,
+    engines: Vec<Engine>,
+    /// Which targets are on the list.
+    open: Vec<bool>,
+    /// Which engines wait to be idle for their load.
+    loading: Vec<bool>,
+    entries: Vec<Entry>,
+    callers: Vec<Caller>,
+    /// At which entry each caller is, and since when.
+    places: BTreeMap<usize, (usize, f64)>,
+    /// Sends to each cold target, by second of its life.
+    cold: BTreeMap<(usize, u32), u32>,
+    born: Vec<f64>,
+    rng: fastrand::Rng,
+}
+
+/// Runs one plan.
+pub fn run(plan: &Plan) -> Figures {
+    let mut fleet = Fleet::new(*plan);
+    while let Some(due) = fleet.due.pop() {
+        fleet.now = due.at;
+        fleet.take(due.event);
+    }
+    fleet.figures()
+}
+
+impl Fleet {
+    fn new(plan: Plan) -> Self {
+        let mut rng = fastrand::Rng::with_seed(plan.seed);
+        let service = Arc::new(Service {
+            name: "llm".into(),
+            cold_rate: Some(COLD_RATE),
+            engine: Some(figures()),
+            models: Vec::new(),
+        });
+        let end = plan.time.as_secs_f64() * 1_000.0;
+        let mut fleet = Self {
+            plan,
+            now: 0.0,
+            end,
+            due: BinaryHeap::new(),
+            events: 0,
+            targets: Vec::new(),
+            engines: Vec::new(),
+            open: Vec::new(),
+            loading: Vec::new(),
+            entries: Vec::new(),
+            callers: Vec::new(),
+            places: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            born: Vec::new(),
+            rng: rng.fork(),
+        };
+        (0..ENGINES).for_each(|_| fleet.add_engine(0.0));
+        let regions = CENTRES.map(|centre| (centre.into(), centre.into()));
+        let names: Vec<Arc<str>> = (0..ENTRIES).map(|n| format!("e{n}").into()).collect();
+        for number in 0..ENTRIES {
+            let centre = CENTRES[number % CENTRES.len()].into();
+            let entries = u32::try_from(ENTRIES).unwrap_or(u32::MAX);
+            let placement = Placement::new(centre, regions.clone().into(), entries, rng.fork());
+            let mut entry = Entry::new(
+                plan.policy,
+                placement,
+                Vec::new(),
+                service.clone(),
+                rng.fork(),
+            );
+            entry.set_cold_share(ColdShare::new(names[number].clone(), names.clone()));
+            fleet.entries.push(entry);
+        }
+        fleet.tell_targets();
+        for class in 0..CLASSES.len() {
+            fleet.at(0.0, Event::Arrive(class));
+        }
+        fleet.at(0.0, Event::Report);
+        fleet.at(end / 3.0, Event::Change(true));
+        fleet.at(end * 2.0 / 3.0, Event::Change(false));
+        fleet
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        self.events += 1;
+        let number = self.events;
+        self.due.push(Due { at, number, event });
+    }
+
+    fn add_engine(&mut self, cold: f64) {
+        let number = self.targets.len();
+        self.targets.push(Arc::new(Target {
+            id: format!("t{number}").into(),
+            born: 1,
+            service: "llm".into(),
+            address: ([10, 0, 0, 1], 80).into(),
+            centre: CENTRES[number % CENTRES.len()].into(),
+            state: TargetState::Ready,
+            slots: SLOTS,
+            cold: std::time::Duration::from_secs_f64(cold / 1_000.0),
+            held: Vec::<Held>::new(),
+        }));
+        let slots = usize::try_from(SLOTS).unwrap_or(usize::MAX);
+        self.engines.push(Engine::new(figures(), slots));
+        self.open.push(true);
+        self.loading.push(false);
+        self.born.push(if cold > 0.0 { self.now } else { -COLD_MS });
+    }
+
+    fn tell_targets(&mut self) {
+        for entry in &mut self.entries {
+            entry.set_targets(self.now, &self.targets, &self.open);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Arrive(class) => self.arrive(class),
+            Event::Ask(caller) => self.ask(caller),
+            Event::WaitOver { caller, entry } => self.wait_over(caller, entry),
+            Event::GiveUp(caller) => self.give_up(caller),
+            Event::Pass { engine, life } => self.end_pass(engine, life),
+            Event::Report => self.report(),
+            Event::Close(engine) => self.close(engine),
+            Event::Open(engine) => {
+                self.loading[engine] = false;
+                self.open[engine] = true;
+                self.tell_targets();
+                self.wake();
+            }
+            Event::Change(begins) => self.change(begins),
+        }
+    }
+
+    fn load(&self) -> f64 {
+        let third = self.end / 3.0;
+        let bursts =
+            self.plan.pattern == Pattern::Burst && (third..2.0 * third).contains(&self.now);
+        self.plan.load * if bursts { 1.7 } else { 1.0 }
+    }
+
+    fn arrive(&mut self, class: usize) {
+        let kind = &CLASSES[class];
+        let abuses = self.plan.pattern == Pattern::Abuse && self.rng.f64() < 1.0 / 3.0;
+        let caller = Caller {
+            class,
+            arrived: self.now,
+            prompt: size(&mut self.rng, kind.prompt),
+            answer: size(&mut self.rng, kind.answer),
+            returns: if abuses { 3 } else { 1 },
+            waits: !abuses,
+            state: State::Asking,
+        };
+        self.callers.push(caller);
+        let number = self.callers.len() - 1;
+        self.ask(number);
+        let rate = kind.rate * self.load();
+        let next = self.now + gap(&mut self.rng, rate);
+        if next < self.end {
+            self.at(next, Event::Arrive(class));
+        }
+    }
+
+    fn ask(&mut self, caller: usize) {
+        let entry = self.rng.usize(..ENTRIES);
+        self.places.insert(caller, (entry, self.now));
+        self.at(self.now + PATIENCE_MS, Event::GiveUp(caller));
+        self.decide(caller, entry, false);
+    }
+
+    fn decide(&mut self, caller: usize, entry: usize, waits: bool) {
+        let asked = self.callers[caller];
+        let Some((_, arrived)) = self.places.get(&caller).copied() else {
+            return;
+        };
+        let ask = Ask {
+            caller,
+            class: &CLASSES[asked.class],
+            work: Work {
+                prompt: asked.prompt,
+                answer: asked.answer,
+            },
+            arrived,
+            waits,
+        };
+        match self.entries[entry].decide(self.now, &ask) {
+            Decision::Send(engine) => {
+                self.entries[entry].leave(caller);
+                self.send(caller, entry, engine);
+            }
+            Decision::Wait(until) if !waits => {
+                self.at(until, Event::WaitOver { caller, entry });
+            }
+            Decision::Wait(_) => {}
+            Decision::Refuse(after) => {
+                self.entries[entry].leave(caller);
+                self.refuse(caller, after);
+            }
+        }
+    }
+
+    fn send(&mut self, caller: usize, entry: usize, engine: usize) {
+        self.entries[entry].sent(self.now, engine);
+        let age = self.now - self.born[engine];
+        if age < COLD_MS {
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let second = (age / 1_000.0) as u32;
+            *self.cold.entry((engine, second)).or_default() += 1;
+        }
+        let asked = self.callers[caller];
+        let job = Job::new(caller, asked.prompt, asked.answer);
+        let is_lost = !self.open[engine] && !self.loading[engine];
+        if is_lost || self.loading[engine] || !self.engines[engine].offer(job) {
+            self.entries[entry].ended(engine, false);
+            self.entries[entry].failed(self.now, engine, Fault::Refused);
+            self.refuse(caller, 150.0);
+            return;
+        }
+        self.callers[caller].state = State::Sent { entry, engine };
+        self.start_pass(engine);
+    }
+
+    fn refuse(&mut self, caller: usize, after: f64) {
+        self.places.remove(&caller);
+        let asked = &mut self.callers[caller];
+        if asked.returns == 0 {
+            asked.state = State::Refused;
+            return;
+        }
+        asked.returns -= 1;
+        let pause = if asked.waits { after } else { AT_ONCE_MS };
+        self.at(self.now + pause, Event::Ask(caller));
+    }
+
+    fn wait_over(&mut self, caller: usize, entry: usize) {
+        let is_here = self.places.get(&caller).is_some_and(|(at, _)| *at == entry);
+        if is_here && self.callers[caller].state == State::Asking {
+            self.decide(caller, entry, true);
+            let asks = self.callers[caller].state == State::Asking;
+            if asks && self.places.contains_key(&caller) {
+                self.entries[entry].leave(caller);
+                self.refuse(caller, 300.0);
+            }
+        }
+    }
+
+    fn give_up(&mut self, caller: usize) {
+        let Some((_, arrived)) = self.places.get(&caller).copied() else {
+            return;
+        };
+        // A caller that was refused meanwhile has a later end.
+        if self.now < arrived + PATIENCE_MS {
+            return;
+        }
+        match self.callers[caller].state {
+            State::Sent { entry, engine } => {
+                self.engines[engine].forget(caller);
+                self.entries[entry].ended(engine, false);
+                self.callers[caller].state = State::Failed;
+            }
+            State::Asking => self.callers[caller].state = State::Failed,
+            State::Begun { .. } | State::Served(_) | State::Refused | State::Failed => {}
+        }
+    }
+
+    fn start_pass(&mut self, engine: usize) {
+        if let Some(time) = self.engines[engine].begin() {
+            let life = self.engines[engine].life;
+            self.at(self.now + time, Event::Pass { engine, life });
+        }
+    }
+
+    fn end_pass(&mut self, engine: usize, life: u32) {
+        if self.engines[engine].life != life {
+            return;
+        }
+        for word in self.engines[engine].end() {
+            match word {
+                Word::First(caller) => self.began(caller),
+                Word::Last(caller) => self.served(caller),
+            }
+        }
+        self.start_pass(engine);
+        if self.loading[engine] && self.engines[engine].is_idle() {
+            self.at(self.now + LOAD_MS, Event::Open(engine));
+        }
+        self.wake();
+    }
+
+    fn began(&mut self, caller: usize) {
+        if let State::Sent { entry, engine } = self.callers[caller].state {
+            self.entries[entry].began(self.now, caller, engine);
+            let after = self.now - self.callers[caller].arrived;
+            self.callers[caller].state = State::Begun {
+                entry,
+                engine,
+                after,
+            };
+        }
+    }
+
+    fn served(&mut self, caller: usize) {
+        if let State::Begun {
+            entry,
+            engine,
+            after,
+        } = self.callers[caller].state
+        {
+            self.entries[entry].ended(engine, true);
+            self.callers[caller].state = State::Served(after);
+        }
+    }
+
+    /// Lets the first in each line look for room.
+    fn wake(&mut self) {
+        for entry in 0..self.entries.len() {
+            while let Some(caller) = self.entries[entry].first() {
+                self.decide(caller, entry, true);
+                if self.entries[entry].first() == Some(caller) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for (engine, target) in self.engines.iter().zip(&self.targets) {
+            for entry in &mut self.entries {
+                let placement = entry.placement();
+                placement.report(moment(self.now), target, engine.report());
+            }
+        }
+        self.wake();
+        let is_over = self.now > self.end && self.engines.iter().all(Engine::is_idle);
+        if !is_over {
+            self.at(self.now + REPORT_MS, Event::Report);
+        }
+    }
+
+    fn close(&mut self, engine: usize) {
+        self.open[engine] = false;
+        self.loading[engine] = true;
+        self.tell_targets();
+        if self.engines[engine].is_idle() {
+            self.at(self.now + LOAD_MS, Event::Open(engine));
+        }
+    }
+
+    fn change(&mut self, begins: bool) {
+        let third = ENGINES / 3;
+        match (self.plan.pattern, begins) {
+            (Pattern::TargetsLost, true) => {
+                for engine in 0..third {
+                    self.open[engine] = false;
+                    for caller in self.engines[engine].crash() {
+                        self.lose(caller);
+                    }
+                }
+            }
+            (Pattern::ColdAdded, true) => (0..third).for_each(|_| self.add_engine(COLD_MS)),
+            (Pattern::CentreOut, _) => {
+                let places = (0..ENGINES).filter(|engine| engine % CENTRES.len() == 0);
+                for engine in places {
+                    self.open[engine] = !begins;
+                }
+            }
+            (Pattern::NewVersion, true) => {
+                let gap = LOAD_SPAN_MS / 8.0;
+                let mut at = self.now;
+                for engine in 0..ENGINES {
+                    self.at(at, Event::Close(engine));
+                    at += gap;
+                }
+            }
+            _ => {}
+        }
+        self.tell_targets();
+    }
+
+    fn lose(&mut self, caller: usize) {
+        let (entry, engine, began) = match self.callers[caller].state {
+            State::Sent { entry, engine } => (entry, engine, false),
+            State::Begun { entry, engine, .. } => (entry, engine, true),
+            _ => return,
+        };
+        self.entries[entry].ended(engine, began);
+        self.entries[entry].failed(self.now, engine, Fault::Unreachable);
+        self.callers[caller].state = State::Failed;
+    }
+
+    fn figures(&self) -> Figures {
+        let mut figures = Figures::default();
+        let mut owed = 0.0;
+        let mut earned = 0.0;
+        let mut by_class = vec![(0_u32, 0_u32); CLASSES.len()];
+        let mut firsts = Vec::new();
+        for caller in &self.callers {
+            let class = &CLASSES[caller.class];
+            figures.asked += 1;
+            owed += class.worth;
+            by_class[caller.class].0 += 1;
+            match caller.state {
+                State::Served(after) => {
+                    by_class[caller.class].1 += 1;
+                    firsts.push(after);
+                    if after <= class.aim {
+                        figures.in_aim += 1;
+                        earned += class.worth;
+                    } else {
+                        figures.late += 1;
+                        earned += class.late;
+                    }
+                }
+                State::Refused => figures.refused += 1,
+                _ => figures.failed += 1,
+            }
+        }
+        firsts.sort_by(f64::total_cmp);
+        let at = |part: usize| firsts.get(firsts.len() * part / 100).copied();
+        figures.worth = earned / f64::max(owed, 1.0);
+        figures.served = by_class
+            .iter()
+            .map(|(asked, served)| f64::from(*served) / f64::from((*asked).max(1)))
+            .collect();
+        figures.first_p50 = at(50).unwrap_or_default();
+        figures.first_p99 = at(99).unwrap_or_default();
+        figures.cold_peak = self.cold.values().copied().max().unwrap_or_default();
+        figures
+    }
+}
--- a/crates/azurestand_bench/src/main.rs
+++ b/crates/azurestand_bench/src/main.rs
@@ -1,21 +1,41 @@
 //! `azurestand_bench report`: all benches in short form, beside the run before.
+//! `azurestand_bench load`: overload before emulated engines, by pattern and policy.
 
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
+use azurestand_bench::load::{self, PATTERNS, POLICIES, Plan};
 use azurestand_bench::report::{self, Options};
 use lexopt::Parser;
 use lexopt::prelude::*;
 
 const USAGE: &str = "usage: azurestand_bench report [--out DIR] [--short]
+       azurestand_bench load [--factor X] [--seconds S] [--seed N]
 
   --out DIR  where the page, its plots and its figures go (docs/measurements)
-  --short    leave out the daemons and the side series of spreading";
+  --short    leave out the daemons and the side series of spreading
+  --factor X   the load, as a multiple of the users' rates (1.5)
+  --seconds S  how long callers come, in virtual seconds (30)
+  --seed N     the seed of arrivals and sizes (1)";
+
+/// What is asked for.
+enum Verb {
+    Report(Options),
+    Load(LoadOptions),
+}
+
+/// The options of `load`.
+struct LoadOptions {
+    factor: f64,
+    time: Duration,
+    seed: u64,
+}
 
 fn main() -> ExitCode {
-    let options = match parse(std::env::args_os()) {
-        Ok(Some(options)) => options,
+    let verb = match parse(std::env::args_os()) {
+        Ok(Some(verb)) => verb,
         Ok(None) => {
             println!("{USAGE}");
             return ExitCode::SUCCESS;
@@ -25,7 +45,17 @@
             return ExitCode::from(2);
         }
     };
-    match report::write(&options) {
+    match verb {
+        Verb::Report(options) => write_report(&options),
+        Verb::Load(options) => {
+            print_load(&options);
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn write_report(options: &Options) -> ExitCode {
+    match report::write(options) {
         Ok(page) => {
             println!("wrote {}", page.display());
             ExitCode::SUCCESS
@@ -37,26 +67,87 @@
     }
 }
 
+/// A row for each pattern and policy.
+fn print_load(options: &LoadOptions) {
+    println!(
+        "| pattern | policy | worth | in aim | late | refused | failed | first event p50, p99 ms | \
+         most to a cold target |\n|---|---|---|---|---|---|---|---|---|"
+    );
+    for pattern in PATTERNS {
+        for policy in POLICIES {
+            let figures = load::run(&Plan {
+                policy,
+                pattern,
+                load: options.factor,
+                time: options.time,
+                seed: options.seed,
+            });
+            println!(
+                "| {pattern:?} | {policy:?} | {:.3} | {} | {} | {} | {} | {:.0}, {:.0} | {} |",
+                figures.worth,
+                figures.in_aim,
+                figures.late,
+                figures.refused,
+                figures.failed,
+                figures.first_p50,
+                figures.first_p99,
+                figures.cold_peak,
+            );
+        }
+    }
+}
+
 /// None asks for the usage.
-fn parse<I>(arguments: I) -> Result<Option<Options>, lexopt::Error>
+fn parse<I>(arguments: I) -> Result<Option<Verb>, lexopt::Error>
 where
     I: IntoIterator<Item = OsString>,
     I::IntoIter: 'static,
 {
     let mut parser = Parser::from_iter(arguments);
+    let verb = match parser.next()? {
+        Some(Value(verb)) => verb,
+        Some(Long("help") | Short('h')) | None => return Ok(None),
+        Some(other) => return Err(other.unexpected()),
+    };
+    if verb == "report" {
+        return Ok(parse_report(&mut parser)?.map(Verb::Report));
+    }
+    if verb == "load" {
+        return Ok(parse_load(&mut parser)?.map(Verb::Load));
+    }
+    Err(lexopt::Error::UnexpectedArgument(verb))
+}
+
+fn parse_report(parser: &mut Parser) -> Result<Option<Options>, lexopt::Error> {
     let mut options = Options {
         out: PathBuf::from("docs/measurements"),
         short: false,
     };
-    let mut named = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("out") => options.out = parser.value()?.into(),
             Long("short") => options.short = true,
             Long("help") | Short('h') => return Ok(None),
-            Value(verb) if verb == "report" && !named => named = true,
             other => return Err(other.unexpected()),
         }
     }
-    Ok(named.then_some(options))
+    Ok(Some(options))
+}
+
+fn parse_load(parser: &mut Parser) -> Result<Option<LoadOptions>, lexopt::Error> {
+    let mut options = LoadOptions {
+        factor: 1.5,
+        time: Duration::from_secs(30),
+        seed: 1,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("factor") => options.factor = parser.value()?.parse()?,
+            Long("seconds") => options.time = Duration::from_secs(parser.value()?.parse()?),
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("help") | Short('h') => return Ok(None),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Some(options))
 }
--- /dev/null
+++ b/crates/azurestand_bench/tests/load.rs
@@ -0,0 +1,108 @@
+//! Each pattern of load, replayed before emulated engines in virtual time.
+
+use std::time::Duration;
+
+use azurestand_bench::load::{Figures, PATTERNS, Pattern, Plan, Policy, run};
+
+/// The rate of a cold target, half as much again and five more, as the users' rules allow.
+const COLD_MOST: u32 = 59;
+/// A kind of request that is served less than a quarter as often as all is starved.
+const STARVED: f64 = 0.25;
+/// What the users' marks ask for of a day.
+const AIMED_WORTH: f64 = 0.9;
+
+fn figures(policy: Policy, pattern: Pattern, load: f64) -> Figures {
+    run(&Plan {
+        policy,
+        pattern,
+        load,
+        time: Duration::from_secs(12),
+        seed: 11,
+    })
+}
+
+/// The entries' own way is worth more than the plain ones, and starves no class.
+fn assert_best(pattern: Pattern) {
+    for load in [1.5, 2.0] {
+        let own = figures(Policy::Predicted, pattern, load);
+        for other in [Policy::LeastOwn, Policy::Random] {
+            let other = figures(other, pattern, load);
+            assert!(
+                own.worth > other.worth,
+                "{pattern:?} {load}: {own:?} {other:?}"
+            );
+        }
+        let served = f64::from(own.in_aim + own.late) / f64::from(own.asked);
+        assert!(
+            own.served.iter().all(|class| *class >= STARVED * served),
+            "{pattern:?} {load}: {own:?}"
+        );
+    }
+}
+
+#[test]
+fn the_same_plan_has_the_same_figures() {
+    let first = figures(Policy::Predicted, Pattern::Burst, 1.5);
+    assert_eq!(first, figures(Policy::Predicted, Pattern::Burst, 1.5));
+}
+
+#[test]
+fn a_load_that_engines_bear_is_answered_in_time() {
+    let own = figures(Policy::Predicted, Pattern::Steady, 1.0);
+    assert!(own.worth >= AIMED_WORTH, "{own:?}");
+    assert_eq!(own.refused + own.failed, 0, "{own:?}");
+}
+
+#[test]
+fn steady_overload() {
+    assert_best(Pattern::Steady);
+}
+
+#[test]
+fn a_burst() {
+    assert_best(Pattern::Burst);
+}
+
+#[test]
+fn a_third_of_the_targets_is_lost() {
+    assert_best(Pattern::TargetsLost);
+}
+
+#[test]
+fn empty_targets_are_added() {
+    assert_best(Pattern::ColdAdded);
+}
+
+#[test]
+fn a_data_centre_is_out() {
+    assert_best(Pattern::CentreOut);
+}
+
+#[test]
+fn a_new_version_during_overload() {
+    assert_best(Pattern::NewVersion);
+}
+
+#[test]
+fn callers_come_back_at_once() {
+    assert_best(Pattern::Abuse);
+}
+
+#[test]
+fn cold_targets_get_no_more_than_all_entries_may_send() {
+    let blind = figures(Policy::LeastOwn, Pattern::ColdAdded, 4.0);
+    assert!(blind.cold_peak > COLD_MOST, "no rush to bound: {blind:?}");
+    let own = figures(Policy::Predicted, Pattern::ColdAdded, 4.0);
+    assert!(own.cold_peak <= COLD_MOST, "{own:?}");
+}
+
+#[test]
+fn whoever_is_refused_is_refused_before_giving_up() {
+    for pattern in PATTERNS
+        .into_iter()
+        .filter(|one| *one != Pattern::TargetsLost)
+    {
+        let own = figures(Policy::Predicted, pattern, 2.0);
+        assert_eq!(own.failed, 0, "{pattern:?} {own:?}");
+    }
+}
