--- a/crates/azurestand_bench/src/load.rs
+++ b/crates/azurestand_bench/src/load.rs
@@ -8,6 +8,8 @@
 mod engine;
 mod entry;
 mod fleet;
+mod queue;
+mod tally;
 
 use std::time::Duration;
 
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -1,7 +1,6 @@
 //! The whole deployment in virtual time: callers, entries and engines.
 
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use azurestand_direct::{
@@ -11,6 +10,8 @@
 use super::caller::{CLASSES, Caller, PATIENCE_MS, State, gap, size};
 use super::engine::{Engine, Job, Word};
 use super::entry::{Ask, Decision, Entry, moment};
+use super::queue::Queue;
+use super::tally::tally;
 use super::{Figures, Pattern, Plan};
 
 /// The data centres.
@@ -74,41 +75,11 @@
     Change(bool),
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Due {
-    at: f64,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    /// The earliest is the greatest.
-    fn cmp(&self, other: &Self) -> Ordering {
-        let time = other.at.total_cmp(&self.at);
-        time.then_with(|| other.number.cmp(&self.number))
-    }
-}
-
 struct Fleet {
     plan: Plan,
     now: f64,
     end: f64,
-    due: BinaryHeap<Due>,
-    events: u64,
+    queue: Queue<Event>,
     targets: Vec<Arc<Target>>,
     engines: Vec<Engine>,
     /// Which targets are on the list.
@@ -128,11 +99,11 @@
 /// Runs one plan.
 pub fn run(plan: &Plan) -> Figures {
     let mut fleet = Fleet::new(*plan);
-    while let Some(due) = fleet.due.pop() {
-        fleet.now = due.at;
-        fleet.take(due.event);
+    while let Some((at, event)) = fleet.queue.pop() {
+        fleet.now = at;
+        fleet.take(event);
     }
-    fleet.figures()
+    tally(&fleet.callers, &fleet.cold)
 }
 
 impl Fleet {
@@ -149,8 +120,7 @@
             plan,
             now: 0.0,
             end,
-            due: BinaryHeap::new(),
-            events: 0,
+            queue: Queue::default(),
             targets: Vec::new(),
             engines: Vec::new(),
             open: Vec::new(),
@@ -190,9 +160,7 @@
     }
 
     fn at(&mut self, at: f64, event: Event) {
-        self.events += 1;
-        let number = self.events;
-        self.due.push(Due { at, number, event });
+        self.queue.push(at, event);
     }
 
     fn add_engine(&mut self, cold: f64) {
@@ -495,44 +463,4 @@
         self.entries[entry].failed(self.now, engine, Fault::Unreachable);
         self.callers[caller].state = State::Failed;
     }
-
-    fn figures(&self) -> Figures {
-        let mut figures = Figures::default();
-        let mut owed = 0.0;
-        let mut earned = 0.0;
-        let mut by_class = vec![(0_u32, 0_u32); CLASSES.len()];
-        let mut firsts = Vec::new();
-        for caller in &self.callers {
-            let class = &CLASSES[caller.class];
-            figures.asked += 1;
-            owed += class.worth;
-            by_class[caller.class].0 += 1;
-            match caller.state {
-                State::Served(after) => {
-                    by_class[caller.class].1 += 1;
-                    firsts.push(after);
-                    if after <= class.aim {
-                        figures.in_aim += 1;
-                        earned += class.worth;
-                    } else {
-                        figures.late += 1;
-                        earned += class.late;
-                    }
-                }
-                State::Refused => figures.refused += 1,
-                _ => figures.failed += 1,
-            }
-        }
-        firsts.sort_by(f64::total_cmp);
-        let at = |part: usize| firsts.get(firsts.len() * part / 100).copied();
-        figures.worth = earned / f64::max(owed, 1.0);
-        figures.served = by_class
-            .iter()
-            .map(|(asked, served)| f64::from(*served) / f64::from((*asked).max(1)))
-            .collect();
-        figures.first_p50 = at(50).unwrap_or_default();
-        figures.first_p99 = at(99).unwrap_or_default();
-        figures.cold_peak = self.cold.values().copied().max().unwrap_or_default();
-        figures
-    }
 }
--- /dev/null
+++ b/crates/azurestand_bench/src/load/tally.rs
@@ -0,0 +1,47 @@
+//! What came of a run's callers.
+
+use std::collections::BTreeMap;
+
+use super::Figures;
+use super::caller::{CLASSES, Caller, State};
+
+/// The figures of a run; `cold` counts sends to each cold target, by second of its life.
+pub(super) fn tally(callers: &[Caller], cold: &BTreeMap<(usize, u32), u32>) -> Figures {
+    let mut figures = Figures::default();
+    let mut owed = 0.0;
+    let mut earned = 0.0;
+    let mut by_class = vec![(0_u32, 0_u32); CLASSES.len()];
+    let mut firsts = Vec::new();
+    for caller in callers {
+        let class = &CLASSES[caller.class];
+        figures.asked += 1;
+        owed += class.worth;
+        by_class[caller.class].0 += 1;
+        match caller.state {
+            State::Served(after) => {
+                by_class[caller.class].1 += 1;
+                firsts.push(after);
+                if after <= class.aim {
+                    figures.in_aim += 1;
+                    earned += class.worth;
+                } else {
+                    figures.late += 1;
+                    earned += class.late;
+                }
+            }
+            State::Refused => figures.refused += 1,
+            _ => figures.failed += 1,
+        }
+    }
+    firsts.sort_by(f64::total_cmp);
+    let at = |part: usize| firsts.get(firsts.len() * part / 100).copied();
+    figures.worth = earned / f64::max(owed, 1.0);
+    figures.served = by_class
+        .iter()
+        .map(|(asked, served)| f64::from(*served) / f64::from((*asked).max(1)))
+        .collect();
+    figures.first_p50 = at(50).unwrap_or_default();
+    figures.first_p99 = at(99).unwrap_or_default();
+    figures.cold_peak = cold.values().copied().max().unwrap_or_default();
+    figures
+}
