Let entries hear of each other before they share out cold targets

Cause, by the code and the moment, not by a log line: entries ask agents once a second, and an agent names those that have asked it. While all start together the first ones to ask are told of few others and divide a cold target's rate by too few, until the next round.

Change: a fresh entry asks every 0.2 s for two seconds, takes no names in the first half second, and unites what several agents said in the last three seconds.

--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -12,16 +12,24 @@
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::edge::Platform;
 use crate::error::GatewayError;
-use crate::presence::{EngineReport, Hello, MAX_BYTES};
+use crate::presence::{EngineReport, Hello, KnownEntry, MAX_BYTES};
 
 /// How often agents are asked to go on with reports.
 const HELLO_EVERY: Duration = Duration::from_secs(1);
+/// How often they are asked by an entry that has just started.
+const FIRST_EVERY: Duration = Duration::from_millis(200);
+/// How long an entry counts as just started.
+const FIRST_TIME: Duration = Duration::from_secs(2);
+/// Entries that start together are known to agents after this.
+const MEETING_TIME: Duration = Duration::from_millis(500);
+/// How long an agent's word counts on which entries there are.
+const NAMES_LIFE: Duration = Duration::from_secs(3);
 /// Agents that are asked each time which entries there are; such an answer is long.
 const NAMERS: usize = 3;
 
@@ -42,15 +50,28 @@
     P: Platform,
 {
     let mut buffer = [0; MAX_BYTES];
-    let mut due = interval(HELLO_EVERY);
+    let started = Instant::now();
+    let mut due = interval(FIRST_EVERY);
+    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut names = Names::default();
     let mut heard: BTreeMap<IpAddr, (u32, Instant)> = BTreeMap::new();
     loop {
         tokio::select! {
-            _ = due.tick() => greet(&shared, &socket),
+            _ = due.tick() => {
+                if greet(&shared, &socket) > 0 {
+                    names.ask(Instant::now());
+                }
+                let is_fresh = started.elapsed() < FIRST_TIME;
+                due.reset_after(if is_fresh { FIRST_EVERY } else { HELLO_EVERY });
+            }
             received = socket.recv_from(&mut buffer) => {
                 // An address that nobody listens at is told so here.
                 let Ok((length, from)) = received else { continue };
                 if let Ok(report) = EngineReport::decode(&buffer[..length]) {
+                    let now = Instant::now();
+                    if let Some(known) = names.hear(now, from.ip(), &report.known) {
+                        shared.meet(known);
+                    }
                     take(&shared, from.ip(), &report, &mut heard);
                 }
             }
@@ -58,7 +79,47 @@
     }
 }
 
-fn greet<P>(shared: &Shared<P>, socket: &UdpSocket) {
+/// Which entries there are, by what several agents say.
+#[derive(Debug, Default)]
+struct Names {
+    /// When agents were asked first.
+    asked: Option<Instant>,
+    told: BTreeMap<IpAddr, (Instant, Vec<KnownEntry>)>,
+}
+
+impl Names {
+    fn ask(&mut self, now: Instant) {
+        self.asked.get_or_insert(now);
+    }
+
+    /// Takes in what an agent says; gives all entries that agents have named lately. Agents
+    /// know those that have asked them, which are few while all start together; a share among
+    /// too few would be too large.
+    fn hear(
+        &mut self,
+        now: Instant,
+        agent: IpAddr,
+        known: &[KnownEntry],
+    ) -> Option<Vec<KnownEntry>> {
+        if known.is_empty() {
+            return None;
+        }
+        self.told.insert(agent, (now, known.to_vec()));
+        self.told
+            .retain(|_, (at, _)| now.duration_since(*at) < NAMES_LIFE);
+        let is_met = |asked| now.duration_since(asked) >= MEETING_TIME;
+        if !self.asked.is_some_and(is_met) {
+            return None;
+        }
+        let all = self.told.values().flat_map(|(_, known)| known);
+        let all: BTreeMap<&str, &KnownEntry> =
+            all.map(|entry| (entry.ip.as_str(), entry)).collect();
+        Some(all.into_values().cloned().collect())
+    }
+}
+
+/// Asks all agents; gives how many there are.
+fn greet<P>(shared: &Shared<P>, socket: &UdpSocket) -> usize {
     let port = shared.settings.report_port();
     let hello = |names| {
         let hello = Hello {
@@ -72,11 +133,13 @@
         .map(|target| (target.address.ip(), target.centre.clone()))
         .collect();
     let hosts = in_order(hosts, &shared.settings.centre);
+    let count = hosts.len();
     for (place, host) in hosts.into_iter().enumerate() {
         let bytes = hello(place < NAMERS);
         // A datagram that can't be sent now is sent again in a second.
         let _ = socket.try_send_to(&bytes, SocketAddr::new(host, port));
     }
+    count
 }
 
 /// The hosts in random order, those of `centre` first.
@@ -100,7 +163,6 @@
     report: &EngineReport,
     heard: &mut BTreeMap<IpAddr, (u32, Instant)>,
 ) {
-    shared.meet(&report.known);
     let mut state = shared.state();
     let now = Instant::now();
     heard.insert(host, (report.entries, now));
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -136,13 +136,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in which entries an agent knows; none when it doesn't say.
-    pub(crate) fn meet(&self, known: &[KnownEntry]) {
-        let read = |entry: &KnownEntry| {
+    /// Takes in which entries agents know.
+    pub(crate) fn meet(&self, known: Vec<KnownEntry>) {
+        let read = |entry: KnownEntry| {
             let ip = entry.ip.parse().ok()?;
             Some((ip, entry.centre.as_str().into()))
         };
-        let known: Vec<_> = known.iter().filter_map(read).collect();
+        let known: Vec<_> = known.into_iter().filter_map(read).collect();
         if !known.is_empty() {
             let names = known
                 .iter()
