Log from when a version counts as named, and on which version a request began

The hypotheses of the incident could not be told apart: weights_named did not say from when a version counts, how that is known and how old the last proof was, and placed did not say which version the entry assumed.

weights_named now has age_ms, source and proof_age_ms; naming_corrected (G0112) tells when an agent's report changes that time; placed has the target, the assumed and the named version and the time left to its bound; begun_late (G0210) is counted when that time has passed; the histogram version_left gives its distribution. No decision changes.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -42,4 +42,4 @@
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
 pub use turn::{LoadTurn, VERSION_MARGIN};
-pub use versions::{NamedVersion, NamedVersions, next_version, useful_until};
+pub use versions::{NamedVersion, NamedVersions, Naming, NamingSource, next_version, useful_until};
--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use azurestand_types::Moment;
+use derive_more::Display;
 
 /// How long a version takes to reach an engine and be loaded there.
 const SPREAD_TIME: Duration = Duration::from_millis(4_800);
@@ -50,44 +51,70 @@
 }
 
 /// How a process knows when a version was named.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum NamingSource {
     /// It observed the naming itself.
+    #[display("observed")]
     Observed,
     /// The version was named before the process started; the time is an assumption.
+    #[display("assumed")]
     Assumed,
     /// A process that observed the naming reported it.
+    #[display("reported")]
     Reported,
 }
 
+/// A named version, and how its naming time is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Naming {
+    /// The version, and since when it counts as named.
+    pub named: NamedVersion,
+    /// How that time is known.
+    pub source: NamingSource,
+}
+
 /// The versions of one model, as an entry knows them.
 #[derive(Debug, Clone, Default)]
 pub struct NamedVersions {
     /// In ascending order.
-    named: Vec<(NamedVersion, Source)>,
+    named: Vec<Naming>,
 }
 
 impl NamedVersions {
     /// Records a version whose naming was observed at `since`; returns whether it is newer
     /// than all known ones.
     pub fn record_observed(&mut self, version: u64, since: Moment) -> bool {
-        self.add(NamedVersion { version, since }, Source::Observed)
+        self.add(NamedVersion { version, since }, NamingSource::Observed)
     }
 
     /// Records a version that was named before this process started, at `since` at the
     /// latest as far as it can tell; returns whether it is newer than all known ones.
     pub fn record_assumed(&mut self, version: u64, since: Moment) -> bool {
-        self.add(NamedVersion { version, since }, Source::Assumed)
+        self.add(NamedVersion { version, since }, NamingSource::Assumed)
     }
 
-    fn add(&mut self, named: NamedVersion, source: Source) -> bool {
+    fn add(&mut self, named: NamedVersion, source: NamingSource) -> bool {
         if named.version <= self.newest() {
             return false;
         }
-        self.named.push((named, source));
+        self.named.push(Naming { named, source });
         true
     }
 
+    /// What is known of this version; none if it was not named.
+    pub fn get(&self, version: u64) -> Option<&Naming> {
+        self.named
+            .iter()
+            .find(|naming| naming.named.version == version)
+    }
+
+    /// The time from which no request may begin on `held`, when each version has to be in
+    /// use everywhere within `bound` of its naming; none if no later version is named.
+    pub fn useful_until(&self, held: u64, bound: Duration) -> Option<Moment> {
+        let named: Vec<NamedVersion> = self.named.iter().map(|naming| naming.named).collect();
+        useful_until(&named, held, bound)
+    }
+
     /// Records that another process knows a version; `since` is when it was named, none
     /// if that process doesn't know. The earliest of several reports counts, since other
     /// processes may have observed the naming late. A version that this process doesn't
@@ -99,42 +126,42 @@
         }
         let index = self
             .named
-            .partition_point(|(named, _)| named.version < version);
+            .partition_point(|naming| naming.named.version < version);
         match self.named.get_mut(index) {
-            Some((named, source)) if named.version == version => {
-                let Some(since) = since.filter(|_| *source != Source::Observed) else {
+            Some(Naming { named, source }) if named.version == version => {
+                let Some(since) = since.filter(|_| *source != NamingSource::Observed) else {
                     return;
                 };
                 named.since = match source {
-                    Source::Reported => named.since.min(since),
-                    Source::Assumed | Source::Observed => since,
+                    NamingSource::Reported => named.since.min(since),
+                    NamingSource::Assumed | NamingSource::Observed => since,
                 };
-                *source = Source::Reported;
+                *source = NamingSource::Reported;
             }
             _ => {
-                let source = since.map_or(Source::Assumed, |_| Source::Reported);
+                let source = since.map_or(NamingSource::Assumed, |_| NamingSource::Reported);
                 let since = since.unwrap_or(before);
                 let named = NamedVersion { version, since };
-                self.named.insert(index, (named, source));
+                self.named.insert(index, Naming { named, source });
             }
         }
     }
 
     /// Whether this version was named.
     pub fn contains(&self, version: u64) -> bool {
-        self.named.iter().any(|(named, _)| named.version == version)
+        self.get(version).is_some()
     }
 
     /// The newest version; 0 before any was named.
     pub fn newest(&self) -> u64 {
-        self.named.last().map_or(0, |(named, _)| named.version)
+        self.named.last().map_or(0, |naming| naming.named.version)
     }
 
     /// The oldest version that may still begin a request, when a version may begin none
     /// from `limit` after the naming of the next one.
     pub fn oldest(&self, now: Moment, limit: Duration) -> u64 {
-        let mut newest_first = self.named.iter().rev();
-        let due = newest_first.find(|(named, _)| now.since(named.since) >= limit);
-        due.map_or(0, |(named, _)| named.version)
+        let mut newest_first = self.named.iter().rev().map(|naming| naming.named);
+        let due = newest_first.find(|named| now.since(named.since) >= limit);
+        due.map_or(0, |named| named.version)
     }
 }
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -13,7 +13,7 @@
 use super::Shared;
 use crate::clock::BootClock;
 use crate::feed::{FeedUpdate, Pace, follow};
-use crate::log::LogEvent;
+use crate::log::{LogEvent, millis};
 use crate::platform::{OperatorItem, Platform};
 
 /// The pace of calls for changes of the operators' values.
@@ -204,12 +204,14 @@
         Ok(OperatorItem::Weights { model, version }) => {
             let named = values.versions.entry(model.clone()).or_default();
             if named.last().is_none_or(|newest| newest.version < version) {
+                let now = BootClock.now();
+                let since = named_at.or(assumed_at).unwrap_or(now);
                 LogEvent::WeightsNamed.log(&[
                     ("model", model.as_ref().into()),
                     ("version", version.into()),
+                    ("age_ms", millis(now.since(since))),
+                    ("is_observed", named_at.is_some().into()),
                 ]);
-                let assumed_at = assumed_at.unwrap_or_else(|| BootClock.now());
-                let since = named_at.unwrap_or(assumed_at);
                 named.push(NamedVersion { version, since });
                 shared.status.add_named(&model, version, named_at);
             }
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -22,7 +22,7 @@
 use super::shared::Shared;
 use super::stream;
 use crate::client::{ActiveConnection, CallError, Reuse};
-use crate::log::LogEvent;
+use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
 use crate::platform::{Platform, RequestContext, ResponseHead};
 
@@ -366,8 +366,3 @@
     let path = uri.path_and_query().cloned();
     path.map_or_else(http::Uri::default, http::Uri::from)
 }
-
-/// A duration in milliseconds as a log field.
-pub(crate) fn millis(time: Duration) -> serde_json::Value {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into()
-}
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -39,6 +39,11 @@
 }
 
 impl<P> Reservation<P> {
+    /// The time since the target was chosen.
+    pub(crate) fn age(&self) -> Duration {
+        BootClock.now().since(self.sent)
+    }
+
     /// Records that the first byte of the response has arrived.
     pub(crate) fn record_first_byte(&mut self) {
         if !self.has_begun {
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Target, TargetLoad};
+use azurestand_direct::{Naming, Target, TargetLoad};
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -17,6 +17,7 @@
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::error::GatewayError;
+use crate::log::{LogEvent, millis};
 use crate::platform::Platform;
 use crate::presence::{EngineReport, KnownEntry, MAX_BYTES, Subscribe};
 
@@ -185,7 +186,7 @@
         return;
     }
     state.placement.record_agent_report(boot_now, &target);
-    record_versions(&mut state, report, boot_now);
+    record_versions(&mut state, host, report, boot_now);
     let load = TargetLoad {
         running: report.running,
         waiting: report.waiting,
@@ -200,14 +201,38 @@
 }
 
 /// Applies the reported naming times of versions, which a newly started process can't know.
-fn record_versions(state: &mut State, report: &EngineReport, now: Moment) {
+fn record_versions(state: &mut State, host: IpAddr, report: &EngineReport, now: Moment) {
     let Some(before) = state.named_before else {
         return;
     };
     for named in &report.named_versions {
         if let Some(versions) = state.versions.get_mut(named.model.as_str()) {
+            let known = versions.get(named.version).copied();
             let since = named.age.map(|age| now - Duration::from_millis(age));
             versions.record_reported(named.version, since, before);
+            let corrected = versions.get(named.version).copied();
+            if let Some(corrected) = corrected.filter(|_| corrected != known) {
+                log_correction(now, host, &named.model, known, corrected);
+            }
         }
     }
 }
+
+/// Logs that a report from the agent at `host` changed what is known of a version.
+fn log_correction(
+    now: Moment,
+    host: IpAddr,
+    model: &str,
+    known: Option<Naming>,
+    corrected: Naming,
+) {
+    let age = |naming: Naming| millis(now.since(naming.named.since));
+    LogEvent::NamingCorrected.log(&[
+        ("model", model.into()),
+        ("version", corrected.named.version.into()),
+        ("age_ms", age(corrected)),
+        ("source", corrected.source.to_string().into()),
+        ("known_age_ms", known.map(age).into()),
+        ("host", host.to_string().into()),
+    ]);
+}
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -226,6 +226,15 @@
         bound.saturating_sub(VERSION_MARGIN)
     }
 
+    /// The time from which no request may begin on this version of the model's weights, as
+    /// far as this process knows; none if no later version is named.
+    pub(crate) fn useful_until(&self, model: &str, version: u64) -> Option<Moment> {
+        let bound = self.settings.bounds.now().version;
+        let state = self.state();
+        let versions = state.versions.get(model)?;
+        versions.useful_until(version, bound)
+    }
+
     /// The assumed naming time of a version that was already in the store at start-up, until
     /// an agent that observed the naming reports it.
     pub(crate) fn named_before_start(&self, now: Moment, failed_first: bool) -> Moment {
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::Rules;
+use azurestand_direct::{Naming, Rules};
 use azurestand_store::{Change, Entry, Key, Scope};
 use azurestand_types::Moment;
 use tokio::time::{Instant, sleep};
@@ -11,7 +11,7 @@
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::feed::{FeedUpdate, Pace, follow, named_since};
-use crate::log::LogEvent;
+use crate::log::{LogEvent, millis};
 use crate::platform::{OperatorItem, Platform};
 use crate::relay::Peers;
 
@@ -28,7 +28,7 @@
 
 /// When a version that the store reports was named.
 #[derive(Debug, Clone, Copy)]
-enum Naming {
+enum NamingTime {
     /// Before this process started, at the latest at this moment.
     Existing(Moment),
     /// While this process was running, at the earliest at this moment.
@@ -126,9 +126,9 @@
     let naming = if state.rules.is_none() {
         let before = shared.named_before_start(now, state.failed_first);
         state.named_before = Some(before);
-        Naming::Existing(before)
+        NamingTime::Existing(before)
     } else {
-        Naming::Observed(named_at)
+        NamingTime::Observed(named_at)
     };
     let operator_scope = shared.platform.operator_scope();
     let target_scope = shared.platform.target_scope();
@@ -164,7 +164,7 @@
         match change {
             change if target_scope.covers(change.key()) => apply_target(shared, state, now, change),
             Change::Put(entry) if operator_scope.covers(&entry.key) => {
-                apply_item(shared, state, entry, Naming::Observed(named_at));
+                apply_item(shared, state, entry, NamingTime::Observed(named_at));
             }
             Change::Deleted { key, .. } => include_centre(shared, state, key),
             Change::Put(_) => {}
@@ -185,11 +185,13 @@
     }
 }
 
-fn apply_item<P>(shared: &Shared<P>, state: &mut State, entry: &Entry, naming: Naming)
+fn apply_item<P>(shared: &Shared<P>, state: &mut State, entry: &Entry, naming: NamingTime)
 where
     P: Platform,
 {
     let version = entry.version.0;
+    let proof = state.freshness.proved_at();
+    let proof_age = proof.map(|proof| BootClock.now().since(proof));
     match shared.platform.read_operator(&entry.key, &entry.value) {
         Ok(OperatorItem::Rules(parts)) => adopt_rules(state, Rules::from(*parts), version),
         Ok(OperatorItem::Excluded(centre)) => {
@@ -202,14 +204,12 @@
         Ok(OperatorItem::Weights { model, version }) => {
             let versions = state.versions.entry(model.clone()).or_default();
             let is_newer = match naming {
-                Naming::Existing(since) => versions.record_assumed(version, since),
-                Naming::Observed(since) => versions.record_observed(version, since),
+                NamingTime::Existing(since) => versions.record_assumed(version, since),
+                NamingTime::Observed(since) => versions.record_observed(version, since),
             };
-            if is_newer {
-                LogEvent::WeightsNamed.log(&[
-                    ("model", model.as_ref().into()),
-                    ("version", version.into()),
-                ]);
+            let naming = versions.get(version).copied().filter(|_| is_newer);
+            if let Some(naming) = naming {
+                log_naming(&model, &naming, proof_age);
             }
         }
         Ok(OperatorItem::Other) => {}
@@ -220,6 +220,18 @@
     }
 }
 
+/// Logs a newly named version; `proof_age` is the age of the last update before this one.
+fn log_naming(model: &str, naming: &Naming, proof_age: Option<Duration>) {
+    let age = BootClock.now().since(naming.named.since);
+    LogEvent::WeightsNamed.log(&[
+        ("model", model.into()),
+        ("version", naming.named.version.into()),
+        ("age_ms", millis(age)),
+        ("source", naming.source.to_string().into()),
+        ("proof_age_ms", proof_age.map(millis).into()),
+    ]);
+}
+
 /// Puts a configuration in force unless its version is not newer; versions only increase
 /// within a process.
 fn adopt_rules(state: &mut State, rules: Rules, store_version: u64) {
@@ -244,7 +256,7 @@
                 LogEvent::TargetSeen.log(&[
                     ("target", target.id.as_ref().into()),
                     ("state", format!("{:?}", target.state).into()),
-                    ("cold_ms", super::deliver::millis(target.cold)),
+                    ("cold_ms", millis(target.cold)),
                 ]);
                 state.directory.put(target);
             } else {
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -15,11 +15,12 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout};
 
-use super::deliver::{Delivery, OpenResponse, millis};
+use super::deliver::{Delivery, OpenResponse};
 use super::place::Reservation;
 use super::response::{Body, BodyError};
 use crate::client::ActiveConnection;
-use crate::log::LogEvent;
+use crate::clock::BootClock;
+use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
 use crate::platform::Platform;
 
@@ -44,6 +45,8 @@
     body: Incoming,
     connection: ActiveConnection,
     reservation: Reservation<P>,
+    /// The version of the weights that the target names.
+    version: Option<u64>,
 }
 
 /// The result of reading from a body.
@@ -109,6 +112,7 @@
             body: opened.body,
             connection: opened.connection,
             reservation: opened.reservation,
+            version: opened.response.version,
         });
     }
 
@@ -150,22 +154,57 @@
         if self.events == 0 {
             let waited = self.delivery.call.waited();
             metrics::time(Span::FirstToken, waited);
-            LogEvent::Placed.log(&[
-                ("request", self.delivery.call.id().into()),
-                ("first_ms", millis(waited)),
-                ("expected_ms", self.expected_ms()),
-            ]);
+            self.log_begin(waited);
         }
         self.events += u64::try_from(events.len()).unwrap_or_default();
         let parts: Vec<&[u8]> = events.iter().map(|event| &event.bytes[..]).collect();
         Bytes::from(parts.concat())
     }
 
-    fn expected_ms(&self) -> serde_json::Value {
-        let source = self.source.as_ref();
-        source.map_or(serde_json::Value::Null, |source| {
-            millis(source.reservation.expected)
-        })
+    /// Logs the first event, `waited` after the request arrived, and on which weights it
+    /// began: those that the entry assumed when it chose the target, and those that the
+    /// target names.
+    fn log_begin(&self, waited: Duration) {
+        let Some(source) = self.source.as_ref() else {
+            return;
+        };
+        let reservation = &source.reservation;
+        let version = source.version.or(reservation.version);
+        let (left, late) = self.version_left(version);
+        LogEvent::Placed.log(&[
+            ("request", self.delivery.call.id().into()),
+            ("target", reservation.target.id.as_ref().into()),
+            ("first_ms", millis(waited)),
+            ("expected_ms", millis(reservation.expected)),
+            ("sent_ms", millis(reservation.age())),
+            ("assumed_version", reservation.version.into()),
+            ("version", version.into()),
+            ("version_left_ms", left.map(millis).into()),
+        ]);
+        if let Some(left) = left {
+            metrics::time(Span::VersionLeft, left);
+        }
+        if let Some(late) = late {
+            LogEvent::BegunLate.log(&[
+                ("request", self.delivery.call.id().into()),
+                ("target", reservation.target.id.as_ref().into()),
+                ("version", version.into()),
+                ("late_ms", millis(late)),
+            ]);
+        }
+    }
+
+    /// How long requests may still begin on this version, and how long they no longer may;
+    /// both are none if no later version is named.
+    fn version_left(&self, version: Option<u64>) -> (Option<Duration>, Option<Duration>) {
+        let model = self.delivery.call.request.model.as_deref();
+        let until = model
+            .zip(version)
+            .and_then(|(model, version)| self.delivery.shared.useful_until(model, version));
+        let now = BootClock.now();
+        let left = until.map(|until| until.since(now));
+        let late = until.map(|until| now.since(until));
+        (left, late.filter(|late| !late.is_zero()))
     }
 
     fn finish(&mut self) {
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -73,6 +73,7 @@
     CentreExcluded = "G0108", "centre_excluded", "The operators took a data centre out.";
     CentreIncluded = "G0109", "centre_included", "The operators took a data centre back.";
     WeightsNamed = "G0110", "weights_named", "The operators named a version of weights.";
+    NamingCorrected = "G0112", "naming_corrected", "An agent's report changed the time since when a version of weights counts as named.";
     ReadyChanged = "G0111", "ready_changed", "The readiness that the process reports changed.";
     Refused = "G0201", "refused", "A request was refused before it ran.";
     Waited = "G0202", "waited", "A request waited for capacity.";
@@ -82,6 +83,7 @@
     Resumed = "G0206", "resumed", "A stream was resumed at another target.";
     Broken = "G0207", "broken", "A response was aborted after it had started.";
     Unknown = "G0208", "unknown", "It is unknown whether a request ran.";
+    BegunLate = "G0210", "begun_late", "A request began on weights that this process counts as replaced, after the bound.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
@@ -91,6 +93,11 @@
     EngineLost = "G0306", "engine_lost", "The engine doesn't respond.";
 }
 
+/// A duration in milliseconds as a log field.
+pub(crate) fn millis(time: Duration) -> Value {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into()
+}
+
 /// An item in the writer thread's queue.
 enum Item {
     /// A line to write.
--- a/crates/azurestand_gateway/src/metrics.rs
+++ b/crates/azurestand_gateway/src/metrics.rs
@@ -52,6 +52,7 @@
     Wait = "wait", "In the queue for capacity at a target, whether placed in the end or not.";
     Late = "late", "How much later than predicted a response started.";
     Early = "early", "How much earlier than predicted a response started.";
+    VersionLeft = "version_left", "From the start of a response on replaced weights to the bound of their replacement.";
 }
 
 metrics! { Level, "A gauge.":
