Count a version from the last proof when this process or a relaying entry stood still

Cause: a process that learned of a naming after a gap of over 2.5 s counted it from its arrival, as after an outage of the store.

the store never failed: an entry was suspended while its call for changes waited, and the response that it read 4 s later was taken for one that had just come; and seven entries followed the store through a suspended one, whose call timed out after 1.6 s, when their last proof was 3.3 s old.

An update now carries a ChangeTime. The time is known only if the response came when it was due; a later one proves nothing after its call was sent. After a gap in which no call to the store failed, changes count from the last proof, however old. Only if calls to the store failed for over 2.5 s do they count from its recovery. Agents follow the same rule.

Shown by: a_change_made_while_the_relaying_entry_stood_still_counts_from_before_it and after_a_gap_in_which_the_store_did_not_fail_changes_count_from_the_last_proof fail with the old rule for gaps put back, and a_response_that_outlasts_the_wait_does_not_date_its_changes fails without the check of the call's duration. named_since is gone: its three cases are checked as cases of change_time.

--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -56,9 +56,14 @@
     /// It observed the naming itself.
     #[display("observed")]
     Observed,
-    /// The version was named before the process started; the time is an assumption.
+    /// The version may have been named at any time from this one on; the process had just
+    /// started, or an entry through which it follows the store or the process itself had
+    /// stood still.
     #[display("assumed")]
     Assumed,
+    /// The store had failed for this process; the time is that of its recovery.
+    #[display("recovered")]
+    Recovered,
     /// A process that observed the naming reported it.
     #[display("reported")]
     Reported,
@@ -87,12 +92,18 @@
         self.add(NamedVersion { version, since }, NamingSource::Observed)
     }
 
-    /// Records a version that was named before this process started, at `since` at the
-    /// latest as far as it can tell; returns whether it is newer than all known ones.
+    /// Records a version that may have been named at any time from `since` on; returns
+    /// whether it is newer than all known ones.
     pub fn record_assumed(&mut self, version: u64, since: Moment) -> bool {
         self.add(NamedVersion { version, since }, NamingSource::Assumed)
     }
 
+    /// Records a version that the store reported when it recovered at `since`; returns
+    /// whether it is newer than all known ones.
+    pub fn record_recovered(&mut self, version: u64, since: Moment) -> bool {
+        self.add(NamedVersion { version, since }, NamingSource::Recovered)
+    }
+
     fn add(&mut self, named: NamedVersion, source: NamingSource) -> bool {
         if named.version <= self.newest() {
             return false;
@@ -116,8 +127,8 @@
     }
 
     /// Records that another process knows a version; `since` is when it was named, none
-    /// if that process doesn't know. The earliest of several reports counts, since other
-    /// processes may have observed the naming late. A version that this process doesn't
+    /// if that process doesn't know. The earliest observation counts, since this process
+    /// and others may have observed the naming late. A version that this process doesn't
     /// know was named before a newer one; without a time it counts as named at `before`.
     pub fn record_reported(&mut self, version: u64, since: Option<Moment>, before: Moment) {
         if version > self.newest() {
@@ -129,12 +140,16 @@
             .partition_point(|naming| naming.named.version < version);
         match self.named.get_mut(index) {
             Some(Naming { named, source }) if named.version == version => {
-                let Some(since) = since.filter(|_| *source != NamingSource::Observed) else {
+                let Some(since) = since.filter(|_| {
+                    !matches!(source, NamingSource::Observed | NamingSource::Recovered)
+                }) else {
                     return;
                 };
                 named.since = match source {
                     NamingSource::Reported => named.since.min(since),
-                    NamingSource::Assumed | NamingSource::Observed => since,
+                    NamingSource::Assumed | NamingSource::Recovered | NamingSource::Observed => {
+                        since
+                    }
                 };
                 *source = NamingSource::Reported;
             }
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -12,7 +12,7 @@
 
 use super::Shared;
 use crate::clock::BootClock;
-use crate::feed::{FeedUpdate, Pace, follow};
+use crate::feed::{ChangeTime, FeedUpdate, Pace, follow};
 use crate::log::{LogEvent, millis};
 use crate::platform::{OperatorItem, Platform};
 
@@ -99,25 +99,23 @@
     follow(platform.as_ref(), shared.peers(), scope, PACE, |update| {
         let entries: Vec<Entry>;
         let store_version;
-        let named_at;
+        let mut changed_at;
         match update {
             FeedUpdate::Snapshot {
-                listing,
-                changed_at,
-                ..
+                listing, changed, ..
             } => {
                 store_version = listing.version;
-                named_at = changed_at;
+                changed_at = changed;
                 entries = listing.entries;
             }
             FeedUpdate::Changed {
                 changes,
                 version,
-                changed_at,
+                changed,
                 ..
             } => {
                 store_version = version;
-                named_at = changed_at;
+                changed_at = changed;
                 let puts = changes.into_iter().filter_map(|change| match change {
                     Change::Put(entry) => Some(entry),
                     Change::Deleted { .. } => None,
@@ -133,7 +131,10 @@
                 return;
             }
         }
-        let assumed_at = is_first.then(|| assumed_naming(shared.settings.bounds.now().version));
+        if is_first {
+            let assumed_at = assumed_naming(shared.settings.bounds.now().version);
+            changed_at = ChangeTime::NotBefore(assumed_at);
+        }
         is_first = false;
         if lost {
             LogEvent::StoreBack.log(&[]);
@@ -141,7 +142,7 @@
         }
         let mut values = shared.values();
         for entry in &entries {
-            apply(&shared, &mut values, entry, named_at, assumed_at);
+            apply(&shared, &mut values, entry, changed_at);
         }
         values.version = values.version.max(store_version);
         publish(&shared, &values);
@@ -168,7 +169,7 @@
             Ok(entries) => {
                 let mut values = shared.values();
                 for entry in &entries {
-                    apply(&shared, &mut values, entry, None, None);
+                    apply(&shared, &mut values, entry, ChangeTime::Unknown);
                 }
                 publish(&shared, &values);
                 RULES_INTERVAL.mul_f64(0.5 + fastrand::f64())
@@ -182,15 +183,10 @@
     }
 }
 
-/// Applies a value. A version for which `named_at` is none counts as named at
-/// `assumed_at`, or now if that is none too.
-fn apply<P>(
-    shared: &Shared<P>,
-    values: &mut OperatorValues,
-    entry: &Entry,
-    named_at: Option<Moment>,
-    assumed_at: Option<Moment>,
-) where
+/// Applies a value that was written at `changed`. After an outage of the store a version
+/// counts as named now.
+fn apply<P>(shared: &Shared<P>, values: &mut OperatorValues, entry: &Entry, changed: ChangeTime)
+where
     P: Platform,
 {
     match shared.platform.read_operator(&entry.key, &entry.value) {
@@ -205,15 +201,18 @@
             let named = values.versions.entry(model.clone()).or_default();
             if named.last().is_none_or(|newest| newest.version < version) {
                 let now = BootClock.now();
-                let since = named_at.or(assumed_at).unwrap_or(now);
+                let since = match changed {
+                    ChangeTime::Known(at) | ChangeTime::NotBefore(at) => at,
+                    ChangeTime::Unknown => now,
+                };
                 LogEvent::WeightsNamed.log(&[
                     ("model", model.as_ref().into()),
                     ("version", version.into()),
                     ("age_ms", millis(now.since(since))),
-                    ("is_observed", named_at.is_some().into()),
+                    ("is_observed", changed.known().is_some().into()),
                 ]);
                 named.push(NamedVersion { version, since });
-                shared.status.add_named(&model, version, named_at);
+                shared.status.add_named(&model, version, changed.known());
             }
         }
         Ok(OperatorItem::Excluded(_) | OperatorItem::Other) => {}
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -31,6 +31,8 @@
 const DISCOVERY_DELAY: Duration = Duration::from_millis(500);
 /// How long an agent's list of entries is used.
 const ENTRIES_TTL: Duration = Duration::from_secs(3);
+/// The error of ages in reports, which are rounded and take time on their way.
+const AGE_ERROR: Duration = Duration::from_millis(10);
 /// Agents that are asked for their list of entries each time; few, since such replies are long.
 const ENTRY_SOURCES: usize = 3;
 
@@ -210,14 +212,23 @@
             let known = versions.get(named.version).copied();
             let since = named.age.map(|age| now - Duration::from_millis(age));
             versions.record_reported(named.version, since, before);
-            let corrected = versions.get(named.version).copied();
-            if let Some(corrected) = corrected.filter(|_| corrected != known) {
+            if let Some(corrected) = versions.get(named.version).copied()
+                && is_correction(known, corrected)
+            {
                 log_correction(now, host, &named.model, known, corrected);
             }
         }
     }
 }
 
+/// Whether the naming time changed by more than the error of reported ages.
+fn is_correction(known: Option<Naming>, corrected: Naming) -> bool {
+    known.is_none_or(|known| {
+        let (old, new) = (known.named.since, corrected.named.since);
+        old.since(new).max(new.since(old)) > AGE_ERROR
+    })
+}
+
 /// Logs that a report from the agent at `host` changed what is known of a version.
 fn log_correction(
     now: Moment,
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -10,7 +10,7 @@
 
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
-use crate::feed::{FeedUpdate, Pace, follow, named_since};
+use crate::feed::{ChangeTime, FeedUpdate, Pace, follow};
 use crate::log::{LogEvent, millis};
 use crate::platform::{OperatorItem, Platform};
 use crate::relay::Peers;
@@ -26,15 +26,6 @@
 /// The interval of the check for vanished targets that have expired.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// When a version that the store reports was named.
-#[derive(Debug, Clone, Copy)]
-enum NamingTime {
-    /// Before this process started, at the latest at this moment.
-    Existing(Moment),
-    /// While this process was running, at the earliest at this moment.
-    Observed(Moment),
-}
-
 /// Starts the tasks that follow the store and expire vanished targets.
 pub(crate) fn start<P>(shared: &Arc<Shared<P>>)
 where
@@ -83,28 +74,25 @@
 {
     let now = BootClock.now();
     let mut state = shared.state();
-    let proof = state.freshness.proved_at();
     match update {
         FeedUpdate::Snapshot {
             listing,
             called_at,
-            changed_at,
+            changed,
             ..
         } => {
             state.directory.record_read(now);
-            let named_at = named_since(now, changed_at, proof);
-            apply_listing(shared, &mut state, now, named_at, &listing.entries);
+            apply_listing(shared, &mut state, now, changed, &listing.entries);
             state.freshness.record_proof(called_at);
         }
         FeedUpdate::Changed {
             changes,
             called_at,
-            changed_at,
+            changed,
             ..
         } => {
             state.directory.record_read(now);
-            let named_at = named_since(now, changed_at, proof);
-            apply_changes(shared, &mut state, now, named_at, &changes);
+            apply_changes(shared, &mut state, now, changed, &changes);
             state.freshness.record_proof(called_at);
         }
         FeedUpdate::Failed(_) => {
@@ -118,17 +106,17 @@
     shared: &Shared<P>,
     state: &mut State,
     now: Moment,
-    named_at: Moment,
+    changed: ChangeTime,
     entries: &[Entry],
 ) where
     P: Platform,
 {
-    let naming = if state.rules.is_none() {
+    let changed = if state.rules.is_none() {
         let before = shared.named_before_start(now, state.failed_first);
         state.named_before = Some(before);
-        NamingTime::Existing(before)
+        ChangeTime::NotBefore(before)
     } else {
-        NamingTime::Observed(named_at)
+        changed
     };
     let operator_scope = shared.platform.operator_scope();
     let target_scope = shared.platform.target_scope();
@@ -137,7 +125,7 @@
         .iter()
         .filter(|entry| operator_scope.covers(&entry.key))
     {
-        apply_item(shared, state, entry, naming);
+        apply_item(shared, state, now, entry, changed);
     }
     let targets = entries
         .iter()
@@ -153,7 +141,7 @@
     shared: &Shared<P>,
     state: &mut State,
     now: Moment,
-    named_at: Moment,
+    changed: ChangeTime,
     changes: &[Change],
 ) where
     P: Platform,
@@ -164,7 +152,7 @@
         match change {
             change if target_scope.covers(change.key()) => apply_target(shared, state, now, change),
             Change::Put(entry) if operator_scope.covers(&entry.key) => {
-                apply_item(shared, state, entry, NamingTime::Observed(named_at));
+                apply_item(shared, state, now, entry, changed);
             }
             Change::Deleted { key, .. } => include_centre(shared, state, key),
             Change::Put(_) => {}
@@ -185,13 +173,18 @@
     }
 }
 
-fn apply_item<P>(shared: &Shared<P>, state: &mut State, entry: &Entry, naming: NamingTime)
-where
+fn apply_item<P>(
+    shared: &Shared<P>,
+    state: &mut State,
+    now: Moment,
+    entry: &Entry,
+    changed: ChangeTime,
+) where
     P: Platform,
 {
     let version = entry.version.0;
     let proof = state.freshness.proved_at();
-    let proof_age = proof.map(|proof| BootClock.now().since(proof));
+    let proof_age = proof.map(|proof| now.since(proof));
     match shared.platform.read_operator(&entry.key, &entry.value) {
         Ok(OperatorItem::Rules(parts)) => adopt_rules(state, Rules::from(*parts), version),
         Ok(OperatorItem::Excluded(centre)) => {
@@ -203,9 +196,10 @@
         }
         Ok(OperatorItem::Weights { model, version }) => {
             let versions = state.versions.entry(model.clone()).or_default();
-            let is_newer = match naming {
-                NamingTime::Existing(since) => versions.record_assumed(version, since),
-                NamingTime::Observed(since) => versions.record_observed(version, since),
+            let is_newer = match changed {
+                ChangeTime::Known(at) => versions.record_observed(version, at),
+                ChangeTime::NotBefore(at) => versions.record_assumed(version, at),
+                ChangeTime::Unknown => versions.record_recovered(version, now),
             };
             let naming = versions.get(version).copied().filter(|_| is_newer);
             if let Some(naming) = naming {
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -27,39 +27,122 @@
 
 /// The transfer of a larger response may have taken long.
 const LARGE_BYTES: usize = 32 * 1024;
-/// Changes after a longer gap may have been made at any time.
+/// If the store failed for longer than this, changes count from its recovery.
 const MAX_GAP: Duration = Duration::from_millis(2_500);
+/// A response that takes longer than the wait by more than this was held up.
+const MAX_DELAY: Duration = Duration::from_millis(300);
 
-/// The earliest time when the changes of a response of `bytes` bytes may have been made,
-/// where `last` is the time up to which nothing was missing before, and `sent` and `received`
-/// are those of the call. None if unknown, for example after a failed call, when the changes
-/// may be of any age.
-fn change_time(
-    last: Option<Moment>,
+/// When the changes of an update were made, as far as this process can tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ChangeTime {
+    /// At this time or shortly after it.
+    Known(Moment),
+    /// At any time from this one on. Nothing was missing before it, and the store has not
+    /// failed since: it may have been this process, or an entry between, that stood still.
+    NotBefore(Moment),
+    /// Unknown: this is the first update, or the store failed for a while before it.
+    Unknown,
+}
+
+impl ChangeTime {
+    /// The time of the changes, if it is known.
+    pub(crate) fn known(self) -> Option<Moment> {
+        match self {
+            Self::Known(at) => Some(at),
+            Self::NotBefore(_) | Self::Unknown => None,
+        }
+    }
+}
+
+/// A call for changes that got a response.
+#[derive(Debug, Clone, Copy)]
+struct Exchange {
     sent: Moment,
     received: Moment,
-    bytes: usize,
-) -> Option<Moment> {
-    let last = last?;
-    let gap = received.since(last);
-    if gap <= SHORT_GAP || (bytes > LARGE_BYTES && gap <= MAX_GAP) {
-        return Some(last);
+    /// How long the store was asked to wait for a change.
+    wait: Duration,
+}
+
+impl Exchange {
+    /// When the changes in the response, of `bytes` bytes, were made, where `last` is the
+    /// time up to which nothing was missing before; none if that can't be told from the
+    /// call's duration.
+    fn change_time(self, last: Option<Moment>, bytes: usize) -> Option<Moment> {
+        let last = last?;
+        let is_large = bytes > LARGE_BYTES;
+        let gap = self.received.since(last);
+        if gap <= SHORT_GAP || (is_large && gap <= MAX_GAP) {
+            return Some(last);
+        }
+        let has_waited = self.received.since(self.sent) >= MIN_WAIT;
+        (has_waited && self.is_prompt() && !is_large).then_some(self.received)
+    }
+
+    /// Whether the response came when it was due. Otherwise it is unknown how long it was
+    /// held up on its way, or this process was suspended.
+    fn is_prompt(self) -> bool {
+        self.received.since(self.sent) <= self.wait + MAX_DELAY
+    }
+
+    /// The time up to which nothing is missing after the response.
+    fn complete_at(self) -> Moment {
+        if self.is_prompt() {
+            self.received
+        } else {
+            self.sent
+        }
     }
-    let has_waited = received.since(sent) >= MIN_WAIT;
-    (has_waited && bytes <= LARGE_BYTES).then_some(received)
 }
 
-/// The time from which a version counts as named that an update at `now` contains. It is not
-/// later than the actual time, since it limits how long requests may go to older versions.
-/// `proof` is the time up to which nothing was missing before. After an outage the bound on
-/// older versions starts again.
-pub(crate) fn named_since(
-    now: Moment,
-    changed_at: Option<Moment>,
+/// The updates received so far.
+#[derive(Debug, Clone, Copy, Default)]
+struct Progress {
+    /// The store's version after the last update; none if the next call is for all values.
+    known: Option<Version>,
+    /// The time up to which nothing was missing at the last update.
     proof: Option<Moment>,
-) -> Moment {
-    let proof = proof.filter(|proof| now.since(*proof) <= MAX_GAP);
-    changed_at.or(proof).unwrap_or(now).min(now)
+    /// The same, as precisely as is known; none after a failed call.
+    last: Option<Moment>,
+    /// Whether a call to the store has failed since the last update.
+    store_failed: bool,
+}
+
+impl Progress {
+    /// The time of the changes in an update that arrives at `now`, if it can't be told from
+    /// the call that returned it.
+    fn change_time(self, now: Moment) -> ChangeTime {
+        let is_outage = |proof: Moment| self.store_failed && now.since(proof) > MAX_GAP;
+        match self.proof {
+            Some(proof) if !is_outage(proof) => ChangeTime::NotBefore(proof),
+            Some(_) | None => ChangeTime::Unknown,
+        }
+    }
+
+    /// Records an update up to which nothing is missing at `last`.
+    fn record(&mut self, update: &FeedUpdate, last: Moment) {
+        let (version, called_at) = match update {
+            FeedUpdate::Snapshot {
+                listing, called_at, ..
+            } => (listing.version, *called_at),
+            FeedUpdate::Changed {
+                version, called_at, ..
+            } => (*version, *called_at),
+            FeedUpdate::Failed(_) => return,
+        };
+        *self = Self {
+            known: Some(version),
+            proof: Some(called_at),
+            last: Some(last),
+            store_failed: false,
+        };
+    }
+
+    /// Records that the store didn't respond; the next call is for all values.
+    fn record_store_failure(&mut self) {
+        self.known = None;
+        self.last = None;
+        self.store_failed = true;
+    }
 }
 
 /// The total size of the values in a response, in bytes.
@@ -80,8 +163,8 @@
         listing: Listing,
         /// A time no later than that at which the call to the store that returned them was sent.
         called_at: Moment,
-        /// When the changes among them were made; none if unknown.
-        changed_at: Option<Moment>,
+        /// When the changes among them were made.
+        changed: ChangeTime,
         /// Whether it comes directly from the store rather than through an entry.
         from_store: bool,
     },
@@ -93,8 +176,8 @@
         version: Version,
         /// A time no later than that at which the call to the store that returned them was sent.
         called_at: Moment,
-        /// When they were made; none if unknown.
-        changed_at: Option<Moment>,
+        /// When they were made.
+        changed: ChangeTime,
         /// Whether it comes directly from the store rather than through an entry.
         from_store: bool,
     },
@@ -102,6 +185,26 @@
     Failed(StoreError),
 }
 
+impl FeedUpdate {
+    /// A time no later than that of the call to the store; none if the call failed.
+    fn called_at(&self) -> Option<Moment> {
+        match self {
+            Self::Snapshot { called_at, .. } | Self::Changed { called_at, .. } => Some(*called_at),
+            Self::Failed(_) => None,
+        }
+    }
+
+    /// The update, with `fallback` as the time of its changes if that is unknown.
+    fn or_change_time(mut self, fallback: ChangeTime) -> Self {
+        if let Self::Snapshot { changed, .. } | Self::Changed { changed, .. } = &mut self
+            && *changed == ChangeTime::Unknown
+        {
+            *changed = fallback;
+        }
+        self
+    }
+}
+
 /// The pace of calls for changes.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Pace {
@@ -128,22 +231,21 @@
     K: Fn() -> Vec<IpAddr>,
     F: FnMut(FeedUpdate),
 {
-    let mut known: Option<Version> = None;
+    let mut progress = Progress::default();
     let mut pause = FIRST_PAUSE;
-    // The time at which the update before this one was up to date.
-    let mut last: Option<Moment> = None;
-    let mut store_failed = false;
     loop {
-        if let Some(peer) = peers.next(BootClock.now(), store_failed) {
-            match peers.request_updates(peer, &scope, known).await {
+        if let Some(peer) = peers.next(BootClock.now(), progress.store_failed) {
+            match peers.request_updates(peer, &scope, progress.known).await {
                 Ok(update) => {
-                    (known, last) = progress(&update);
-                    store_failed = false;
+                    let update = update.or_change_time(progress.change_time(BootClock.now()));
+                    if let Some(called_at) = update.called_at() {
+                        progress.record(&update, called_at);
+                    }
                     handle(update);
                 }
                 // It is unknown what changed meanwhile.
                 Err(CallError::TimedOut) => {
-                    last = None;
+                    progress.last = None;
                     handle(FeedUpdate::Failed(StoreError::TimedOut(RESPONSE_TIMEOUT)));
                 }
                 // The next entry is called, or the store.
@@ -156,21 +258,26 @@
         } else {
             pace.wait
         };
-        let Some(update) = call_store(store, &scope, known, wait, last).await else {
-            known = None;
+        let sent = BootClock.now();
+        let Some(update) = call_store(store, &scope, wait, progress).await else {
+            progress.known = None;
             continue;
         };
-        store_failed = matches!(update, FeedUpdate::Failed(_));
-        if store_failed {
-            last = None;
+        let failed = matches!(update, FeedUpdate::Failed(_));
+        if failed {
+            progress.record_store_failure();
         } else {
-            (known, _) = progress(&update);
-            last = Some(BootClock.now());
+            let exchange = Exchange {
+                sent,
+                received: BootClock.now(),
+                wait,
+            };
+            progress.record(&update, exchange.complete_at());
         }
         let has_changes =
             matches!(&update, FeedUpdate::Changed { changes, .. } if !changes.is_empty());
         handle(update);
-        if store_failed {
+        if failed {
             sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
             pause = (pause * 2).min(MAX_PAUSE);
         } else {
@@ -182,38 +289,34 @@
     }
 }
 
-/// The store's version after an update, and the time at which the update was up to date.
-fn progress(update: &FeedUpdate) -> (Option<Version>, Option<Moment>) {
-    match update {
-        FeedUpdate::Snapshot {
-            listing, called_at, ..
-        } => (Some(listing.version), Some(*called_at)),
-        FeedUpdate::Changed {
-            version, called_at, ..
-        } => (Some(*version), Some(*called_at)),
-        FeedUpdate::Failed(_) => (None, None),
-    }
-}
-
-/// Requests from the store the changes after `known`, or all values if that is none. Returns
-/// none if the store no longer holds the changes.
+/// Requests from the store the changes since the last update, or all values. Returns none
+/// if the store no longer holds the changes.
 async fn call_store<S>(
     store: &S,
     scope: &Scope,
-    known: Option<Version>,
     wait: Duration,
-    last: Option<Moment>,
+    progress: Progress,
 ) -> Option<FeedUpdate>
 where
     S: ChangeFeed,
 {
-    let called_at = BootClock.now();
-    let Some(version) = known else {
+    let sent = BootClock.now();
+    let change_time = |bytes| {
+        let received = BootClock.now();
+        let exchange = Exchange {
+            sent,
+            received,
+            wait,
+        };
+        let at = exchange.change_time(progress.last, bytes);
+        at.map_or_else(|| progress.change_time(received), ChangeTime::Known)
+    };
+    let Some(version) = progress.known else {
         return Some(match store.list_all(scope).await {
             Ok(listing) => FeedUpdate::Snapshot {
                 listing,
-                called_at,
-                changed_at: change_time(last, called_at, BootClock.now(), usize::MAX),
+                called_at: sent,
+                changed: change_time(usize::MAX),
                 from_store: true,
             },
             Err(error) => FeedUpdate::Failed(error),
@@ -221,10 +324,10 @@
     };
     match store.changes(scope, version, wait).await {
         Ok(Changes::Since { changes, version }) => Some(FeedUpdate::Changed {
-            changed_at: change_time(last, called_at, BootClock.now(), size(&changes)),
+            changed: change_time(size(&changes)),
             changes,
             version,
-            called_at,
+            called_at: sent,
             from_store: true,
         }),
         Ok(Changes::Compacted) => None,
--- a/crates/azurestand_gateway/src/feed/tests.rs
+++ b/crates/azurestand_gateway/src/feed/tests.rs
@@ -1,39 +1,80 @@
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azurestand_store::{Change, ChangeFeed, Changes, Key, Listing, Scope, StoreError, Version};
 use azurestand_types::Moment;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::{ChangeTime, Exchange, FeedUpdate, LARGE_BYTES, Pace, Progress, follow};
+use crate::client::Client;
+use crate::clock::BootClock;
+use crate::relay::Peers;
 
-use super::{LARGE_BYTES, change_time, named_since};
+const WAIT: Duration = Duration::from_secs(5);
 
 fn at(millis: u64) -> Moment {
     Moment::from_millis(millis)
 }
 
+fn exchange(sent: u64, received: u64) -> Exchange {
+    Exchange {
+        sent: at(sent),
+        received: at(received),
+        wait: WAIT,
+    }
+}
+
+fn progress(proof: u64, store_failed: bool) -> Progress {
+    Progress {
+        proof: Some(at(proof)),
+        store_failed,
+        ..Progress::default()
+    }
+}
+
 #[test]
 fn after_a_long_wait_a_change_dates_from_the_response() {
-    assert_eq!(
-        change_time(Some(at(1_000)), at(1_020), at(4_000), 0),
-        Some(at(4_000))
-    );
+    let call = exchange(1_020, 4_000);
+    assert_eq!(call.change_time(Some(at(1_000)), 0), Some(at(4_000)));
 }
 
 #[test]
 fn between_two_close_responses_a_change_dates_from_the_earlier_one() {
-    assert_eq!(
-        change_time(Some(at(1_000)), at(1_020), at(1_030), 0),
-        Some(at(1_000))
-    );
+    let call = exchange(1_020, 1_030);
+    assert_eq!(call.change_time(Some(at(1_000)), 0), Some(at(1_000)));
 }
 
 /// Guards against agents that report a version as just named after an outage of the store, so
 /// that requests go to an older version beyond its bound.
 #[test]
 fn after_a_failed_call_the_time_of_changes_is_unknown() {
-    assert_eq!(change_time(None, at(9_000), at(9_020), 0), None);
-    assert_eq!(change_time(None, at(5_000), at(9_020), 0), None);
+    assert_eq!(exchange(9_000, 9_020).change_time(None, 0), None);
+    assert_eq!(exchange(5_000, 9_020).change_time(None, 0), None);
 }
 
 /// Such a gap comes from a long pause after a change or a stalled process.
 #[test]
 fn after_a_long_gap_the_time_of_an_immediate_response_s_changes_is_unknown() {
-    assert_eq!(change_time(Some(at(1_000)), at(9_000), at(9_020), 0), None);
+    let call = exchange(9_000, 9_020);
+    assert_eq!(call.change_time(Some(at(1_000)), 0), None);
+}
+
+/// Entries that were suspended while they waited for changes counted a version as named
+/// when they ran again, 4 s late, and sent requests to the older one beyond its bound.
+#[test]
+fn a_response_that_outlasts_the_wait_does_not_date_its_changes() {
+    let suspended = exchange(1_020, 6_400);
+    assert_eq!(suspended.change_time(Some(at(1_000)), 0), None);
+}
+
+/// An entry that ran again read a response without changes that had arrived while it was
+/// suspended, and took the changes in the next one for new.
+#[test]
+fn after_a_response_that_outlasts_the_wait_nothing_is_missing_up_to_its_call() {
+    assert_eq!(exchange(1_020, 6_400).complete_at(), at(1_020));
+    assert_eq!(exchange(1_020, 6_200).complete_at(), at(6_200));
 }
 
 /// The transfer of a configuration of half a megabyte took a second, and a naming of weights
@@ -41,29 +82,134 @@
 #[test]
 fn changes_in_a_large_response_date_from_the_response_before_it() {
     let large = LARGE_BYTES + 1;
-    let large_changed_at = change_time(Some(at(1_000)), at(1_020), at(2_400), large);
-    assert_eq!(large_changed_at, Some(at(1_000)));
-    assert_eq!(
-        change_time(Some(at(1_000)), at(1_020), at(9_000), large),
-        None
-    );
+    let soon = exchange(1_020, 2_400);
+    assert_eq!(soon.change_time(Some(at(1_000)), large), Some(at(1_000)));
+    let late = exchange(1_020, 9_000);
+    assert_eq!(late.change_time(Some(at(1_000)), large), None);
 }
 
+/// An entry through which others follow the store stood still. Those learned of a version
+/// 1.3 s late, counted it from then, and sent requests to the older one beyond its bound.
 #[test]
-fn a_naming_of_unknown_time_dates_from_the_last_proof() {
-    let now = at(10_000);
+fn after_a_gap_in_which_the_store_did_not_fail_changes_count_from_the_last_proof() {
+    let gap = progress(1_000, false);
+    assert_eq!(gap.change_time(at(4_300)), ChangeTime::NotBefore(at(1_000)));
+    assert_eq!(gap.change_time(at(7_900)), ChangeTime::NotBefore(at(1_000)));
+}
+
+#[test]
+fn after_a_short_failure_of_the_store_changes_count_from_the_last_proof() {
+    let failure = progress(9_000, true);
     assert_eq!(
-        named_since(now, Some(at(9_900)), Some(at(9_000))),
-        at(9_900)
+        failure.change_time(at(10_000)),
+        ChangeTime::NotBefore(at(9_000))
     );
-    assert_eq!(named_since(now, None, Some(at(9_000))), at(9_000));
 }
 
 /// After an outage of eight seconds the store returned a naming of weights. Entries that dated
 /// it from before the outage served no requests for two seconds.
 #[test]
-fn after_an_outage_a_naming_of_unknown_time_dates_from_now() {
-    let now = at(10_000);
-    assert_eq!(named_since(now, None, Some(at(1_000))), now);
-    assert_eq!(named_since(now, None, None), now);
+fn after_an_outage_of_the_store_the_time_of_changes_is_unknown() {
+    let outage = progress(1_000, true);
+    assert_eq!(outage.change_time(at(10_000)), ChangeTime::Unknown);
+    assert_eq!(
+        Progress::default().change_time(at(10_000)),
+        ChangeTime::Unknown
+    );
+}
+
+/// A store in which the operators name a version after a while.
+#[derive(Debug, Default)]
+struct FakeStore {
+    named_at: Mutex<Option<Moment>>,
+}
+
+impl FakeStore {
+    fn named_at(&self) -> Option<Moment> {
+        *self.named_at.lock().unwrap()
+    }
+
+    fn name_version(&self) {
+        *self.named_at.lock().unwrap() = Some(BootClock.now());
+    }
+}
+
+impl ChangeFeed for FakeStore {
+    async fn list_all(&self, _scope: &Scope) -> Result<Listing, StoreError> {
+        Ok(Listing {
+            entries: Vec::new(),
+            version: Version(1),
+        })
+    }
+
+    async fn changes(
+        &self,
+        _scope: &Scope,
+        _after: Version,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        if self.named_at().is_none() {
+            sleep(wait).await;
+            return Ok(Changes::Since {
+                changes: Vec::new(),
+                version: Version(1),
+            });
+        }
+        let named = Change::Deleted {
+            key: Key::try_from("weights/m").unwrap(),
+            version: Version(2),
+        };
+        Ok(Changes::Since {
+            changes: vec![named],
+            version: Version(2),
+        })
+    }
+}
+
+/// The incident: the entry through which others followed the store stood still while a
+/// version was named, and they counted the version from when they asked the store itself.
+#[tokio::test]
+async fn a_change_made_while_the_relaying_entry_stood_still_counts_from_before_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let store = Arc::new(FakeStore::default());
+    let naming = store.clone();
+    tokio::spawn(async move {
+        // The calls to the suspended entry: one at the start, and one after its back-off.
+        let _first = listener.accept().await;
+        let _second = listener.accept().await;
+        naming.name_version();
+        sleep(WAIT * 10).await;
+    });
+    let peers = Peers::new(
+        Client::default(),
+        "north".into(),
+        None,
+        address.port(),
+        move || vec![address.ip()],
+    );
+    let (sender, mut changes) = mpsc::unbounded_channel();
+    let pace = Pace {
+        wait: WAIT,
+        batch_pause: Duration::from_millis(20),
+    };
+    let followed = store.clone();
+    tokio::spawn(async move {
+        let handle = |update| {
+            if let FeedUpdate::Changed {
+                changes, changed, ..
+            } = update
+                && !changes.is_empty()
+            {
+                let _ = sender.send(changed);
+            }
+        };
+        follow(followed.as_ref(), peers, Scope::All, pace, handle).await;
+    });
+    let changed = changes.recv().await.unwrap();
+    let named_at = store.named_at().unwrap();
+    assert!(
+        matches!(changed, ChangeTime::NotBefore(at) if at <= named_at),
+        "{changed:?}, named at {named_at:?}"
+    );
 }
--- a/crates/azurestand_gateway/src/relay/peers.rs
+++ b/crates/azurestand_gateway/src/relay/peers.rs
@@ -17,7 +17,7 @@
 use super::server::UPDATES_PATH;
 use crate::client::{CallError, Client, plain_request};
 use crate::clock::BootClock;
-use crate::feed::FeedUpdate;
+use crate::feed::{ChangeTime, FeedUpdate};
 
 /// Timeout until the head of a response. An entry that reads the store responds sooner. It
 /// leaves enough time to call the store, so that changes made meanwhile take effect in time.
@@ -173,12 +173,13 @@
     let version = Version(response.version);
     let proof = moment(sent, response.proof);
     let changed_at = response.changed_at.map(|offset| moment(sent, offset));
+    let changed = changed_at.map_or(ChangeTime::Unknown, ChangeTime::Known);
     if !response.whole {
         return Ok(FeedUpdate::Changed {
             changes,
             version,
             called_at: proof,
-            changed_at,
+            changed,
             from_store: false,
         });
     }
@@ -192,7 +193,7 @@
             version,
         },
         called_at: proof,
-        changed_at: None,
+        changed: ChangeTime::Unknown,
         from_store: false,
     })
 }
--- a/crates/azurestand_gateway/src/relay/server.rs
+++ b/crates/azurestand_gateway/src/relay/server.rs
@@ -60,10 +60,10 @@
                 changes,
                 version,
                 called_at,
-                changed_at,
+                changed,
                 ..
             } => {
-                inner.log.extend(changes, *version, *changed_at);
+                inner.log.extend(changes, *version, changed.known());
                 Some(*called_at)
             }
             FeedUpdate::Failed(_) => None,
