Let an earlier observation correct the naming time of any version

Callers saw answers from the older version beyond its bound: an entry that the store had turned away, or that could not reach it, counted a version from its own recovery, and agents' reports never changed that, although they told the right time each second. The incident's logs show nine entries that counted 4 s late up to the end.

Cause: reports corrected only times that were assumed at a start. A process can't tell an outage of the store from one of its own path to it; others can. Now the earliest observation of all counts, for each way in which a process may have learned of the version.

Shown by: an_earlier_observation_corrects_a_naming_time_that_counts_from_too_late fails with the old record_reported.

--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -140,17 +140,11 @@
             .partition_point(|naming| naming.named.version < version);
         match self.named.get_mut(index) {
             Some(Naming { named, source }) if named.version == version => {
-                let Some(since) = since.filter(|_| {
-                    !matches!(source, NamingSource::Observed | NamingSource::Recovered)
-                }) else {
+                let is_assumed = *source == NamingSource::Assumed;
+                let Some(since) = since.filter(|since| is_assumed || *since < named.since) else {
                     return;
                 };
-                named.since = match source {
-                    NamingSource::Reported => named.since.min(since),
-                    NamingSource::Assumed | NamingSource::Recovered | NamingSource::Observed => {
-                        since
-                    }
-                };
+                named.since = since;
                 *source = NamingSource::Reported;
             }
             _ => {
--- a/crates/azurestand_direct/tests/direct/versions.rs
+++ b/crates/azurestand_direct/tests/direct/versions.rs
@@ -186,3 +186,30 @@
     assert_eq!(versions.newest(), 3);
     assert!(versions.contains(2) && !versions.contains(9));
 }
+
+/// An entry that was disconnected or suspended counted a version from when it learned of
+/// it, and sent requests to the older one for seconds beyond its bound.
+#[test]
+fn an_earlier_observation_corrects_a_naming_time_that_counts_from_too_late() {
+    let learned_late = [
+        NamedVersions::record_observed,
+        NamedVersions::record_recovered,
+        NamedVersions::record_assumed,
+    ];
+    for record in learned_late {
+        let mut versions = NamedVersions::default();
+        assert!(record(&mut versions, 2, at(17_000)));
+        versions.record_reported(2, None, at(0));
+        versions.record_reported(2, Some(at(13_100)), at(0));
+        versions.record_reported(2, Some(at(14_300)), at(0));
+        assert_eq!(versions.oldest(at(13_100) + LIMIT, LIMIT), 2);
+    }
+}
+
+#[test]
+fn a_later_report_does_not_move_the_bound_of_a_recovered_naming() {
+    let mut versions = NamedVersions::default();
+    assert!(versions.record_recovered(2, at(13_000)));
+    versions.record_reported(2, Some(at(14_000)), at(0));
+    assert_eq!(versions.oldest(at(13_000) + LIMIT, LIMIT), 2);
+}
