Withdraw a request that waits for an older version at its bound

What callers would see: an answer from the older version beyond its bound although the request was sent in time.

Cause: nothing took a request back that had not begun at the bound.

The request goes to another target if it may be repeated, else it is of unknown outcome. It is no fault of the target. The line withdrawn (G0211) tells of it; it and begun_late share the bounded volume of failures.

--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -15,6 +15,7 @@
 mod store_updates;
 mod stream;
 mod weights;
+mod withdrawal;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -21,6 +21,7 @@
 use super::response::{Body, RequestError, full};
 use super::shared::Shared;
 use super::stream;
+use super::withdrawal::until_expired;
 use crate::client::{ActiveConnection, CallError, Reuse};
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
@@ -141,7 +142,18 @@
             let reservation = place(&self.shared, &self.call, &self.constraints).await?;
             let limit = self.head_timeout(&reservation);
             let target = reservation.target.clone();
-            let sent = timeout(limit, self.send(reservation)).await;
+            let expired = until_expired(
+                self.shared.clone(),
+                self.call.request.model.clone(),
+                reservation.version,
+            );
+            let sent = tokio::select! {
+                sent = timeout(limit, self.send(reservation)) => sent,
+                () = expired => {
+                    self.withdrawn(&target)?;
+                    continue;
+                }
+            };
             match sent {
                 Ok(Ok(opened)) => {
                     if let Some(opened) = self.check_response(opened)? {
@@ -155,6 +167,17 @@
         }
     }
 
+    /// Handles a request that was withdrawn because it may no longer begin at the target. The
+    /// target may have begun it at the same moment.
+    fn withdrawn(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
+        LogEvent::Withdrawn.log(&[
+            ("request", self.call.id().into()),
+            ("target", target.id.as_ref().into()),
+            ("waited_ms", millis(self.call.waited())),
+        ]);
+        self.try_another(target)
+    }
+
     fn expiry_error(&self) -> RequestError {
         if self.sends > 0 {
             RequestError::TimedOut
@@ -196,6 +219,15 @@
         reason: &str,
     ) -> Result<(), RequestError> {
         self.record_fault(target, fault, reason);
+        self.try_another(target)
+    }
+
+    /// Lets the request go to another target although this one may have run it.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError::Unknown`] if it may not be repeated.
+    fn try_another(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
         self.maybe_ran = true;
         self.constraints.avoid.push(target.id.clone());
         if self.may_repeat() && self.spend_retry() {
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -84,6 +84,7 @@
     Broken = "G0207", "broken", "A response was aborted after it had started.";
     Unknown = "G0208", "unknown", "It is unknown whether a request ran.";
     BegunLate = "G0210", "begun_late", "A request began on weights that this process counts as replaced, after the bound.";
+    Withdrawn = "G0211", "withdrawn", "A request that had not begun was withdrawn from a target whose weights expire.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
@@ -206,6 +207,8 @@
             | Self::Broken
             | Self::Unknown
             | Self::HeadLate
+            | Self::BegunLate
+            | Self::Withdrawn
             | Self::PieceFailed
             | Self::PieceSpoilt
             | Self::TargetUnreadable => Class::Failure,
