Let each request name the version that its engine is taken to hold

A request could begin on a version that the entry had not checked: only requests to the oldest version still allowed carried the version they may begin on. An engine listed with a newer one that had restarted meanwhile, and held an older one, would run them, also beyond the bound.

Now each request to an engine carries it. An engine with other weights refuses it for certain, and it goes to another one.

--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -33,7 +33,8 @@
     pub(crate) expected: Duration,
     sent: Moment,
     pub(crate) version: Option<u64>,
-    /// The only version of weights that may answer, if it is restricted to one.
+    /// The only version of weights that may answer: the one that the target was taken to
+    /// hold, or the one that began the response.
     pub(crate) required_version: Option<u64>,
     has_begun: bool,
 }
@@ -227,14 +228,13 @@
     state
         .placement
         .record_send(now, &target, call.service.cold_rate);
-    let forced = oldest > 0 && version == Some(oldest);
     Ok(Reservation {
         shared: shared.clone(),
         target,
         expected,
         sent: now,
         version,
-        required_version: constraints.required_version.or(version.filter(|_| forced)),
+        required_version: constraints.required_version.or(version),
         has_begun: false,
     })
 }
