--- a/crates/azurestand/src/commands/explain.rs
+++ b/crates/azurestand/src/commands/explain.rs
@@ -112,7 +112,7 @@
     let why = field(last, "why").unwrap_or("no reason given");
     let faults: Vec<String> = steps
         .iter()
-        .filter(|step| step.what == "attempt_failed")
+        .filter(|step| matches!(step.what.as_str(), "attempt_failed" | "withdrawn"))
         .map(|step| {
             let target = field(step, "target").unwrap_or("a target");
             format!("{target}: {}", field(step, "why").unwrap_or("failed"))
@@ -128,7 +128,7 @@
         "refused" => format!("refused before it ran: {why}{led}"),
         "unknown" => format!("its outcome can't be known: {why}{led}"),
         "broken" => format!("broken off midway: {why}{led}"),
-        "attempt_failed" => format!("its caller left, or the process ended{led}"),
+        "attempt_failed" | "withdrawn" => format!("its caller left, or the process ended{led}"),
         _ => format!("no end is on record; its caller left, or the process ended{led}"),
     }
 }
--- a/crates/azurestand/tests/explain.rs
+++ b/crates/azurestand/tests/explain.rs
@@ -8,6 +8,8 @@
 {"ms":130,"event":"G0205","what":"answered","request":"b2","target":"i-2"}
 {"ms":140,"event":"G0208","what":"unknown","request":"c3","why":"no answer came in time; the request may have run"}
 {"ms":150,"event":"G0207","what":"broken","request":"d4","why":"silent"}
+{"ms":160,"event":"G0211","what":"withdrawn","request":"e5","target":"i-3","why":"it had not begun when its weights expired"}
+{"ms":190,"event":"G0205","what":"answered","request":"e5","target":"i-4"}
 not a line of ours
 "#;
 
@@ -45,6 +47,15 @@
     assert!(text(&explain("b2")).contains("cause: answered"));
 }
 
+#[test]
+fn a_withdrawal_is_told_as_what_led_to_the_answer() {
+    let text = text(&explain("e5"));
+    assert!(
+        text.ends_with("answered after i-3: it had not begun when its weights expired\n"),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_request_without_a_line_is_not_found() {
     assert_eq!(explain("zz").status.code(), Some(6));
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -173,6 +173,7 @@
         LogEvent::Withdrawn.log(&[
             ("request", self.call.id().into()),
             ("target", target.id.as_ref().into()),
+            ("why", "it had not begun when its weights expired".into()),
             ("waited_ms", millis(self.call.waited())),
         ]);
         self.try_another(target)
