Keep the place of a cancelled run on a cold engine until it ends

The agent closed the connection, freed the run's place in the same step, and started the next request there. On a busy machine the engine handled that request 2 to 33 ms later, before it had noticed the closed connection: 3 running, a fourth one arrives, and it falls over. The same happens when a request's deadline passes, and when a report shows other weights than the run began with. Real engines end a cancelled run at their next step at the earliest and do not say when, so the fault is in the agent, not in the test.

Change: while an engine is not warm, a run whose answer has no reader any more is read to its end and keeps its place until then, for at most 5 s after its deadline. Its outcome is told at once, as before. A warm engine queues one request too many, a plain service has no cold start, and a leaving host starts nothing, so there the connection is closed and the place is free at once. The stand-in engine has a cancel_time, after which a cancelled run frees its place.

Cost: a whole answer on a connection that went silent holds its place, and so a pending load, up to 5 s longer.

--- a/crates/azurestand_server/src/agent/target.rs
+++ b/crates/azurestand_server/src/agent/target.rs
@@ -348,10 +348,10 @@
             return;
         }
         for id in self.exchanges.fail(now, Uncertainty::TargetFailed) {
-            self.stop_run(id);
             self.settle_claim(id);
-            self.admit(AdmissionEvent::Finished(id));
+            self.stop_run(id);
         }
+        self.stop_abandoned_runs();
         self.pump_all();
     }
 
@@ -369,9 +369,8 @@
         };
         let now = self.now();
         for id in self.exchanges.report(now, taken, weights) {
-            self.stop_run(id);
             self.settle_claim(id);
-            self.admit(AdmissionEvent::Finished(id));
+            self.abandon_run(id);
         }
         self.pump_all();
     }
@@ -412,10 +411,9 @@
             }
             AdmissionAction::Running(id) => self.answer_revoke(id, true),
             AdmissionAction::Cancel(id) => {
-                self.stop_run(id);
                 self.end(id, Ending::Unknown(Uncertainty::Unreachable));
                 self.settle_claim(id);
-                self.admit(AdmissionEvent::Finished(id));
+                self.abandon_run(id);
             }
         }
     }
@@ -462,6 +460,7 @@
         self.leaving = true;
         self.live(LifecycleEvent::Leave);
         self.admit(AdmissionEvent::Close(Refusal::Draining));
+        self.stop_abandoned_runs();
         self.leave_claims();
     }
 
--- a/crates/azurestand_server/src/agent/target/answers.rs
+++ b/crates/azurestand_server/src/agent/target/answers.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use azurestand_target::{AdmissionEvent, Ending, LifecycleEvent, Read, Weights};
+use azurestand_target::{AdmissionEvent, Ending, LifecycleEvent, Phase, Read, Weights};
 use azurestand_types::{Moment, Outcome, Refusal, RequestId, Uncertainty};
 use azurestand_wire::{AnswerEnd, AnswerHead, AnswerPart, Body, Outbox, TargetRequest};
 use bytes::Bytes;
@@ -58,6 +58,8 @@
     window: Arc<Semaphore>,
     acked: u64,
     stop: CancellationToken,
+    /// Whether it runs on without a reader, for its place on the target.
+    abandoned: bool,
     pub(super) reader: Option<Reader>,
     /// Since when nobody reads the answer, although nobody has all of it.
     orphaned: Option<Moment>,
@@ -76,6 +78,7 @@
             window: Arc::new(Semaphore::new(WINDOW_BYTES)),
             acked: 0,
             stop: CancellationToken::new(),
+            abandoned: false,
             reader: Some(reader),
             orphaned: None,
             revoker: None,
@@ -114,11 +117,48 @@
         tokio::spawn(request.stop.clone().run_until_cancelled_owned(call));
     }
 
-    /// Breaks the call off, which tells the target that nobody waits.
+    /// Closes the call's connection, which cancels the run, and frees its place.
     pub(super) fn stop_run(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get(&id) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.abandoned = false;
             request.stop.cancel();
         }
+        self.admit(AdmissionEvent::Finished(id));
+    }
+
+    /// Ends a run whose answer has no reader any more.
+    ///
+    /// An engine doesn't confirm that it has cancelled a run. Before it is warm, a
+    /// request that starts earlier than that would be one too many, so there the
+    /// run goes on unread and keeps its place until it ends.
+    pub(super) fn abandon_run(&mut self, id: RequestId) {
+        if !self.is_overload_possible() {
+            self.stop_run(id);
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.abandoned = true;
+            // The rest of the answer is read without waiting for acknowledgements.
+            request.window.close();
+        }
+    }
+
+    /// Whether one request beyond the limit could make the target fail.
+    fn is_overload_possible(&self) -> bool {
+        let is_engine = matches!(self.settings.kind, TargetKind::Engine { .. });
+        is_engine && !self.leaving && self.life.phase() != Phase::Warm
+    }
+
+    /// Cancels the abandoned runs, on a target that starts no more requests.
+    pub(super) fn stop_abandoned_runs(&mut self) {
+        let abandoned = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.abandoned)
+            .map(|(id, _)| *id);
+        for id in abandoned.collect::<Vec<_>>() {
+            self.stop_run(id);
+        }
     }
 
     pub(super) fn take_run(&mut self, id: RequestId, event: RunEvent) {
@@ -141,6 +181,7 @@
                 self.exchanges.append(id, bytes);
                 self.pump(id);
             }
+            RunEvent::Late => self.end_late_run(id),
             RunEvent::Done(end) => self.finish_run(id, end),
         }
     }
@@ -171,6 +212,14 @@
         });
     }
 
+    fn end_late_run(&mut self, id: RequestId) {
+        self.live(LifecycleEvent::Failed);
+        self.end(id, Ending::Unknown(Uncertainty::TimedOut));
+        self.settle_claim(id);
+        self.abandon_run(id);
+        self.poll();
+    }
+
     fn finish_run(&mut self, id: RequestId, end: RunEnd) {
         let service = matches!(self.settings.kind, TargetKind::Service { .. });
         let ending = match end {
@@ -193,7 +242,9 @@
             // report tells, it gets no more than a cold one bears.
             RunEnd::Unreached | RunEnd::Broken if !service => self.live(LifecycleEvent::Overloaded),
             RunEnd::Overloaded => self.live(LifecycleEvent::Overloaded),
-            RunEnd::Unreached | RunEnd::Broken | RunEnd::Late => self.live(LifecycleEvent::Failed),
+            RunEnd::Unreached | RunEnd::Broken => self.live(LifecycleEvent::Failed),
+            // The failure was counted when the caller's time ended.
+            RunEnd::Late => {}
         }
         self.end(id, ending);
         self.settle_claim(id);
--- a/crates/azurestand_server/src/agent/target/run.rs
+++ b/crates/azurestand_server/src/agent/target/run.rs
@@ -1,6 +1,7 @@
 //! One call to a target, from its start to its end.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use azurestand_types::RequestId;
@@ -21,6 +22,9 @@
 /// An engine that streams gives no token for this long only when it has lost the stream.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 const MAX_RESUMES: u32 = 3;
+/// How long after its deadline a call may keep its place on an engine that isn't
+/// warm; a connection that went silent would keep it for ever.
+const LATE_LIMIT: Duration = Duration::from_secs(5);
 /// Frames between processes stay small, so that no answer delays another.
 const MAX_PART_BYTES: usize = 64 * 1024;
 
@@ -36,6 +40,8 @@
     },
     /// A piece of the body.
     Bytes(Bytes),
+    /// The caller's time ended; the call goes on.
+    Late,
     /// The call ended.
     Done(RunEnd),
 }
@@ -51,7 +57,7 @@
     Overloaded,
     /// The call broke off.
     Broken,
-    /// The caller's time ended.
+    /// It did not end within [`LATE_LIMIT`] after the caller's time.
     Late,
 }
 
@@ -71,16 +77,21 @@
 impl Run {
     /// Makes the call and reports what it brings; dropping the future cancels the call.
     pub(crate) async fn carry_out(mut self, client: HttpClient) {
-        let end = match timeout_at(self.deadline, self.call(&client)).await {
-            Ok(end) => end,
-            Err(_) => RunEnd::Late,
+        let (id, events) = (self.id, self.events.clone());
+        let deadline = self.deadline;
+        let mut call = pin!(self.call(&client));
+        let end = if let Ok(end) = timeout_at(deadline, &mut call).await {
+            end
+        } else {
+            tell(&events, id, RunEvent::Late).await;
+            let rest = timeout(LATE_LIMIT, call).await;
+            rest.unwrap_or(RunEnd::Late)
         };
-        self.tell(RunEvent::Done(end)).await;
+        tell(&events, id, RunEvent::Done(end)).await;
     }
 
     async fn tell(&self, event: RunEvent) {
-        let id = self.id;
-        let _ = self.events.send(Input::Run { id, event }).await;
+        tell(&self.events, self.id, event).await;
     }
 
     async fn call(&mut self, client: &HttpClient) -> RunEnd {
@@ -198,6 +209,10 @@
     }
 }
 
+async fn tell(events: &mpsc::Sender<Input>, id: RequestId, event: RunEvent) {
+    let _ = events.send(Input::Run { id, event }).await;
+}
+
 fn is_overload(status: StatusCode) -> bool {
     matches!(
         status,
--- a/crates/azurestand_standin/src/engine.rs
+++ b/crates/azurestand_standin/src/engine.rs
@@ -41,6 +41,8 @@
     pub report_lag: Duration,
     /// The time that a load takes after the weights have come in.
     pub load_time: Duration,
+    /// How long a run keeps its place after its connection was closed.
+    pub cancel_time: Duration,
 }
 
 impl Default for EngineOptions {
@@ -54,6 +56,7 @@
             warm_after: 12,
             report_lag: Duration::from_millis(200),
             load_time: Duration::from_millis(20),
+            cancel_time: Duration::ZERO,
         }
     }
 }
@@ -113,6 +116,11 @@
         self.shared.lock().options.token_time = time;
     }
 
+    /// Sets how long a run keeps its place after its connection was closed.
+    pub fn set_cancel_time(&self, time: Duration) {
+        self.shared.lock().options.cancel_time = time;
+    }
+
     /// Connections open now go silent; new ones work.
     pub fn hang(&self) {
         self.listener.silence();
--- a/crates/azurestand_standin/src/engine/completion.rs
+++ b/crates/azurestand_standin/src/engine/completion.rs
@@ -223,13 +223,27 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
-        if !self.finished {
-            self.shared.lock().end_run(self.index, self.boot, false);
-            self.shared.wake();
+        if self.finished {
+            return;
+        }
+        let (shared, index, boot) = (Arc::clone(&self.shared), self.index, self.boot);
+        let time = shared.lock().options.cancel_time;
+        if time.is_zero() {
+            cancel(&shared, index, boot);
+            return;
         }
+        tokio::spawn(async move {
+            sleep(time).await;
+            cancel(&shared, index, boot);
+        });
     }
 }
 
+fn cancel(shared: &Shared, index: usize, boot: BootId) {
+    shared.lock().end_run(index, boot, false);
+    shared.wake();
+}
+
 async fn whole(mut run: Run) -> Answer {
     let mut text = String::new();
     let mut weights = None;
--- a/crates/azurestand_standin/tests/standin/engine.rs
+++ b/crates/azurestand_standin/tests/standin/engine.rs
@@ -13,6 +13,8 @@
 use serde_json::{Value, json};
 
 const ENDLESS: u32 = 1_000_000;
+/// Longer than any test.
+const FOREVER: Duration = Duration::from_hours(1);
 const CHAT: &str = "/v1/chat/completions";
 
 struct Bench {
@@ -57,6 +59,17 @@
         }
     }
 
+    /// Waits until the first run makes no more tokens.
+    async fn first_run_stopped(&self) {
+        loop {
+            let before = self.engine.record().runs[0].tokens;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            if self.engine.record().runs[0].tokens == before {
+                return;
+            }
+        }
+    }
+
     async fn ask(&self, tokens: u32) -> Option<(StatusCode, Value)> {
         ask(self.engine.address(), tokens).await
     }
@@ -176,16 +189,27 @@
     let mut answer = client.request(request).await.unwrap();
     answer.frame().await.unwrap().unwrap();
     drop((answer, client));
-    loop {
-        let before = bench.engine.record().runs[0].tokens;
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        if bench.engine.record().runs[0].tokens == before {
-            break;
-        }
-    }
+    bench.first_run_stopped().await;
     assert_eq!(bench.engine.record().runs[0].finished, None);
 }
 
+#[tokio::test]
+async fn a_cancelled_run_keeps_its_place_for_the_cancel_time() {
+    let options = EngineOptions {
+        cold_limit: 1,
+        cancel_time: FOREVER,
+        ..quick()
+    };
+    let bench = Bench::start(options).await;
+    bench.load(b"weights", 1).await;
+    let open = tokio::spawn(ask(bench.engine.address(), ENDLESS));
+    bench.first_run().await;
+    open.abort();
+    bench.first_run_stopped().await;
+    assert_eq!(bench.ask(1).await.unwrap().0, 503);
+    assert_eq!(bench.engine.record().overloads, 1);
+}
+
 #[tokio::test]
 async fn a_hang_silences_open_connections_and_serves_new_ones() {
     let options = EngineOptions {
