Search each byte of a stream for the end of an event once

After a stream's event grew in small chunks, the entry searched everything that it held back again for each chunk, twice, up to the bound of 256 KiB; and splitting a chunk with many small events copied the rest for each. A target that sends one event without end in chunks of four bytes so took the processor instead of being cut off: its caller had no end of the response within the 40 s that the test waits, and other requests of the process shared the processor with it.

The splitter now remembers how far it has searched, looks for both kinds of empty lines in one pass, and removes the complete events at once.

--- a/crates/azurestand_direct/src/events.rs
+++ b/crates/azurestand_direct/src/events.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// The length of the beginning of `pending` that is known to end no event.
+    searched: usize,
     last: Option<u64>,
 }
 
@@ -41,8 +43,8 @@
     /// Creates the splitter of a stream whose caller has the events up to `last`.
     pub fn after(last: Option<u64>) -> Self {
         Self {
-            pending: Vec::new(),
             last,
+            ..Self::default()
         }
     }
 
@@ -59,6 +61,7 @@
     /// Drops an incomplete event, whose target failed before its end.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
+        self.searched = 0;
     }
 
     /// Adds bytes and returns the events that are now complete and that the caller doesn't
@@ -68,19 +71,26 @@
     ///
     /// [`EventError`] when the stream can't continue.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<StreamEvent>, EventError> {
-        self.pending.extend_from_slice(bytes);
+        let mut pending = mem::take(&mut self.pending);
+        let mut searched = mem::take(&mut self.searched);
+        pending.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = event_end(&self.pending) {
-            let rest = self.pending.split_off(end);
-            let complete = mem::replace(&mut self.pending, rest);
+        let mut start = 0;
+        while let Some(end) = event_end(&pending[start..], searched) {
+            searched = 0;
+            let complete = &pending[start..start + end];
+            start += end;
             let event = StreamEvent {
-                id: event_id(&complete),
-                bytes: complete,
+                id: event_id(complete),
+                bytes: complete.to_vec(),
             };
             if self.is_new(&event)? {
                 events.push(event);
             }
         }
+        pending.drain(..start);
+        self.searched = pending.len();
+        self.pending = pending;
         if self.pending.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
@@ -103,22 +113,14 @@
     }
 }
 
-/// The end of the first event, after its empty line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = end_of(bytes, b"\n\n");
-    let crlf = end_of(bytes, b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(one), Some(other)) => Some(one.min(other)),
-        (one, other) => one.or(other),
-    }
-}
-
-/// The end of the first `delimiter`.
-fn end_of(bytes: &[u8], delimiter: &[u8]) -> Option<usize> {
-    let start = bytes
-        .windows(delimiter.len())
-        .position(|part| part == delimiter)?;
-    Some(start + delimiter.len())
+/// The end of the first event, after its empty line; it isn't within the first `searched`
+/// bytes.
+fn event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    let ends_event = |end: &usize| {
+        let event = &bytes[..*end];
+        event.ends_with(b"\n\n") || event.ends_with(b"\r\n\r\n")
+    };
+    (searched + 1..=bytes.len()).find(ends_event)
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/azurestand_direct/tests/direct/events.rs
+++ b/crates/azurestand_direct/tests/direct/events.rs
@@ -35,6 +35,23 @@
     }
 }
 
+/// The work for each byte must not grow with the bytes that are held back.
+#[test]
+fn an_endless_event_in_single_bytes_is_refused_at_the_limit() {
+    let mut splitter = EventSplitter::after(None);
+    let longer = (1..=1 << 20).find(|_| splitter.push(b"a").is_err());
+    assert_eq!(longer, Some(256 * 1024 + 1));
+    splitter.discard_partial();
+    assert_eq!(ids(&mut splitter, &event(1)), [1]);
+}
+
+#[test]
+fn many_empty_events_at_once_are_split() {
+    let mut splitter = EventSplitter::after(None);
+    let events = splitter.push(&b"\n\n".repeat(1 << 18)).unwrap();
+    assert_eq!(events.len(), 1 << 18);
+}
+
 #[test]
 fn an_incomplete_event_is_held_back() {
     let mut splitter = EventSplitter::after(None);
