Bound the bytes with which a peer completes no part of a response

The HTTP client bounds the length of a head and reads any number of interim responses before it, and any number of zeros or spaces in the size of a chunk. A target that sent `100 Continue` without end so kept its request, its connection and a share of the processor until the caller's deadline.

A connection now counts the bytes that arrive until a head or a part of a body is complete, and fails over 256 KiB, which is four read buffers, since the client may read ahead. The failure counts like a broken connection: a request that may run once is answered 502, another one tries the next target, and the target is recorded as faulty.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -5,6 +5,9 @@
 //! that the peer notices at once and a late response cannot be taken for the
 //! response to another call.
 
+mod body;
+mod meter;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,7 +17,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
@@ -25,6 +27,9 @@
 
 use crate::clock::BootClock;
 
+pub(crate) use body::ResponseBody;
+use meter::{ByteMeter, MeteredStream};
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long sent bytes may stay unacknowledged before the connection is closed.
@@ -35,6 +40,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections for each peer.
 const MAX_IDLE: usize = 4;
+/// The largest head of a response, and the most that is read at once, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 quick_error! {
     /// Why a call returned no usable response.
@@ -71,6 +78,7 @@
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     abort: AbortHandle,
+    meter: ByteMeter,
     since: Moment,
     limit: Duration,
 }
@@ -88,6 +96,7 @@
     key: PeerKey,
     sender: Option<SendRequest<Full<Bytes>>>,
     abort: AbortHandle,
+    meter: ByteMeter,
     limit: Duration,
 }
 
@@ -112,6 +121,7 @@
         let idle = Idle {
             sender,
             abort: self.abort.clone(),
+            meter: self.meter.clone(),
             since: BootClock.now(),
             limit: self.limit,
         };
@@ -178,7 +188,9 @@
         let stream = connected.map_err(|error| not_sent(&error.to_string()))?;
         configure(&stream).map_err(|error| not_sent(&error.to_string()))?;
         let mut builder = Builder::new();
-        builder.max_buf_size(64 * 1024);
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let meter = ByteMeter::default();
+        let stream = MeteredStream::new(stream, meter.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(&error.to_string()))?;
         let task = tokio::spawn(async move {
@@ -190,6 +202,7 @@
             key: key.clone(),
             sender: Some(sender),
             abort: task.abort_handle(),
+            meter,
             limit: IDLE_TIMEOUT,
         })
     }
@@ -200,7 +213,7 @@
         key: &PeerKey,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
-    ) -> Result<(Response<Incoming>, ActiveConnection), CallError> {
+    ) -> Result<(Response<ResponseBody>, ActiveConnection), CallError> {
         let pooled = match reuse {
             Reuse::Pooled => self.take_idle(key),
             Reuse::Never => None,
@@ -212,6 +225,7 @@
                 key: key.clone(),
                 sender: Some(idle.sender),
                 abort: idle.abort,
+                meter: idle.meter,
                 limit: idle.limit,
             };
             match attempt(connection, request).await {
@@ -303,7 +317,7 @@
 }
 
 async fn read_body(
-    answer: Response<Incoming>,
+    answer: Response<ResponseBody>,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
     let (head, body) = answer.into_parts();
@@ -319,13 +333,17 @@
 async fn attempt(
     mut connection: ActiveConnection,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, ActiveConnection), (CallError, Unsent)> {
+) -> Result<(Response<ResponseBody>, ActiveConnection), (CallError, Unsent)> {
     let Some(sender) = connection.sender.as_mut() else {
         return Err((not_sent("closed"), Some(Box::new(request))));
     };
+    connection.meter.reset();
     match sender.try_send_request(request).await {
         Ok(answer) => {
+            connection.meter.reset();
             connection.limit = idle_timeout(answer.headers());
+            let meter = connection.meter.clone();
+            let answer = answer.map(|body| ResponseBody::new(body, meter));
             Ok((answer, connection))
         }
         Err(mut error) => {
--- /dev/null
+++ b/crates/azurestand_gateway/src/client/meter.rs
@@ -0,0 +1,96 @@
+//! Limits the bytes that a peer may send without completing a part of a response.
+//!
+//! The HTTP client bounds the length of a head, but reads any number of interim responses
+//! before it, and any number of zeros or spaces in the size of a chunk.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The most bytes that a peer may send without completing a head or a part of a body:
+/// four read buffers, since two of them may be read ahead of what was taken.
+pub(super) const MAX_INCOMPLETE_BYTES: usize = 4 * super::READ_BUFFER_BYTES;
+
+/// Counts the bytes that arrived since a part of a response was last completed.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ByteMeter(Arc<AtomicUsize>);
+
+impl ByteMeter {
+    /// Records that a part is complete, or that a call begins.
+    pub(super) fn reset(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    fn is_exceeded(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > MAX_INCOMPLETE_BYTES
+    }
+}
+
+/// A connection whose reads fail once its meter is exceeded.
+#[derive(Debug)]
+pub(super) struct MeteredStream {
+    stream: TcpStream,
+    meter: ByteMeter,
+}
+
+impl MeteredStream {
+    pub(super) fn new(stream: TcpStream, meter: ByteMeter) -> Self {
+        Self { stream, meter }
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.meter.is_exceeded() {
+            let text = format!("over {MAX_INCOMPLETE_BYTES} bytes complete no part of a response");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.meter.add(buffer.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::call::Call;
@@ -21,7 +20,7 @@
 use super::response::{Body, RequestError, full};
 use super::shared::Shared;
 use super::stream;
-use crate::client::{ActiveConnection, CallError, Reuse};
+use crate::client::{ActiveConnection, CallError, ResponseBody, Reuse};
 use crate::log::LogEvent;
 use crate::metrics::{self, Span};
 use crate::platform::{Platform, RequestContext, ResponseHead};
@@ -40,7 +39,7 @@
 /// A response whose head has arrived.
 pub(crate) struct OpenResponse<P> {
     pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     pub(crate) connection: ActiveConnection,
     pub(crate) reservation: Reservation<P>,
     pub(crate) response: ResponseHead,
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -12,13 +12,13 @@
 use futures_util::stream::unfold;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use tokio::time::{Instant, timeout};
 
 use super::deliver::{Delivery, OpenResponse, millis};
 use super::place::Reservation;
 use super::response::{Body, BodyError};
-use crate::client::ActiveConnection;
+use crate::client::{ActiveConnection, ResponseBody};
 use crate::log::LogEvent;
 use crate::metrics::{self, Span};
 use crate::platform::Platform;
@@ -41,7 +41,7 @@
 
 /// The target that currently sends the stream.
 struct Source<P> {
-    body: Incoming,
+    body: ResponseBody,
     connection: ActiveConnection,
     reservation: Reservation<P>,
 }
@@ -232,7 +232,7 @@
     }
 }
 
-async fn read_chunk(body: &mut Incoming) -> Chunk {
+async fn read_chunk(body: &mut ResponseBody) -> Chunk {
     loop {
         match body.frame().await {
             None => return Chunk::End,
