Bound the memory of all responses that are read whole

A response that isn't a stream is read whole first, up to 8 MiB. That bound holds for one response only: an entry with 160 MB has no room for thirty at once. And it counted only the data: each part of a body kept its place in the read buffer, so that a body in chunks of one byte held the bytes around them and a record for each chunk, and was read for as long as half a minute until it was refused.

All such responses now share 32 MiB (64 MiB at most with the room that buffers have left) beyond 64 KiB of each one's own, until their callers have them. A response that finds no room counts as failed: 502, or another target if the request may be repeated. Small responses need no shared memory and are served meanwhile. The data is copied out of the read buffers, and each part counts as 64 bytes at least.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -16,7 +16,7 @@
 use azurestand_types::Moment;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
@@ -27,7 +27,7 @@
 
 use crate::clock::BootClock;
 
-pub(crate) use body::ResponseBody;
+pub(crate) use body::{CollectError, ResponseBody, collect};
 use meter::{ByteMeter, MeteredStream};
 
 /// Timeout for opening a connection.
@@ -321,9 +321,9 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, max_bytes).collect().await;
+    let body = collect(body, max_bytes, |_| true).await;
     let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
-    Ok(Response::from_parts(head, body.to_bytes()))
+    Ok(Response::from_parts(head, body.freeze()))
 }
 
 /// The request, if nothing of it was sent.
--- a/crates/azurestand_gateway/src/client/body.rs
+++ b/crates/azurestand_gateway/src/client/body.rs
@@ -1,13 +1,65 @@
-//! The body of a response that is still arriving.
+//! The body of a response that is still arriving, and its collection into memory.
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use derive_more::Display;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use super::meter::ByteMeter;
 
+/// Each part of a body counts as this many bytes at least, since it costs time as well.
+const MIN_PART_BYTES: usize = 64;
+
+/// Why a body could not be collected.
+#[derive(Debug, Display)]
+pub(crate) enum CollectError {
+    /// The connection broke, or the bytes are no body.
+    #[display("{_0}")]
+    Broken(String),
+    /// The body is larger than the call allows.
+    #[display("the body exceeds {_0} bytes")]
+    TooLarge(usize),
+    /// Other bodies take up the memory for bodies.
+    #[display("no memory is left for a body of this size")]
+    NoMemory,
+}
+
+/// Collects a body of at most `max_bytes` bytes. Before the bytes grow to a new length,
+/// `reserve` says whether there is memory for that.
+pub(crate) async fn collect<B, R>(
+    mut body: B,
+    max_bytes: usize,
+    mut reserve: R,
+) -> Result<BytesMut, CollectError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+    R: FnMut(usize) -> bool,
+{
+    // The parts share the read buffers, which are larger; so they are copied.
+    let mut bytes = BytesMut::new();
+    let mut counted = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CollectError::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        counted += data.len().max(MIN_PART_BYTES);
+        let length = bytes.len() + data.len();
+        if counted > max_bytes.max(MIN_PART_BYTES) || length > max_bytes {
+            return Err(CollectError::TooLarge(max_bytes));
+        }
+        if !reserve(length) {
+            return Err(CollectError::NoMemory);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
 /// A body; each part of it that arrives resets the meter of its connection.
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod deliver;
 mod filter;
+mod memory;
 mod place;
 mod reports;
 mod response;
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -12,10 +12,11 @@
 use azurestand_direct::{Fault, RouteKind, Target};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::call::Call;
+use super::memory;
 use super::place::{Constraints, Reservation, place};
 use super::response::{Body, RequestError, full};
 use super::shared::Shared;
@@ -324,11 +325,10 @@
         loop {
             let opened = self.open().await?;
             let target = opened.reservation.target.clone();
-            let body = Limited::new(opened.body, MAX_RESPONSE_BYTES).collect();
+            let body = memory::collect_response(opened.body, MAX_RESPONSE_BYTES);
             match timeout(self.call.time_left(), body).await {
-                Ok(Ok(body)) => {
+                Ok(Ok(bytes)) => {
                     opened.connection.release();
-                    let bytes = body.to_bytes();
                     return Ok(self.finish(&opened.head, &target, bytes));
                 }
                 Ok(Err(error)) => self.failed(&target, Fault::Failed, &error.to_string())?,
