Read the failure of a stream whole before it is passed on

The target's failure on a route of streams was passed on as it arrived, but its connection was closed as soon as the head had gone out. A failure whose body never ends got its caller a beginning of it rather than an outcome, and the target wasn't recorded as faulty.

Such a failure is now read like any answer that isn't a stream, within the same bounds of size, time and memory, and its connection is kept. If it doesn't end, the caller gets 502, or another target is tried where the stream may be resumed.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -75,17 +75,20 @@
         connect_failures: 0,
         maybe_ran: false,
     };
-    let outcome = if delivery.call.route.kind.is_stream() {
-        match delivery.open().await {
-            Ok(opened) => return stream::start(delivery, opened),
-            Err(error) => Err(error),
+    let is_stream = delivery.call.route.kind.is_stream();
+    loop {
+        let opened = match delivery.open().await {
+            Ok(opened) => opened,
+            Err(error) => return delivery.error_response(error),
+        };
+        if is_stream && opened.head.status.is_success() {
+            return stream::start(delivery, opened);
+        }
+        match delivery.read_whole(opened).await {
+            Ok(Some(response)) => return response,
+            Ok(None) => {}
+            Err(error) => return delivery.error_response(error),
         }
-    } else {
-        delivery.full_response().await
-    };
-    match outcome {
-        Ok(response) => response,
-        Err(error) => delivery.error_response(error),
     }
 }
 
@@ -320,20 +323,24 @@
         opened.response.has_seal && opened.response.id == self.call.request.id && !encoded
     }
 
-    /// The complete response to a request that isn't a stream.
-    async fn full_response(&mut self) -> Result<Response<Body>, RequestError> {
-        loop {
-            let opened = self.open().await?;
-            let target = opened.reservation.target.clone();
-            let body = memory::collect_response(opened.body, MAX_RESPONSE_BYTES);
-            match timeout(self.call.time_left(), body).await {
-                Ok(Ok(bytes)) => {
-                    opened.connection.release();
-                    return Ok(self.finish(&opened.head, &target, bytes));
-                }
-                Ok(Err(error)) => self.failed(&target, Fault::Failed, &error.to_string())?,
-                Err(_) => return Err(RequestError::TimedOut),
+    /// Reads the body of a response that isn't a stream; none if another target is to be
+    /// tried.
+    async fn read_whole(
+        &mut self,
+        opened: OpenResponse<P>,
+    ) -> Result<Option<Response<Body>>, RequestError> {
+        let target = opened.reservation.target.clone();
+        let body = memory::collect_response(opened.body, MAX_RESPONSE_BYTES);
+        match timeout(self.call.time_left(), body).await {
+            Ok(Ok(bytes)) => {
+                opened.connection.release();
+                Ok(Some(self.finish(&opened.head, &target, bytes)))
+            }
+            Ok(Err(error)) => {
+                self.failed(&target, Fault::Failed, &error.to_string())?;
+                Ok(None)
             }
+            Err(_) => Err(RequestError::TimedOut),
         }
     }
 
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -53,7 +53,7 @@
     Broken(String),
 }
 
-/// The response for a stream whose head has arrived.
+/// The response for a stream whose head, with a successful status, has arrived.
 pub(crate) fn start<P>(delivery: Delivery<P>, opened: OpenResponse<P>) -> Response<Body>
 where
     P: Platform,
@@ -64,7 +64,7 @@
         azurestand_direct::RouteKind::Streaming { gap_target, .. } => gap_target,
         _ => Duration::ZERO,
     };
-    let forwarder = Forwarder {
+    let mut forwarder = Forwarder {
         splitter: EventSplitter::after(delivery.last_event),
         delivery,
         source: None,
@@ -72,29 +72,20 @@
         last_forward: None,
         idle_timeout: (gap_target * IDLE_FACTOR).max(MIN_IDLE_TIMEOUT),
     };
-    let body = if status.is_success() {
-        let mut forwarder = forwarder;
-        forwarder.set_source(opened);
-        let chunks = unfold(Some(forwarder), |forwarder| async move {
-            let mut forwarder = forwarder?;
-            match forwarder.next_events().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
-                Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
-            }
-        });
-        StreamBody::new(chunks).boxed_unsync()
-    } else {
-        let error = |error| -> BodyError { Box::new(error) };
-        opened.body.map_err(error).boxed_unsync()
-    };
-    let mut response = Response::new(body);
+    forwarder.set_source(opened);
+    let chunks = unfold(Some(forwarder), |forwarder| async move {
+        let mut forwarder = forwarder?;
+        match forwarder.next_events().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    let mut response = Response::new(StreamBody::new(chunks).boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    if status.is_success() {
-        // A resumed response may differ in length.
-        response.headers_mut().remove(http::header::CONTENT_LENGTH);
-    }
+    // A resumed response may differ in length.
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
     response
 }
 
