End a stream whose bytes bring the caller no new event

The entry ended a stream after a time without bytes. A target that repeats events that the caller has, without end, always sent some, and nothing of it reached the caller: the stream ended neither for being idle nor at its deadline, until the caller closed.

The time now runs until the next new event is complete, and is checked although bytes are ready; it ends with the deadline at the latest. It starts when the caller is ready for more, so that a slow caller doesn't end its stream.

Before the change the test with a repeated event had no end after 40 s. That a stream of ever new events ends at its deadline also follows from the change, but no test plays it.

--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -13,7 +13,7 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use super::deliver::{Delivery, OpenResponse, millis};
 use super::place::Reservation;
@@ -105,31 +105,42 @@
 
     /// The next complete events; none at the end of the stream.
     async fn next_events(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let mut idle_at = self.idle_at();
         loop {
             let Some(source) = self.source.as_mut() else {
                 return Ok(None);
             };
-            let limit = self.idle_timeout.min(self.delivery.call.time_left());
-            let chunk = match timeout(limit, read_chunk(&mut source.body)).await {
-                Ok(chunk) => chunk,
-                Err(_) => Chunk::Broken("silent".to_owned()),
-            };
+            let chunk = read_chunk_until(&mut source.body, idle_at).await;
             match chunk {
                 Chunk::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => return Ok(Some(self.forward(&events))),
-                    Err(error) => self.resume(&error.to_string()).await?,
+                    Err(error) => {
+                        self.resume(&error.to_string()).await?;
+                        idle_at = self.idle_at();
+                    }
                 },
                 Chunk::End if self.splitter.is_at_boundary() => {
                     self.finish();
                     return Ok(None);
                 }
-                Chunk::End => self.resume("the stream ended within an event").await?,
-                Chunk::Broken(why) => self.resume(&why).await?,
+                Chunk::End => {
+                    self.resume("the stream ended within an event").await?;
+                    idle_at = self.idle_at();
+                }
+                Chunk::Broken(why) => {
+                    self.resume(&why).await?;
+                    idle_at = self.idle_at();
+                }
             }
         }
     }
 
+    /// When the stream counts as idle unless the caller gets another event before.
+    fn idle_at(&self) -> Instant {
+        Instant::now() + self.idle_timeout.min(self.delivery.call.time_left())
+    }
+
     fn forward(&mut self, events: &[azurestand_direct::StreamEvent]) -> Bytes {
         if let Some(source) = self.source.as_mut() {
             source.reservation.record_first_byte();
@@ -223,6 +234,16 @@
     }
 }
 
+/// Reads until `idle_at`, also if bytes that complete no new event keep arriving.
+async fn read_chunk_until(body: &mut ResponseBody, idle_at: Instant) -> Chunk {
+    let silent = || Chunk::Broken("silent".to_owned());
+    if Instant::now() >= idle_at {
+        return silent();
+    }
+    let chunk = timeout_at(idle_at, read_chunk(body)).await;
+    chunk.unwrap_or_else(|_| silent())
+}
+
 async fn read_chunk(body: &mut ResponseBody) -> Chunk {
     loop {
         match body.frame().await {
