Play endless responses before each kind of call of the client

The tests of whole daemons play the calls to engines, the origin and the store, not those between daemons: updates through an entry have a timeout of their own for the head, and pieces come from other hosts. All of them are one of three kinds of call. Each kind now has to fail because of the bytes, not of its timeout.

The test passed at once. With the bound on bytes that complete no part of a response raised by hand it failed: endless interim responses ran into the timeout of a minute.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -7,6 +7,8 @@
 
 mod body;
 mod meter;
+#[cfg(test)]
+mod tests;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
