--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -12,17 +12,17 @@
 use azurestand_direct::{Fault, RouteKind, Target};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::call::Call;
+use super::memory;
 use super::place::{Constraints, Reservation, place};
 use super::response::{Body, RequestError, full};
 use super::shared::Shared;
 use super::stream;
 use super::withdrawal::until_expired;
-use crate::client::{ActiveConnection, CallError, Reuse};
+use crate::client::{ActiveConnection, CallError, ResponseBody, Reuse};
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
 use crate::platform::{Platform, RequestContext, ResponseHead};
@@ -41,7 +41,7 @@
 /// A response whose head has arrived.
 pub(crate) struct OpenResponse<P> {
     pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     pub(crate) connection: ActiveConnection,
     pub(crate) reservation: Reservation<P>,
     pub(crate) response: ResponseHead,
@@ -76,17 +76,20 @@
         connect_failures: 0,
         maybe_ran: false,
     };
-    let outcome = if delivery.call.route.kind.is_stream() {
-        match delivery.open().await {
-            Ok(opened) => return stream::start(delivery, opened),
-            Err(error) => Err(error),
+    let is_stream = delivery.call.route.kind.is_stream();
+    loop {
+        let opened = match delivery.open().await {
+            Ok(opened) => opened,
+            Err(error) => return delivery.error_response(error),
+        };
+        if is_stream && opened.head.status.is_success() {
+            return stream::start(delivery, opened);
+        }
+        match delivery.read_whole(opened).await {
+            Ok(Some(response)) => return response,
+            Ok(None) => {}
+            Err(error) => return delivery.error_response(error),
         }
-    } else {
-        delivery.full_response().await
-    };
-    match outcome {
-        Ok(response) => response,
-        Err(error) => delivery.error_response(error),
     }
 }
 
@@ -353,21 +356,24 @@
         opened.response.has_seal && opened.response.id == self.call.request.id && !encoded
     }
 
-    /// The complete response to a request that isn't a stream.
-    async fn full_response(&mut self) -> Result<Response<Body>, RequestError> {
-        loop {
-            let opened = self.open().await?;
-            let target = opened.reservation.target.clone();
-            let body = Limited::new(opened.body, MAX_RESPONSE_BYTES).collect();
-            match timeout(self.call.time_left(), body).await {
-                Ok(Ok(body)) => {
-                    opened.connection.release();
-                    let bytes = body.to_bytes();
-                    return Ok(self.finish(&opened.head, &target, bytes));
-                }
-                Ok(Err(error)) => self.failed(&target, Fault::Failed, &error.to_string())?,
-                Err(_) => return Err(RequestError::TimedOut),
+    /// Reads the body of a response that isn't a stream; none if another target is to be
+    /// tried.
+    async fn read_whole(
+        &mut self,
+        opened: OpenResponse<P>,
+    ) -> Result<Option<Response<Body>>, RequestError> {
+        let target = opened.reservation.target.clone();
+        let body = memory::collect_response(opened.body, MAX_RESPONSE_BYTES);
+        match timeout(self.call.time_left(), body).await {
+            Ok(Ok(bytes)) => {
+                opened.connection.release();
+                Ok(Some(self.finish(&opened.head, &target, bytes)))
+            }
+            Ok(Err(error)) => {
+                self.failed(&target, Fault::Failed, &error.to_string())?;
+                Ok(None)
             }
+            Err(_) => Err(RequestError::TimedOut),
         }
     }
 
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -12,13 +12,13 @@
 use futures_util::stream::unfold;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use tokio::time::{Instant, timeout};
+use hyper::body::Frame;
+use tokio::time::{Instant, timeout_at};
 
 use super::deliver::{Delivery, OpenResponse};
 use super::place::Reservation;
 use super::response::{Body, BodyError};
-use crate::client::ActiveConnection;
+use crate::client::{ActiveConnection, ResponseBody};
 use crate::clock::BootClock;
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
@@ -42,7 +42,7 @@
 
 /// The target that currently sends the stream.
 struct Source<P> {
-    body: Incoming,
+    body: ResponseBody,
     connection: ActiveConnection,
     reservation: Reservation<P>,
     /// The version of the weights that the target names.
@@ -56,7 +56,7 @@
     Broken(String),
 }
 
-/// The response for a stream whose head has arrived.
+/// The response for a stream whose head, with a successful status, has arrived.
 pub(crate) fn start<P>(delivery: Delivery<P>, opened: OpenResponse<P>) -> Response<Body>
 where
     P: Platform,
@@ -67,7 +67,7 @@
         azurestand_direct::RouteKind::Streaming { gap_target, .. } => gap_target,
         _ => Duration::ZERO,
     };
-    let forwarder = Forwarder {
+    let mut forwarder = Forwarder {
         splitter: EventSplitter::after(delivery.last_event),
         delivery,
         source: None,
@@ -75,29 +75,20 @@
         last_forward: None,
         idle_timeout: (gap_target * IDLE_FACTOR).max(MIN_IDLE_TIMEOUT),
     };
-    let body = if status.is_success() {
-        let mut forwarder = forwarder;
-        forwarder.set_source(opened);
-        let chunks = unfold(Some(forwarder), |forwarder| async move {
-            let mut forwarder = forwarder?;
-            match forwarder.next_events().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
-                Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
-            }
-        });
-        StreamBody::new(chunks).boxed_unsync()
-    } else {
-        let error = |error| -> BodyError { Box::new(error) };
-        opened.body.map_err(error).boxed_unsync()
-    };
-    let mut response = Response::new(body);
+    forwarder.set_source(opened);
+    let chunks = unfold(Some(forwarder), |forwarder| async move {
+        let mut forwarder = forwarder?;
+        match forwarder.next_events().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    let mut response = Response::new(StreamBody::new(chunks).boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    if status.is_success() {
-        // A resumed response may differ in length.
-        response.headers_mut().remove(http::header::CONTENT_LENGTH);
-    }
+    // A resumed response may differ in length.
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
     response
 }
 
@@ -118,31 +109,42 @@
 
     /// The next complete events; none at the end of the stream.
     async fn next_events(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let mut idle_at = self.idle_at();
         loop {
             let Some(source) = self.source.as_mut() else {
                 return Ok(None);
             };
-            let limit = self.idle_timeout.min(self.delivery.call.time_left());
-            let chunk = match timeout(limit, read_chunk(&mut source.body)).await {
-                Ok(chunk) => chunk,
-                Err(_) => Chunk::Broken("silent".to_owned()),
-            };
+            let chunk = read_chunk_until(&mut source.body, idle_at).await;
             match chunk {
                 Chunk::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => return Ok(Some(self.forward(&events))),
-                    Err(error) => self.resume(&error.to_string()).await?,
+                    Err(error) => {
+                        self.resume(&error.to_string()).await?;
+                        idle_at = self.idle_at();
+                    }
                 },
                 Chunk::End if self.splitter.is_at_boundary() => {
                     self.finish();
                     return Ok(None);
                 }
-                Chunk::End => self.resume("the stream ended within an event").await?,
-                Chunk::Broken(why) => self.resume(&why).await?,
+                Chunk::End => {
+                    self.resume("the stream ended within an event").await?;
+                    idle_at = self.idle_at();
+                }
+                Chunk::Broken(why) => {
+                    self.resume(&why).await?;
+                    idle_at = self.idle_at();
+                }
             }
         }
     }
 
+    /// When the stream counts as idle unless the caller gets another event before.
+    fn idle_at(&self) -> Instant {
+        Instant::now() + self.idle_timeout.min(self.delivery.call.time_left())
+    }
+
     fn forward(&mut self, events: &[azurestand_direct::StreamEvent]) -> Bytes {
         if let Some(source) = self.source.as_mut() {
             source.reservation.record_first_byte();
@@ -271,7 +273,17 @@
     }
 }
 
-async fn read_chunk(body: &mut Incoming) -> Chunk {
+/// Reads until `idle_at`, also if bytes that complete no new event keep arriving.
+async fn read_chunk_until(body: &mut ResponseBody, idle_at: Instant) -> Chunk {
+    let silent = || Chunk::Broken("silent".to_owned());
+    if Instant::now() >= idle_at {
+        return silent();
+    }
+    let chunk = timeout_at(idle_at, read_chunk(body)).await;
+    chunk.unwrap_or_else(|_| silent())
+}
+
+async fn read_chunk(body: &mut ResponseBody) -> Chunk {
     loop {
         match body.frame().await {
             None => return Chunk::End,
