Don't take a relaying entry's time-out for an outage of the store

What callers would see: requests sent to a target more than two seconds after it had left the list, from an entry in touch with a store that was well all the time.

Cause: the time-out of a call to the entry that relays updates reached the list of targets as a failed read. The removal that the store then reported came within the time in which vanished targets are kept after an outage, so the target was kept 1.9 s longer.

The feed now tells the two apart: RelayTimedOut changes nothing; a call to the store that fails still does.

Shown by: a_stalled_relay_is_no_outage_of_the_store fails with the time-out passed on as a failure. It replaces a_change_made_while_the_relaying_entry_stood_still_counts_from_before_it, whose assertion it contains.

--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -122,9 +122,9 @@
                 });
                 entries = puts.collect();
             }
-            FeedUpdate::Failed(error) => {
-                if !lost {
-                    LogEvent::StoreLost.log(&[("why", error.to_string().into())]);
+            FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => {
+                if let Some(why) = update.failure().filter(|_| !lost) {
+                    LogEvent::StoreLost.log(&[("why", why.into())]);
                 }
                 lost = true;
                 is_first = false;
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -55,16 +55,16 @@
 }
 
 fn log_store_state(update: &FeedUpdate, store_lost: &mut bool) {
-    match update {
-        FeedUpdate::Failed(error) if !*store_lost => {
+    match update.failure() {
+        Some(why) if !*store_lost => {
             *store_lost = true;
-            LogEvent::StoreLost.log(&[("why", error.to_string().into())]);
+            LogEvent::StoreLost.log(&[("why", why.into())]);
         }
-        FeedUpdate::Snapshot { .. } | FeedUpdate::Changed { .. } if *store_lost => {
+        None if *store_lost => {
             *store_lost = false;
             LogEvent::StoreBack.log(&[]);
         }
-        FeedUpdate::Snapshot { .. } | FeedUpdate::Changed { .. } | FeedUpdate::Failed(_) => {}
+        Some(_) | None => {}
     }
 }
 
@@ -99,6 +99,8 @@
             state.failed_first |= state.rules.is_none();
             state.directory.record_read_failure();
         }
+        // The store may be well, and then a target that vanishes is gone.
+        FeedUpdate::RelayTimedOut => {}
     }
 }
 
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -127,7 +127,7 @@
             FeedUpdate::Changed {
                 version, called_at, ..
             } => (*version, *called_at),
-            FeedUpdate::Failed(_) => return,
+            FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => return,
         };
         *self = Self {
             known: Some(version),
@@ -181,8 +181,10 @@
         /// Whether it comes directly from the store rather than through an entry.
         from_store: bool,
     },
-    /// A call failed.
+    /// A call to the store failed.
     Failed(StoreError),
+    /// The entry that relays updates did not respond; the store is asked next.
+    RelayTimedOut,
 }
 
 impl FeedUpdate {
@@ -190,7 +192,16 @@
     fn called_at(&self) -> Option<Moment> {
         match self {
             Self::Snapshot { called_at, .. } | Self::Changed { called_at, .. } => Some(*called_at),
-            Self::Failed(_) => None,
+            Self::Failed(_) | Self::RelayTimedOut => None,
+        }
+    }
+
+    /// Why the store could not be read, if the call failed.
+    pub(crate) fn failure(&self) -> Option<String> {
+        match self {
+            Self::Snapshot { .. } | Self::Changed { .. } => None,
+            Self::Failed(error) => Some(error.to_string()),
+            Self::RelayTimedOut => Some(StoreError::TimedOut(RESPONSE_TIMEOUT).to_string()),
         }
     }
 
@@ -246,7 +257,7 @@
                 // It is unknown what changed meanwhile.
                 Err(CallError::TimedOut) => {
                     progress.last = None;
-                    handle(FeedUpdate::Failed(StoreError::TimedOut(RESPONSE_TIMEOUT)));
+                    handle(FeedUpdate::RelayTimedOut);
                 }
                 // The next entry is called, or the store.
                 Err(_) => {}
--- a/crates/azurestand_gateway/src/feed/tests.rs
+++ b/crates/azurestand_gateway/src/feed/tests.rs
@@ -1,3 +1,4 @@
+use std::future::pending;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -166,20 +167,18 @@
     }
 }
 
-/// The incident: the entry through which others followed the store stood still while a
-/// version was named, and they counted the version from when they asked the store itself.
-#[tokio::test]
-async fn a_change_made_while_the_relaying_entry_stood_still_counts_from_before_it() {
+/// Follows `store` through an entry that accepts calls and never responds, until there is a
+/// change. The version is named while the second call waits. Returns the updates.
+async fn follow_through_stalled_entry(store: &Arc<FakeStore>) -> Vec<FeedUpdate> {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let store = Arc::new(FakeStore::default());
     let naming = store.clone();
     tokio::spawn(async move {
-        // The calls to the suspended entry: one at the start, and one after its back-off.
+        // The calls to the stalled entry: one at the start, and one after its back-off.
         let _first = listener.accept().await;
         let _second = listener.accept().await;
         naming.name_version();
-        sleep(WAIT * 10).await;
+        pending::<()>().await;
     });
     let peers = Peers::new(
         Client::default(),
@@ -188,28 +187,44 @@
         address.port(),
         move || vec![address.ip()],
     );
-    let (sender, mut changes) = mpsc::unbounded_channel();
+    let (sender, mut updates) = mpsc::unbounded_channel();
     let pace = Pace {
         wait: WAIT,
         batch_pause: Duration::from_millis(20),
     };
     let followed = store.clone();
     tokio::spawn(async move {
-        let handle = |update| {
-            if let FeedUpdate::Changed {
-                changes, changed, ..
-            } = update
-                && !changes.is_empty()
-            {
-                let _ = sender.send(changed);
-            }
-        };
+        let handle = |update| drop(sender.send(update));
         follow(followed.as_ref(), peers, Scope::All, pace, handle).await;
     });
-    let changed = changes.recv().await.unwrap();
+    let mut received = Vec::new();
+    while let Some(update) = updates.recv().await {
+        let has_changes =
+            matches!(&update, FeedUpdate::Changed { changes, .. } if !changes.is_empty());
+        received.push(update);
+        if has_changes {
+            break;
+        }
+    }
+    received
+}
+
+/// The incident: the entry through which others followed the store was suspended while a
+/// version was named, and they counted the version from when they asked the store itself.
+/// They also took its silence for an outage of the store, after which a vanished target is
+/// kept for a while.
+#[tokio::test]
+async fn a_stalled_relay_is_no_outage_of_the_store() {
+    let store = Arc::new(FakeStore::default());
+    let updates = follow_through_stalled_entry(&store).await;
     let named_at = store.named_at().unwrap();
+    let Some(FeedUpdate::Changed { changed, .. }) = updates.last() else {
+        panic!("no change: {updates:?}");
+    };
     assert!(
-        matches!(changed, ChangeTime::NotBefore(at) if at <= named_at),
+        matches!(changed, ChangeTime::NotBefore(at) if *at <= named_at),
         "{changed:?}, named at {named_at:?}"
     );
+    let is_failure = |update: &FeedUpdate| matches!(update, FeedUpdate::Failed(_));
+    assert!(!updates.iter().any(is_failure), "{updates:?}");
 }
--- a/crates/azurestand_gateway/src/relay/server.rs
+++ b/crates/azurestand_gateway/src/relay/server.rs
@@ -66,13 +66,13 @@
                 inner.log.extend(changes, *version, changed.known());
                 Some(*called_at)
             }
-            FeedUpdate::Failed(_) => None,
+            FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => None,
         };
         let is_from_store = match update {
             FeedUpdate::Snapshot { from_store, .. } | FeedUpdate::Changed { from_store, .. } => {
                 *from_store
             }
-            FeedUpdate::Failed(_) => false,
+            FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => false,
         };
         inner.proof = inner.proof.filter(|_| is_from_store);
         inner.number += 1;
