Check the bound of a waiting request by the clock that counts suspensions

What callers would see: an answer from the older version beyond its bound, from an entry whose machine had been suspended for a second while the request waited. Found in review of the withdrawal, from the code.

Cause: one timer was set for the whole time up to the bound, and the runtime's timers stand still with the machine. Now the bound is checked every 0.1 s, which also takes in a corrected naming time, so the signal for that is gone. A target's head that has arrived goes before the withdrawal. Only streams are withdrawn: the head of another response comes at its end, so it may have begun long before.

Shown by: the_time_is_checked_again_and_again_long_before_the_bound; the one timer had no such limit.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -6,6 +6,7 @@
 //!   of attempts, its deadline and the retry budget.
 //! - A request that a target may have run is never reported as not run.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -145,14 +146,11 @@
             let reservation = place(&self.shared, &self.call, &self.constraints).await?;
             let limit = self.head_timeout(&reservation);
             let target = reservation.target.clone();
-            let expired = until_expired(
-                self.shared.clone(),
-                self.call.request.model.clone(),
-                reservation.version,
-            );
+            let expiry = self.expiry(&reservation);
             let sent = tokio::select! {
+                biased;
                 sent = timeout(limit, self.send(reservation)) => sent,
-                () = expired => {
+                () = expiry => {
                     self.withdrawn(&target)?;
                     continue;
                 }
@@ -170,6 +168,21 @@
         }
     }
 
+    /// Completes when the request may no longer begin at the reserved target. The head of a
+    /// stream comes with its first token; other responses may have begun without one.
+    fn expiry(&self, reservation: &Reservation<P>) -> impl Future<Output = ()> + use<P> {
+        let is_stream = self.call.route.kind.is_stream();
+        let model = self.call.request.model.clone().filter(|_| is_stream);
+        let weights = model.zip(reservation.version);
+        let shared = self.shared.clone();
+        async move {
+            match weights {
+                Some((model, version)) => until_expired(shared, model, version).await,
+                None => pending().await,
+            }
+        }
+    }
+
     /// Handles a request that was withdrawn because it may no longer begin at the target. The
     /// target may have begun it at the same moment.
     fn withdrawn(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -188,9 +188,7 @@
         return;
     }
     state.placement.record_agent_report(boot_now, &target);
-    if record_versions(&mut state, host, report, boot_now) {
-        shared.signal_version_change();
-    }
+    record_versions(&mut state, host, report, boot_now);
     let load = TargetLoad {
         running: report.running,
         waiting: report.waiting,
@@ -205,12 +203,11 @@
 }
 
 /// Applies the reported naming times of versions, which this process may not know or have
-/// learned late; returns whether one has changed.
-fn record_versions(state: &mut State, host: IpAddr, report: &EngineReport, now: Moment) -> bool {
+/// learned late.
+fn record_versions(state: &mut State, host: IpAddr, report: &EngineReport, now: Moment) {
     let Some(before) = state.named_before else {
-        return false;
+        return;
     };
-    let mut has_changed = false;
     for named in &report.named_versions {
         if let Some(versions) = state.versions.get_mut(named.model.as_str()) {
             let known = versions.get(named.version).copied();
@@ -220,11 +217,9 @@
                 && is_correction(known, corrected)
             {
                 log_correction(now, host, &named.model, known, corrected);
-                has_changed = true;
             }
         }
     }
-    has_changed
 }
 
 /// Whether the naming time changed by more than the error of reported ages.
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -94,8 +94,6 @@
     state: Mutex<State>,
     draining: watch::Sender<bool>,
     closing: watch::Sender<bool>,
-    /// Signals changes of the named versions and of their naming times.
-    version_changes: watch::Sender<()>,
     /// The entries that agents have reported, with their data centres.
     entries: Mutex<Vec<(IpAddr, Arc<str>)>>,
     /// The readiness that was last reported to the balancer.
@@ -131,7 +129,6 @@
             state: Mutex::new(state),
             draining: watch::Sender::new(false),
             closing: watch::Sender::new(false),
-            version_changes: watch::Sender::new(()),
             entries: Mutex::new(Vec::new()),
             reported_ready: AtomicBool::new(false),
         }
@@ -202,16 +199,6 @@
         self.closing.subscribe()
     }
 
-    /// Signals that a version was named or its naming time has changed.
-    pub(crate) fn signal_version_change(&self) {
-        self.version_changes.send_replace(());
-    }
-
-    /// Receives a signal at each change of the named versions and of their naming times.
-    pub(crate) fn version_changes(&self) -> watch::Receiver<()> {
-        self.version_changes.subscribe()
-    }
-
     /// The largest age of the last proof that the configuration is current with which a
     /// request with a key may be accepted.
     pub(crate) fn max_key_age(&self) -> Duration {
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -206,7 +206,6 @@
             let naming = versions.get(version).copied().filter(|_| is_newer);
             if let Some(naming) = naming {
                 log_naming(&model, &naming, proof_age);
-                shared.signal_version_change();
             }
         }
         Ok(OperatorItem::Other) => {}
--- a/crates/azurestand_gateway/src/entry/withdrawal.rs
+++ b/crates/azurestand_gateway/src/entry/withdrawal.rs
@@ -3,11 +3,14 @@
 //! An entry stops sending to older weights some time before their bound, but a request may
 //! wait at its target for longer than predicted. Closing its connection cancels it there.
 
-use std::future::pending;
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use azurestand_types::Moment;
+use tokio::time::sleep;
 
 use super::shared::Shared;
 use crate::clock::BootClock;
@@ -15,27 +18,28 @@
 /// How long before the bound a request is withdrawn; the target has to notice in time that
 /// the connection was closed.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(200);
+/// The longest time between two checks. The bound may change meanwhile, and the runtime's
+/// timers stop while the machine is suspended.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Completes when a request that waits at a target with this version of the model's weights
-/// has to be withdrawn; never while no later version is named, or without a version.
-pub(crate) async fn until_expired<P>(
-    shared: Arc<Shared<P>>,
-    model: Option<Arc<str>>,
-    version: Option<u64>,
-) {
-    let Some((model, version)) = model.zip(version) else {
-        return pending().await;
-    };
-    let mut changes = shared.version_changes();
+/// has to be withdrawn.
+pub(crate) async fn until_expired<P>(shared: Arc<Shared<P>>, model: Arc<str>, version: u64) {
     loop {
         let until = shared.useful_until(&model, version);
-        let left = until.map(|until| (until - WITHDRAWAL_MARGIN).since(BootClock.now()));
-        match left {
-            Some(left) if left.is_zero() => return,
-            // Either the time is up or the bound has changed; both are checked again.
-            Some(left) => drop(timeout(left, changes.changed()).await),
-            None if changes.changed().await.is_ok() => {}
-            None => return pending().await,
+        match time_to_check(BootClock.now(), until) {
+            Some(time) => sleep(time).await,
+            None => return,
         }
     }
 }
+
+/// The time until the next check of a request that may begin before `until`, or at any time
+/// if that is none; none if the request has to be withdrawn now.
+fn time_to_check(now: Moment, until: Option<Moment>) -> Option<Duration> {
+    let Some(until) = until else {
+        return Some(CHECK_INTERVAL);
+    };
+    let left = (until - WITHDRAWAL_MARGIN).since(now);
+    (!left.is_zero()).then(|| left.min(CHECK_INTERVAL))
+}
