Don't take one failed call at the start for an outage of the store

What callers would see: answers from the older version beyond its bound, after all processes had restarted shortly after a naming.

Cause: an entry or agent whose first call to the store failed counted versions that it then found from its own first reading, as after an outage. One refused call was enough, and agents that had restarted too could not correct it.

What the first update holds otherwise counts as named before the start. ChangeTime names the two cases apart; agents log the same grounds as entries.

Shown by: a_failed_call_at_the_start_is_no_outage_of_the_store; with the old rule the first failure made the time that of the recovery. after_a_start_in_an_outage_the_limit_counts_from_the_recovery holds as before. One test has a name that fits what reports now do.

--- a/crates/azurestand_direct/tests/direct/versions.rs
+++ b/crates/azurestand_direct/tests/direct/versions.rs
@@ -173,7 +173,7 @@
 }
 
 #[test]
-fn reports_do_not_change_an_observed_naming_time() {
+fn a_later_report_does_not_move_an_observed_naming_time() {
     let mut versions = NamedVersions::default();
     assert!(versions.record_observed(2, at(1_000)));
     assert!(versions.record_observed(3, at(5_000)));
--- a/crates/azurestand_gateway/src/agent.rs
+++ b/crates/azurestand_gateway/src/agent.rs
@@ -16,7 +16,7 @@
 use crate::client::Client;
 use crate::clock::BootClock;
 use crate::error::GatewayError;
-use crate::feed::FeedUpdate;
+use crate::feed::{FeedUpdate, Progress};
 use crate::log::LogEvent;
 use crate::pieces::{self, Pacer, PieceStore};
 use crate::platform::Platform;
@@ -69,8 +69,9 @@
     {
         let mut peers = self.peers();
         while let Some(peer) = peers.next(BootClock.now(), false) {
-            if let Ok(FeedUpdate::Snapshot { listing, .. }) =
-                peers.request_updates(peer, scope, None).await
+            if let Ok(FeedUpdate::Snapshot { listing, .. }) = peers
+                .request_updates(peer, scope, Progress::default())
+                .await
             {
                 return Ok(listing.entries);
             }
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -93,19 +93,18 @@
     P: Platform,
 {
     let mut lost = false;
-    let mut is_first = true;
     let scope = shared.platform.weights_scope();
     let platform = shared.platform.clone();
     follow(platform.as_ref(), shared.peers(), scope, PACE, |update| {
         let entries: Vec<Entry>;
         let store_version;
-        let mut changed_at;
+        let made_at;
         match update {
             FeedUpdate::Snapshot {
                 listing, changed, ..
             } => {
                 store_version = listing.version;
-                changed_at = changed;
+                made_at = changed;
                 entries = listing.entries;
             }
             FeedUpdate::Changed {
@@ -115,7 +114,7 @@
                 ..
             } => {
                 store_version = version;
-                changed_at = changed;
+                made_at = changed;
                 let puts = changes.into_iter().filter_map(|change| match change {
                     Change::Put(entry) => Some(entry),
                     Change::Deleted { .. } => None,
@@ -127,22 +126,16 @@
                     LogEvent::StoreLost.log(&[("why", why.into())]);
                 }
                 lost = true;
-                is_first = false;
                 return;
             }
         }
-        if is_first {
-            let assumed_at = assumed_naming(shared.settings.bounds.now().version);
-            changed_at = ChangeTime::NotBefore(assumed_at);
-        }
-        is_first = false;
         if lost {
             LogEvent::StoreBack.log(&[]);
             lost = false;
         }
         let mut values = shared.values();
         for entry in &entries {
-            apply(&shared, &mut values, entry, changed_at);
+            apply(&shared, &mut values, entry, made_at);
         }
         values.version = values.version.max(store_version);
         publish(&shared, &values);
@@ -169,7 +162,7 @@
             Ok(entries) => {
                 let mut values = shared.values();
                 for entry in &entries {
-                    apply(&shared, &mut values, entry, ChangeTime::Unknown);
+                    apply(&shared, &mut values, entry, ChangeTime::AtStart);
                 }
                 publish(&shared, &values);
                 RULES_INTERVAL.mul_f64(0.5 + fastrand::f64())
@@ -203,13 +196,14 @@
                 let now = BootClock.now();
                 let since = match changed {
                     ChangeTime::Known(at) | ChangeTime::NotBefore(at) => at,
-                    ChangeTime::Unknown => now,
+                    ChangeTime::AtStart => assumed_naming(shared.settings.bounds.now().version),
+                    ChangeTime::AfterOutage => now,
                 };
                 LogEvent::WeightsNamed.log(&[
                     ("model", model.as_ref().into()),
                     ("version", version.into()),
                     ("age_ms", millis(now.since(since))),
-                    ("is_observed", changed.known().is_some().into()),
+                    ("source", changed.to_string().into()),
                 ]);
                 named.push(NamedVersion { version, since });
                 shared.status.add_named(&model, version, changed.known());
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -19,6 +19,7 @@
 
 use crate::client::Client;
 use crate::clock::BootClock;
+use crate::feed::ChangeTime;
 use crate::presence::KnownEntry;
 use crate::relay::Relay;
 use crate::settings::GatewaySettings;
@@ -59,8 +60,6 @@
     pub(crate) freshness: Freshness,
     pub(crate) placement: Placement,
     pub(crate) versions: BTreeMap<Arc<str>, NamedVersions>,
-    /// Whether the store failed before this process had read anything.
-    pub(crate) failed_first: bool,
     /// The assumed naming time of versions that were named before this process started.
     pub(crate) named_before: Option<Moment>,
     pub(crate) excluded: BTreeSet<Arc<str>>,
@@ -115,7 +114,6 @@
                 rng,
             ),
             versions: BTreeMap::new(),
-            failed_first: false,
             named_before: None,
             excluded: BTreeSet::new(),
             queues: BTreeMap::new(),
@@ -237,18 +235,19 @@
 
     /// The assumed naming time of a version that was already in the store at start-up, until
     /// an agent that observed the naming reports it.
-    pub(crate) fn named_before_start(&self, now: Moment, failed_first: bool) -> Moment {
-        named_before_start(now, self.version_limit(), failed_first)
+    pub(crate) fn named_before_start(&self, now: Moment, changed: ChangeTime) -> Moment {
+        named_before_start(now, self.version_limit(), changed)
     }
 }
 
 /// The assumed naming time of a version that a newly started process reads at `now`; older
-/// versions may begin requests for `limit` after it. If the store failed first, the limit
-/// counts from its recovery, as in all other processes.
-fn named_before_start(now: Moment, limit: Duration, failed_first: bool) -> Moment {
-    if failed_first {
-        now
-    } else {
-        now - limit + VERSION_GRACE
+/// versions may begin requests for `limit` after it. If the store had failed for a while,
+/// the limit counts from its recovery, as in all other processes.
+fn named_before_start(now: Moment, limit: Duration, changed: ChangeTime) -> Moment {
+    match changed {
+        ChangeTime::AfterOutage => now,
+        ChangeTime::Known(_) | ChangeTime::NotBefore(_) | ChangeTime::AtStart => {
+            now - limit + VERSION_GRACE
+        }
     }
 }
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -95,10 +95,7 @@
             apply_changes(shared, &mut state, now, changed, &changes);
             state.freshness.record_proof(called_at);
         }
-        FeedUpdate::Failed(_) => {
-            state.failed_first |= state.rules.is_none();
-            state.directory.record_read_failure();
-        }
+        FeedUpdate::Failed(_) => state.directory.record_read_failure(),
         // The store may be well, and then a target that vanishes is gone.
         FeedUpdate::RelayTimedOut => {}
     }
@@ -114,7 +111,7 @@
     P: Platform,
 {
     let changed = if state.rules.is_none() {
-        let before = shared.named_before_start(now, state.failed_first);
+        let before = shared.named_before_start(now, changed);
         state.named_before = Some(before);
         ChangeTime::NotBefore(before)
     } else {
@@ -201,7 +198,11 @@
             let is_newer = match changed {
                 ChangeTime::Known(at) => versions.record_observed(version, at),
                 ChangeTime::NotBefore(at) => versions.record_assumed(version, at),
-                ChangeTime::Unknown => versions.record_recovered(version, now),
+                ChangeTime::AtStart => {
+                    let since = shared.named_before_start(now, changed);
+                    versions.record_assumed(version, since)
+                }
+                ChangeTime::AfterOutage => versions.record_recovered(version, now),
             };
             let naming = versions.get(version).copied().filter(|_| is_newer);
             if let Some(naming) = naming {
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -8,6 +8,7 @@
 
 use azurestand_store::{Change, ChangeFeed, Changes, Listing, Scope, StoreError, Version};
 use azurestand_types::Moment;
+use derive_more::Display;
 use tokio::time::sleep;
 
 use crate::client::CallError;
@@ -33,15 +34,22 @@
 const MAX_DELAY: Duration = Duration::from_millis(300);
 
 /// When the changes of an update were made, as far as this process can tell.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum ChangeTime {
     /// At this time or shortly after it.
+    #[display("observed")]
     Known(Moment),
     /// At any time from this one on. Nothing was missing before it, and the store has not
-    /// failed since: it may have been this process, or an entry between, that stood still.
+    /// failed for long since: this process, or the entry that relays updates, may have
+    /// stalled.
+    #[display("assumed")]
     NotBefore(Moment),
-    /// Unknown: this is the first update, or the store failed for a while before it.
-    Unknown,
+    /// At any time before this process started or after it: this is its first update.
+    #[display("found")]
+    AtStart,
+    /// The store failed for a while before the update.
+    #[display("recovered")]
+    AfterOutage,
 }
 
 impl ChangeTime {
@@ -49,7 +57,7 @@
     pub(crate) fn known(self) -> Option<Moment> {
         match self {
             Self::Known(at) => Some(at),
-            Self::NotBefore(_) | Self::Unknown => None,
+            Self::NotBefore(_) | Self::AtStart | Self::AfterOutage => None,
         }
     }
 }
@@ -64,6 +72,15 @@
 }
 
 impl Exchange {
+    /// The call that was sent at `sent` and whose response has just arrived.
+    fn ended(sent: Moment, wait: Duration) -> Self {
+        Self {
+            sent,
+            received: BootClock.now(),
+            wait,
+        }
+    }
+
     /// When the changes in the response, of `bytes` bytes, were made, where `last` is the
     /// time up to which nothing was missing before; none if that can't be told from the
     /// call's duration.
@@ -78,8 +95,8 @@
         (has_waited && self.is_prompt() && !is_large).then_some(self.received)
     }
 
-    /// Whether the response came when it was due. Otherwise it is unknown how long it was
-    /// held up on its way, or this process was suspended.
+    /// Whether the response was read when it was due. Otherwise it is unknown how long ago
+    /// the store sent it.
     fn is_prompt(self) -> bool {
         self.received.since(self.sent) <= self.wait + MAX_DELAY
     }
@@ -96,26 +113,39 @@
 
 /// The updates received so far.
 #[derive(Debug, Clone, Copy, Default)]
-struct Progress {
+pub(crate) struct Progress {
     /// The store's version after the last update; none if the next call is for all values.
     known: Option<Version>,
-    /// The time up to which nothing was missing at the last update.
+    /// When the call that returned the last update was sent; nothing was missing up to then.
     proof: Option<Moment>,
-    /// The same, as precisely as is known; none after a failed call.
+    /// When the response with the last update left the store, as far as known; nothing was
+    /// missing up to then. None after a failed call.
     last: Option<Moment>,
-    /// Whether a call to the store has failed since the last update.
-    store_failed: bool,
+    /// When the first call to the store failed since the last update.
+    failing_since: Option<Moment>,
 }
 
 impl Progress {
+    /// The store's version after the last update; none if the next call is for all values.
+    pub(crate) fn known(self) -> Option<Version> {
+        self.known
+    }
+
     /// The time of the changes in an update that arrives at `now`, if it can't be told from
     /// the call that returned it.
-    fn change_time(self, now: Moment) -> ChangeTime {
-        let is_outage = |proof: Moment| self.store_failed && now.since(proof) > MAX_GAP;
-        match self.proof {
-            Some(proof) if !is_outage(proof) => ChangeTime::NotBefore(proof),
-            Some(_) | None => ChangeTime::Unknown,
+    pub(crate) fn change_time(self, now: Moment) -> ChangeTime {
+        let outage_start = self.failing_since.map(|since| self.proof.unwrap_or(since));
+        if outage_start.is_some_and(|start| now.since(start) > MAX_GAP) {
+            return ChangeTime::AfterOutage;
         }
+        self.proof
+            .map_or(ChangeTime::AtStart, ChangeTime::NotBefore)
+    }
+
+    /// The time of the changes in the response of `bytes` bytes to `call`.
+    fn time_of(self, call: Exchange, bytes: usize) -> ChangeTime {
+        let at = call.change_time(self.last, bytes);
+        at.map_or_else(|| self.change_time(call.received), ChangeTime::Known)
     }
 
     /// Records an update up to which nothing is missing at `last`.
@@ -133,15 +163,15 @@
             known: Some(version),
             proof: Some(called_at),
             last: Some(last),
-            store_failed: false,
+            failing_since: None,
         };
     }
 
-    /// Records that the store didn't respond; the next call is for all values.
-    fn record_store_failure(&mut self) {
+    /// Records that the store failed at `now`; the next call is for all values.
+    fn record_store_failure(&mut self, now: Moment) {
         self.known = None;
         self.last = None;
-        self.store_failed = true;
+        self.failing_since.get_or_insert(now);
     }
 }
 
@@ -204,16 +234,6 @@
             Self::RelayTimedOut => Some(StoreError::TimedOut(RESPONSE_TIMEOUT).to_string()),
         }
     }
-
-    /// The update, with `fallback` as the time of its changes if that is unknown.
-    fn or_change_time(mut self, fallback: ChangeTime) -> Self {
-        if let Self::Snapshot { changed, .. } | Self::Changed { changed, .. } = &mut self
-            && *changed == ChangeTime::Unknown
-        {
-            *changed = fallback;
-        }
-        self
-    }
 }
 
 /// The pace of calls for changes.
@@ -245,10 +265,9 @@
     let mut progress = Progress::default();
     let mut pause = FIRST_PAUSE;
     loop {
-        if let Some(peer) = peers.next(BootClock.now(), progress.store_failed) {
-            match peers.request_updates(peer, &scope, progress.known).await {
+        if let Some(peer) = peers.next(BootClock.now(), progress.failing_since.is_some()) {
+            match peers.request_updates(peer, &scope, progress).await {
                 Ok(update) => {
-                    let update = update.or_change_time(progress.change_time(BootClock.now()));
                     if let Some(called_at) = update.called_at() {
                         progress.record(&update, called_at);
                     }
@@ -269,20 +288,14 @@
         } else {
             pace.wait
         };
-        let sent = BootClock.now();
-        let Some(update) = call_store(store, &scope, wait, progress).await else {
+        let Some((update, exchange)) = call_store(store, &scope, wait, progress).await else {
             progress.known = None;
             continue;
         };
         let failed = matches!(update, FeedUpdate::Failed(_));
         if failed {
-            progress.record_store_failure();
+            progress.record_store_failure(exchange.received);
         } else {
-            let exchange = Exchange {
-                sent,
-                received: BootClock.now(),
-                wait,
-            };
             progress.record(&update, exchange.complete_at());
         }
         let has_changes =
@@ -307,41 +320,37 @@
     scope: &Scope,
     wait: Duration,
     progress: Progress,
-) -> Option<FeedUpdate>
+) -> Option<(FeedUpdate, Exchange)>
 where
     S: ChangeFeed,
 {
     let sent = BootClock.now();
-    let change_time = |bytes| {
-        let received = BootClock.now();
-        let exchange = Exchange {
-            sent,
-            received,
-            wait,
-        };
-        let at = exchange.change_time(progress.last, bytes);
-        at.map_or_else(|| progress.change_time(received), ChangeTime::Known)
-    };
-    let Some(version) = progress.known else {
-        return Some(match store.list_all(scope).await {
+    let Some(known) = progress.known else {
+        let listed = store.list_all(scope).await;
+        let exchange = Exchange::ended(sent, Duration::ZERO);
+        let update = match listed {
             Ok(listing) => FeedUpdate::Snapshot {
                 listing,
                 called_at: sent,
-                changed: change_time(usize::MAX),
+                changed: progress.time_of(exchange, usize::MAX),
                 from_store: true,
             },
             Err(error) => FeedUpdate::Failed(error),
-        });
+        };
+        return Some((update, exchange));
     };
-    match store.changes(scope, version, wait).await {
-        Ok(Changes::Since { changes, version }) => Some(FeedUpdate::Changed {
-            changed: change_time(size(&changes)),
+    let changes = store.changes(scope, known, wait).await;
+    let exchange = Exchange::ended(sent, wait);
+    let update = match changes {
+        Ok(Changes::Since { changes, version }) => FeedUpdate::Changed {
+            changed: progress.time_of(exchange, size(&changes)),
             changes,
             version,
             called_at: sent,
             from_store: true,
-        }),
-        Ok(Changes::Compacted) => None,
-        Err(error) => Some(FeedUpdate::Failed(error)),
-    }
+        },
+        Ok(Changes::Compacted) => return None,
+        Err(error) => FeedUpdate::Failed(error),
+    };
+    Some((update, exchange))
 }
--- a/crates/azurestand_gateway/src/feed/tests.rs
+++ b/crates/azurestand_gateway/src/feed/tests.rs
@@ -30,7 +30,7 @@
 fn progress(proof: u64, store_failed: bool) -> Progress {
     Progress {
         proof: Some(at(proof)),
-        store_failed,
+        failing_since: store_failed.then(|| at(proof)),
         ..Progress::default()
     }
 }
@@ -112,13 +112,25 @@
 #[test]
 fn after_an_outage_of_the_store_the_time_of_changes_is_unknown() {
     let outage = progress(1_000, true);
-    assert_eq!(outage.change_time(at(10_000)), ChangeTime::Unknown);
+    assert_eq!(outage.change_time(at(10_000)), ChangeTime::AfterOutage);
     assert_eq!(
         Progress::default().change_time(at(10_000)),
-        ChangeTime::Unknown
+        ChangeTime::AtStart
     );
 }
 
+/// All processes restarted just after a naming. Those whose first call failed counted it
+/// from then, and sent to the older version beyond its bound.
+#[test]
+fn a_failed_call_at_the_start_is_no_outage_of_the_store() {
+    let mut progress = Progress::default();
+    progress.record_store_failure(at(1_000));
+    progress.record_store_failure(at(1_900));
+    assert_eq!(progress.change_time(at(2_000)), ChangeTime::AtStart);
+    progress.record_store_failure(at(3_400));
+    assert_eq!(progress.change_time(at(3_600)), ChangeTime::AfterOutage);
+}
+
 /// A store in which the operators name a version after a while.
 #[derive(Debug, Default)]
 struct FakeStore {
--- a/crates/azurestand_gateway/src/relay/peers.rs
+++ b/crates/azurestand_gateway/src/relay/peers.rs
@@ -17,7 +17,7 @@
 use super::server::UPDATES_PATH;
 use crate::client::{CallError, Client, plain_request};
 use crate::clock::BootClock;
-use crate::feed::{ChangeTime, FeedUpdate};
+use crate::feed::{ChangeTime, FeedUpdate, Progress};
 
 /// Timeout until the head of a response. An entry that reads the store responds sooner. It
 /// leaves enough time to call the store, so that changes made meanwhile take effect in time.
@@ -90,7 +90,7 @@
         self.backoff.push((peer, now + BACKOFF));
     }
 
-    /// Requests from `peer` the changes after `after`, or all values.
+    /// Requests from `peer` the changes after those of `progress`, or all values.
     ///
     /// # Errors
     ///
@@ -100,12 +100,12 @@
         &mut self,
         peer: IpAddr,
         scope: &Scope,
-        after: Option<Version>,
+        progress: Progress,
     ) -> Result<FeedUpdate, CallError> {
         let last = self.last.filter(|(ip, _)| *ip == peer);
         let request = UpdateRequest {
             scope: Some(KeyScope::from(scope)),
-            after: after.map(|version| version.0),
+            after: progress.known().map(|version| version.0),
             number: last.map_or(0, |(_, number)| number),
         };
         let sent = BootClock.now();
@@ -121,7 +121,7 @@
         }
         let response = response?;
         self.last = Some((peer, response.number));
-        decode(sent, response)
+        decode(sent, response, progress.change_time(BootClock.now()))
     }
 
     async fn call(
@@ -165,15 +165,20 @@
 }
 
 /// Decodes the response to a request that was sent at `sent`. The peer's times count from
-/// the arrival of the request there, which was later.
-fn decode(sent: Moment, response: UpdateResponse) -> Result<FeedUpdate, CallError> {
+/// the arrival of the request there, which was later. `fallback` is the time of the changes
+/// if the peer doesn't know it.
+fn decode(
+    sent: Moment,
+    response: UpdateResponse,
+    fallback: ChangeTime,
+) -> Result<FeedUpdate, CallError> {
     let changes = response.changes.into_iter().map(Change::try_from);
     let changes: Result<Vec<Change>, _> = changes.collect();
     let changes = changes.map_err(|error| CallError::Malformed(error.to_string()))?;
     let version = Version(response.version);
     let proof = moment(sent, response.proof);
     let changed_at = response.changed_at.map(|offset| moment(sent, offset));
-    let changed = changed_at.map_or(ChangeTime::Unknown, ChangeTime::Known);
+    let changed = changed_at.map_or(fallback, ChangeTime::Known);
     if !response.whole {
         return Ok(FeedUpdate::Changed {
             changes,
@@ -193,7 +198,7 @@
             version,
         },
         called_at: proof,
-        changed: ChangeTime::Unknown,
+        changed: fallback,
         from_store: false,
     })
 }
