Date nothing by a response that is read after a stall

What callers would see: answers from the older version beyond its bound by up to 1.3 s, where the entry that reads the store for the others stalled for about a second. Found in review from the code: the check of the call's duration accepts a response with changes that was read as late as one without would have come.

A listing is due at once, not after the wait.

--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -14,6 +14,7 @@
 use crate::client::CallError;
 use crate::clock::BootClock;
 use crate::relay::{Peers, RESPONSE_TIMEOUT};
+use crate::stall::detect_stall;
 
 /// The pause after the first failed call; it doubles with each consecutive failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -69,15 +70,18 @@
     received: Moment,
     /// How long the store was asked to wait for a change.
     wait: Duration,
+    /// Whether this process stalled between the two.
+    has_stalled: bool,
 }
 
 impl Exchange {
     /// The call that was sent at `sent` and whose response has just arrived.
-    fn ended(sent: Moment, wait: Duration) -> Self {
+    fn ended(sent: Moment, wait: Duration, has_stalled: bool) -> Self {
         Self {
             sent,
             received: BootClock.now(),
             wait,
+            has_stalled,
         }
     }
 
@@ -98,7 +102,7 @@
     /// Whether the response was read when it was due. Otherwise it is unknown how long ago
     /// the store sent it.
     fn is_prompt(self) -> bool {
-        self.received.since(self.sent) <= self.wait + MAX_DELAY
+        !self.has_stalled && self.received.since(self.sent) <= self.wait + MAX_DELAY
     }
 
     /// The time up to which nothing is missing after the response.
@@ -326,8 +330,8 @@
 {
     let sent = BootClock.now();
     let Some(known) = progress.known else {
-        let listed = store.list_all(scope).await;
-        let exchange = Exchange::ended(sent, Duration::ZERO);
+        let (listed, has_stalled) = detect_stall(store.list_all(scope)).await;
+        let exchange = Exchange::ended(sent, Duration::ZERO, has_stalled);
         let update = match listed {
             Ok(listing) => FeedUpdate::Snapshot {
                 listing,
@@ -339,8 +343,8 @@
         };
         return Some((update, exchange));
     };
-    let changes = store.changes(scope, known, wait).await;
-    let exchange = Exchange::ended(sent, wait);
+    let (changes, has_stalled) = detect_stall(store.changes(scope, known, wait)).await;
+    let exchange = Exchange::ended(sent, wait, has_stalled);
     let update = match changes {
         Ok(Changes::Since { changes, version }) => FeedUpdate::Changed {
             changed: progress.time_of(exchange, size(&changes)),
--- a/crates/azurestand_gateway/src/feed/tests.rs
+++ b/crates/azurestand_gateway/src/feed/tests.rs
@@ -24,6 +24,7 @@
         sent: at(sent),
         received: at(received),
         wait: WAIT,
+        has_stalled: false,
     }
 }
 
@@ -131,6 +132,18 @@
     assert_eq!(progress.change_time(at(3_600)), ChangeTime::AfterOutage);
 }
 
+/// An entry that stalled for less than the wait read a response that had arrived before a
+/// naming of weights, and took itself for up to date.
+#[test]
+fn a_response_that_is_read_after_a_stall_dates_nothing() {
+    let call = Exchange {
+        has_stalled: true,
+        ..exchange(1_020, 2_200)
+    };
+    assert_eq!(call.change_time(Some(at(1_000)), 0), None);
+    assert_eq!(call.complete_at(), at(1_020));
+}
+
 /// A store in which the operators name a version after a while.
 #[derive(Debug, Default)]
 struct FakeStore {
--- a/crates/azurestand_gateway/src/lib.rs
+++ b/crates/azurestand_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod settings;
 mod spread;
+mod stall;
 
 pub use agent::PieceAgent;
 pub use client::{CallError, Client, plain_request};
