--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -56,9 +56,8 @@
     /// It observed the naming itself.
     #[display("observed")]
     Observed,
-    /// The version may have been named at any time from this one on; the process had just
-    /// started, or an entry through which it follows the store or the process itself had
-    /// stood still.
+    /// The version may have been named at any time from this one on: the process had just
+    /// started, or it or the entry that relays updates to it had stalled.
     #[display("assumed")]
     Assumed,
     /// The store had failed for this process; the time is that of its recovery.
