List the fault that a version hidden by an outage counts from too early, with its test

Entries that had lived through it counted version 2, which only agents without a time reported, from their own start 41 s before, and refused all engines with version 1. The test is red; the rule it asks for is that of the version after it.

--- a/crates/azurestand_direct/tests/direct/versions.rs
+++ b/crates/azurestand_direct/tests/direct/versions.rs
@@ -213,3 +213,16 @@
     versions.record_reported(2, Some(at(14_000)), at(0));
     assert_eq!(versions.oldest(at(13_000) + LIMIT, LIMIT), 2);
 }
+
+/// Two versions were named before and during an outage of the store. Entries that learned
+/// of the second one after it, and of the first one only through reports, refused engines
+/// with the version before both at once.
+#[test]
+fn a_version_that_an_outage_hid_counts_from_the_recovery() {
+    let mut versions = NamedVersions::default();
+    let process_start = at(0);
+    assert!(versions.record_observed(1, at(1_000)));
+    assert!(versions.record_recovered(3, at(26_300)));
+    versions.record_reported(2, None, process_start);
+    assert_eq!(versions.oldest(at(27_000), LIMIT), 1);
+}
