--- a/crates/azurestand_gateway/src/entry/call.rs
+++ b/crates/azurestand_gateway/src/entry/call.rs
@@ -49,6 +49,12 @@
         account.unwrap_or(self.route.priority)
     }
 
+    /// The shared parts of the prompt as logged.
+    pub(crate) fn parts_text(&self) -> String {
+        let parts: Vec<String> = self.request.parts.iter().map(ToString::to_string).collect();
+        parts.join(",")
+    }
+
     /// The request id as logged; `-` without one.
     pub(crate) fn id(&self) -> &str {
         self.request.id.as_deref().unwrap_or("-")
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -48,6 +48,15 @@
     pub(crate) response: ResponseHead,
 }
 
+/// What a target has written of the answer to one attempt.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Written {
+    /// Whether the head has arrived.
+    head: bool,
+    /// Reads that completed at least one event.
+    pub(crate) batches: u32,
+}
+
 /// A request with the state of its attempts.
 pub(crate) struct Delivery<P> {
     pub(crate) shared: Arc<Shared<P>>,
@@ -57,6 +66,8 @@
     pub(crate) last_event: Option<u64>,
     sends: u32,
     connect_failures: u32,
+    /// What the target of the current attempt has written.
+    pub(crate) written: Written,
     /// Whether a target may have run the request.
     maybe_ran: bool,
 }
@@ -75,6 +86,7 @@
         last_event,
         sends: 0,
         connect_failures: 0,
+        written: Written::default(),
         maybe_ran: false,
     };
     let is_stream = delivery.call.route.kind.is_stream();
@@ -275,12 +287,17 @@
             ("target", target.id.as_ref().into()),
             ("fault", format!("{fault:?}").into()),
             ("why", reason.into()),
+            ("started_at", target.started_at.into()),
+            ("head", self.written.head.into()),
+            ("batches", self.written.batches.into()),
+            ("parts", self.call.parts_text().into()),
             ("waited_ms", millis(self.call.waited())),
         ]);
     }
 
     async fn send(&mut self, reservation: Reservation<P>) -> Result<OpenResponse<P>, CallError> {
         self.sends += 1;
+        self.written = Written::default();
         let target = &reservation.target;
         let account = self.call.account.as_ref();
         let context = RequestContext {
@@ -306,6 +323,7 @@
         let key = (target.address, incarnation(target));
         let (response, connection) = self.shared.client.send(&key, request, reuse).await?;
         let (head, body) = response.into_parts();
+        self.written.head = true;
         let response = self.shared.platform.read_response(&head);
         if let Some(load) = response.load {
             let now = crate::clock::BootClock.now();
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -149,6 +149,7 @@
         if let Some(source) = self.source.as_mut() {
             source.reservation.record_first_byte();
         }
+        self.delivery.written.batches += 1;
         let now = Instant::now();
         if let Some(last_forward) = self.last_forward.replace(now) {
             metrics::time(Span::Pause, now - last_forward);
--- a/crates/azurestand_gateway/src/platform.rs
+++ b/crates/azurestand_gateway/src/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{RequestSize, RulesParts, Target, TargetLoad};
+use azurestand_direct::{PartId, RequestSize, RulesParts, Target, TargetLoad};
 use azurestand_store::{ChangeFeed, Key, Scope};
 use http::{HeaderMap, request, response};
 use quick_error::quick_error;
@@ -38,6 +38,8 @@
     pub work: RequestSize,
     /// The last event that the caller received of an earlier response.
     pub last_event: Option<u64>,
+    /// The parts of its prompt that other requests may share, in order.
+    pub parts: Arc<[PartId]>,
 }
 
 /// The contents of the headers that an entry adds to a request.
