Quarantine a part of a prompt after two crashes of engines under it

Cause: nothing compared the parts of two requests, a stream whose engine had ended was resumed on the next one, and no entry knew what another had seen. Class of fault: a request that destroys what serves it is offered again as if the failure were the server's.

Change: azurestand_direct::Quarantine decides by what was there when engines ended and under what an answer was written; entries tell each other by datagrams; a suspected part goes one request at a time, a quarantined one is refused, those that wait are withdrawn. Whatever its kind, a request isn't offered again after two targets have ended under it. Ways that were weighed, among them azurestand_membership: docs/QUARANTINE.md.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Freshness`] tells whether what this process last read is recent enough to rely on.
 //! - [`Placement`] chooses the target of a request.
 //! - [`RequestQueue`] queues the requests that wait for capacity.
+//! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
 //! - [`ColdShare`] and [`ColdBucket`] limit the rate at which one entry sends to a cold target.
 //! - [`PieceSelector`] chooses which piece of weights an agent fetches next.
 //! - [`next_version`] chooses among versions that were named in quick succession, and
@@ -25,6 +26,7 @@
 mod part;
 mod pieces;
 mod place;
+mod quarantine;
 mod queue;
 mod rules;
 mod turn;
@@ -39,6 +41,7 @@
 pub use part::PartId;
 pub use pieces::{Distance, PieceHost, PieceSelector};
 pub use place::{Choice, Fault, NoTarget, Placement, TargetLoad, TargetRequirements};
+pub use quarantine::{Admission, Crash, Merged, PartChange, PartNotice, Quarantine, Standing};
 pub use queue::{Rank, RequestQueue, Waiter};
 pub use rules::{
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod freshness;
 mod pieces;
 mod place;
+mod quarantine;
 mod queue;
 mod rules;
 mod versions;
--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -209,6 +209,13 @@
         })
     }
 
+    /// Whether nothing listens at `address`; false if that isn't known after `limit`.
+    pub(crate) async fn is_refused(&self, address: SocketAddr, limit: Duration) -> bool {
+        let connected = timeout(limit, TcpStream::connect(address)).await;
+        let refused = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+        connected.is_ok_and(|result| result.is_err_and(refused))
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &self,
--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -6,9 +6,11 @@
 mod call;
 mod connections;
 mod deliver;
+mod exchange;
 mod filter;
 mod memory;
 mod place;
+mod quarantine;
 mod reports;
 mod response;
 mod shared;
@@ -27,6 +29,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::client::Client;
+use crate::clock::BootClock;
 use crate::error::GatewayError;
 use crate::log::LogEvent;
 use crate::platform::Platform;
@@ -71,9 +74,11 @@
         let listener = bind(listen).await?;
         let probe_listener = bind(ready).await?;
         let (address, ready) = (local_address(&listener)?, local_address(&probe_listener)?);
-        let shared = Arc::new(Shared::new(settings, platform, client));
+        let (shared, changed_parts) = Shared::new(settings, platform, client);
+        let shared = Arc::new(shared);
         store_updates::start(&shared);
         reports::start(&shared).await?;
+        exchange::start(&shared, changed_parts).await?;
         weights::start(&shared).await?;
         status::start(&shared, probe_listener);
         let server = tokio::spawn(connections::serve(shared.clone(), listener));
@@ -104,6 +109,12 @@
         self.shared.state().rules.clone()
     }
 
+    /// The number of parts of prompts that this entry refuses since they crash targets.
+    pub fn quarantined_parts(&self) -> usize {
+        let (_suspected, quarantined) = self.shared.state().quarantine.counts(BootClock.now());
+        quarantined
+    }
+
     /// Stops gracefully: reports not ready at once, then accepts no new connections and
     /// completes the open responses. Returns whether all of them completed in time.
     pub async fn stop(self) -> bool {
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -19,11 +19,13 @@
 use super::call::Call;
 use super::memory;
 use super::place::{Constraints, Reservation, place};
+use super::quarantine;
 use super::response::{Body, RequestError, full};
 use super::shared::Shared;
 use super::stream;
 use super::withdrawal::until_expired;
 use crate::client::{ActiveConnection, CallError, ResponseBody, Reuse};
+use crate::clock::BootClock;
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
 use crate::platform::{Platform, RequestContext, ResponseHead};
@@ -39,6 +41,11 @@
 /// The `Retry-After` of a request that a target refused or that could not be sent to any.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Targets that may end under one request; it isn't offered to another one then.
+const MAX_ENDED_TARGETS: u32 = 2;
+/// The batches of events after which a target has gone on writing an answer.
+pub(crate) const PROVEN_BATCHES: u32 = 2;
+
 /// A response whose head has arrived.
 pub(crate) struct OpenResponse<P> {
     pub(crate) head: response::Parts,
@@ -66,6 +73,8 @@
     pub(crate) last_event: Option<u64>,
     sends: u32,
     connect_failures: u32,
+    /// Targets that ended under the request before they had written anything of the answer.
+    ended_targets: u32,
     /// What the target of the current attempt has written.
     pub(crate) written: Written,
     /// Whether a target may have run the request.
@@ -86,6 +95,7 @@
         last_event,
         sends: 0,
         connect_failures: 0,
+        ended_targets: 0,
         written: Written::default(),
         maybe_ran: false,
     };
@@ -159,11 +169,17 @@
             let limit = self.head_timeout(&reservation);
             let target = reservation.target.clone();
             let expiry = self.expiry(&reservation);
+            let parts = self.call.request.parts.clone();
+            let quarantined = quarantine::until_quarantined(self.shared.clone(), parts);
             let sent = tokio::select! {
                 biased;
                 sent = timeout(limit, self.send(reservation)) => sent,
                 () = expiry => {
-                    self.withdrawn(&target)?;
+                    self.withdrawn(&target, "it had not begun when its weights expired")?;
+                    continue;
+                }
+                () = quarantined => {
+                    self.withdrawn(&target, "a part of its prompt crashes targets")?;
                     continue;
                 }
             };
@@ -174,7 +190,10 @@
                     }
                 }
                 Ok(Err(CallError::NotSent(reason))) => self.unsent(&target, &reason)?,
-                Ok(Err(error)) => self.failed(&target, Fault::Unreachable, &error.to_string())?,
+                Ok(Err(error)) => {
+                    self.broke(&target, Fault::Unreachable, &error.to_string())
+                        .await?;
+                }
                 Err(_) => self.timed_out(&target, limit)?,
             }
         }
@@ -197,11 +216,15 @@
 
     /// Handles a request that was withdrawn because it may no longer begin at the target. The
     /// target may have begun it at the same moment.
-    fn withdrawn(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
+    pub(crate) fn withdrawn(
+        &mut self,
+        target: &Arc<Target>,
+        why: &str,
+    ) -> Result<(), RequestError> {
         LogEvent::Withdrawn.log(&[
             ("request", self.call.id().into()),
             ("target", target.id.as_ref().into()),
-            ("why", "it had not begun when its weights expired".into()),
+            ("why", why.into()),
             ("waited_ms", millis(self.call.waited())),
         ]);
         self.try_another(target)
@@ -240,6 +263,25 @@
         Ok(())
     }
 
+    /// Handles a connection that broke: the target may have run the request, and may have
+    /// crashed under it.
+    pub(crate) async fn broke(
+        &mut self,
+        target: &Arc<Target>,
+        fault: Fault,
+        reason: &str,
+    ) -> Result<(), RequestError> {
+        let at = BootClock.now();
+        let is_unproven = self.written.batches < PROVEN_BATCHES;
+        if is_unproven && quarantine::has_ended(&self.shared, target).await {
+            self.ended_targets += 1;
+            self.constraints.crashed = true;
+            let beginning = self.written.head;
+            quarantine::record_crash(&self.shared, &self.call, target, beginning, at);
+        }
+        self.failed(target, fault, reason)
+    }
+
     /// Handles a failure after which the target may have run the request.
     pub(crate) fn failed(
         &mut self,
@@ -259,7 +301,8 @@
     fn try_another(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
         self.maybe_ran = true;
         self.constraints.avoid.push(target.id.clone());
-        if self.may_repeat() && self.spend_retry() {
+        let may_repeat = self.may_repeat() && self.ended_targets < MAX_ENDED_TARGETS;
+        if may_repeat && self.spend_retry() {
             return Ok(());
         }
         Err(RequestError::Unknown)
@@ -277,7 +320,7 @@
     }
 
     fn record_fault(&self, target: &Arc<Target>, fault: Fault, reason: &str) {
-        let now = crate::clock::BootClock.now();
+        let now = BootClock.now();
         self.shared
             .state()
             .placement
@@ -326,7 +369,7 @@
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
         if let Some(load) = response.load {
-            let now = crate::clock::BootClock.now();
+            let now = BootClock.now();
             let mut state = self.shared.state();
             state.placement.record_load(now, target, load);
         }
@@ -401,7 +444,8 @@
                 Ok(Some(self.finish(&opened.head, &target, bytes)))
             }
             Ok(Err(error)) => {
-                self.failed(&target, Fault::Failed, &error.to_string())?;
+                self.broke(&target, Fault::Failed, &error.to_string())
+                    .await?;
                 Ok(None)
             }
             Err(_) => Err(RequestError::TimedOut),
@@ -411,6 +455,7 @@
     fn finish(&self, head: &response::Parts, target: &Arc<Target>, bytes: Bytes) -> Response<Body> {
         metrics::time(Span::Whole, self.call.waited());
         if head.status.is_success() {
+            quarantine::record_written(&self.shared, &self.call);
             self.shared.state().placement.record_success(target);
         }
         LogEvent::Answered.log(&[
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Choice, NoTarget, Rank, Target, TargetRequirements, Waiter};
+use azurestand_direct::{Choice, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter};
 use azurestand_types::Moment;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use super::call::Call;
+use super::quarantine;
 use super::response::RequestError;
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
@@ -79,6 +80,8 @@
     pub(crate) required_version: Option<u64>,
     /// Whether a target may be chosen that will miss the latency target.
     pub(crate) allow_late: bool,
+    /// Whether a target has ended under the request; its prompt may be the cause.
+    pub(crate) crashed: bool,
 }
 
 /// Removes the request from its queue on drop, however the wait ends.
@@ -123,12 +126,13 @@
     };
     let (waker, waiter) = {
         let mut state = shared.state();
+        let trial = quarantine::admit(&state, call, constraints.crashed)?;
         let is_first = state
             .queues
             .get(&call.service.name)
             .is_none_or(|queue| queue.waiters.ahead(rank) == 0);
         if is_first {
-            match choose(shared, &mut state, now, call, constraints) {
+            match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
                 Err(NoTarget::NoneEligible) => {
                     return Err(RequestError::NoTarget(jittered(Duration::from_millis(400))));
@@ -153,7 +157,15 @@
     let mut soonest = Duration::from_millis(300);
     while timeout_at(wait_end, waker.notified()).await.is_ok() {
         let mut state = shared.state();
-        match choose(shared, &mut state, BootClock.now(), call, constraints) {
+        let trial = quarantine::admit(&state, call, constraints.crashed)?;
+        match choose(
+            shared,
+            &mut state,
+            BootClock.now(),
+            call,
+            constraints,
+            trial,
+        ) {
             Ok(reservation) => {
                 drop(state);
                 drop(guard);
@@ -186,6 +198,7 @@
     now: Moment,
     call: &Call,
     constraints: &Constraints,
+    trial: Option<PartId>,
 ) -> Result<Reservation<P>, NoTarget>
 where
     P: Platform,
@@ -228,6 +241,9 @@
     state
         .placement
         .record_send(now, &target, call.service.cold_rate);
+    if let Some(part) = trial {
+        state.quarantine.record_trial(now, part);
+    }
     Ok(Reservation {
         shared: shared.clone(),
         target,
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Naming, Target, TargetLoad};
+use azurestand_direct::{Naming, TargetLoad};
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -133,7 +133,9 @@
         };
         message.encode_to_vec()
     };
-    let hosts = engine_targets(&shared.state())
+    let hosts = shared
+        .state()
+        .engine_targets()
         .map(|target| (target.address.ip(), target.centre.clone()))
         .collect();
     let hosts = query_order(hosts, &shared.settings.centre);
@@ -153,14 +155,6 @@
     hosts.into_iter().map(|(ip, _)| ip).collect()
 }
 
-fn engine_targets(state: &State) -> impl Iterator<Item = &Arc<Target>> {
-    let rules = state.rules.as_ref();
-    state.directory.targets().filter(move |target| {
-        let service = rules.and_then(|rules| rules.service(&target.service));
-        service.is_some_and(|service| service.engine.is_some())
-    })
-}
-
 fn apply_report<P>(
     shared: &Shared<P>,
     host: IpAddr,
@@ -173,7 +167,8 @@
     entry_counts.retain(|_, (_, at)| now.duration_since(*at) < SUBSCRIPTION_INTERVAL * 3);
     let entries = entry_counts.values().map(|(entries, _)| *entries).max();
     state.placement.set_entries(entries.unwrap_or(1));
-    let target = engine_targets(&state)
+    let target = state
+        .engine_targets()
         .find(|target| target.address.ip() == host)
         .cloned();
     let Some(target) = target else {
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azurestand_direct::PartId;
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -43,6 +44,12 @@
     /// A target refused the request, and no other target may be tried.
     #[display("the target refused the request")]
     TargetRefused(Duration),
+    /// A part of the prompt is suspected to crash targets, and another request tries it.
+    #[display("the part {_0} of the prompt may crash targets and is being tried")]
+    Suspected(PartId, Duration),
+    /// A part of the prompt crashes targets.
+    #[display("the part {_0} of the prompt crashes targets; leave it out")]
+    Quarantined(PartId, Duration),
     /// The deadline passed before the request was sent.
     #[display("the deadline passed before the request was sent")]
     Expired,
@@ -62,6 +69,8 @@
             | Self::NoTarget(_)
             | Self::Busy(_)
             | Self::TargetRefused(_)
+            | Self::Suspected(..)
+            | Self::Quarantined(..)
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccount => StatusCode::UNAUTHORIZED,
@@ -76,7 +85,11 @@
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoRules | Self::Stale => Some(Duration::from_millis(50)),
-            Self::NoTarget(after) | Self::Busy(after) | Self::TargetRefused(after) => Some(after),
+            Self::NoTarget(after)
+            | Self::Busy(after)
+            | Self::TargetRefused(after)
+            | Self::Suspected(_, after)
+            | Self::Quarantined(_, after) => Some(after),
             Self::Expired => Some(Duration::ZERO),
             Self::NoRoute
             | Self::NoAccount
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -10,13 +10,15 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    ColdShare, Directory, Freshness, NamedVersions, Placement, RequestQueue, Rules, VERSION_MARGIN,
-    Waiter,
+    ColdShare, Directory, Freshness, NamedVersions, PartId, Placement, Quarantine, RequestQueue,
+    Rules, Target, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
 use azurestand_types::Moment;
+use tokio::sync::mpsc::Receiver;
 use tokio::sync::{Notify, watch};
 
+use super::exchange::Exchange;
 use crate::client::Client;
 use crate::clock::BootClock;
 use crate::feed::ChangeTime;
@@ -65,6 +67,7 @@
     pub(crate) excluded: BTreeSet<Arc<str>>,
     pub(crate) queues: BTreeMap<Arc<str>, ServiceQueue>,
     pub(crate) retries: RetryBudget,
+    pub(crate) quarantine: Quarantine,
 }
 
 impl State {
@@ -74,6 +77,15 @@
         versions.is_some_and(|versions| versions.contains(version))
     }
 
+    /// The targets that are engines.
+    pub(crate) fn engine_targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let rules = self.rules.as_ref();
+        self.directory.targets().filter(move |target| {
+            let service = rules.and_then(|rules| rules.service(&target.service));
+            service.is_some_and(|service| service.engine.is_some())
+        })
+    }
+
     /// Wakes the first request of each queue.
     pub(crate) fn wake_queues(&self) {
         for queue in self.queues.values() {
@@ -90,7 +102,12 @@
     pub(crate) client: Client,
     /// Relays updates from the store to other daemons.
     pub(crate) relay: Arc<Relay>,
+    /// Tells the other entries what changed.
+    pub(crate) exchange: Exchange,
     state: Mutex<State>,
+    quarantine_changed: Notify,
+    /// Whether this entry knows what the others know of parts that crash targets.
+    informed: AtomicBool,
     draining: watch::Sender<bool>,
     closing: watch::Sender<bool>,
     /// The entries that agents have reported, with their data centres.
@@ -100,7 +117,13 @@
 }
 
 impl<P> Shared<P> {
-    pub(crate) fn new(settings: GatewaySettings, platform: Arc<P>, client: Client) -> Self {
+    /// Creates the shared parts, and the queue of parts to tell other entries about.
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        platform: Arc<P>,
+        client: Client,
+    ) -> (Self, Receiver<PartId>) {
+        let (exchange, queue) = Exchange::new();
         let rng = fastrand::Rng::new();
         let state = State {
             rules: None,
@@ -118,18 +141,43 @@
             excluded: BTreeSet::new(),
             queues: BTreeMap::new(),
             retries: RetryBudget::new(settings.bounds.now().retry_share),
+            quarantine: Quarantine::default(),
         };
-        Self {
+        let shared = Self {
             settings,
             platform,
             client,
             relay: Arc::default(),
+            exchange,
+            quarantine_changed: Notify::new(),
+            informed: AtomicBool::new(false),
             state: Mutex::new(state),
             draining: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             entries: Mutex::new(Vec::new()),
             reported_ready: AtomicBool::new(false),
-        }
+        };
+        (shared, queue)
+    }
+
+    /// Wakes those who wait for a change of the quarantine.
+    pub(crate) fn notify_quarantine(&self) {
+        self.quarantine_changed.notify_waiters();
+    }
+
+    /// Notified when the quarantine changes.
+    pub(crate) fn quarantine_changed(&self) -> &Notify {
+        &self.quarantine_changed
+    }
+
+    /// Records that another entry told what it knows, or that none did in time.
+    pub(crate) fn set_informed(&self) {
+        self.informed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether another entry told what it knows, or none did in time.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.informed.load(Ordering::Relaxed)
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
@@ -147,9 +195,13 @@
             let names = known
                 .iter()
                 .map(|(ip, _): &(IpAddr, _)| ip.to_string().into());
-            let own = self.settings.ip.to_string().into();
-            let share = ColdShare::new(own, names.collect());
-            self.state().placement.set_cold_share(share);
+            let names: Vec<Arc<str>> = names.collect();
+            let own: Arc<str> = self.settings.ip.to_string().into();
+            let share = ColdShare::new(own.clone(), names.clone());
+            let mut state = self.state();
+            state.placement.set_cold_share(share);
+            state.quarantine.set_entries(own, names);
+            drop(state);
             *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = known;
         }
     }
@@ -210,7 +262,9 @@
             BootClock.now(),
             self.settings.bounds.now().revoke.mul_f64(0.7),
         );
-        !self.is_draining() && state.rules.is_some() && state.targets_read && fresh
+        // Only entries of engines know each other, by the agents' reports.
+        let is_informed = self.is_informed() || state.engine_targets().next().is_none();
+        !self.is_draining() && state.rules.is_some() && state.targets_read && fresh && is_informed
     }
 
     /// Records the readiness that is reported to the balancer; returns whether it changed.
--- a/crates/azurestand_gateway/src/entry/status.rs
+++ b/crates/azurestand_gateway/src/entry/status.rs
@@ -57,6 +57,9 @@
     let age = state.freshness.age(now);
     let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
     let rules = state.rules.as_ref();
+    let (suspected, quarantined) = state.quarantine.counts(now);
+    metrics::set(Level::SuspectedParts, to_f64(suspected));
+    metrics::set(Level::QuarantinedParts, to_f64(quarantined));
     metrics::set(Level::Ready, f64::from(u8::from(is_ready)));
     metrics::set(Level::Line, to_f64(waiting));
     metrics::set(Level::ProofAge, age);
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -5,6 +5,7 @@
 //! from its first target. A stream that can't be continued ends with a broken connection,
 //! never as a complete response.
 
+use std::pin::Pin;
 use std::time::Duration;
 
 use azurestand_direct::{EventSplitter, Fault};
@@ -15,8 +16,9 @@
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
 
-use super::deliver::{Delivery, OpenResponse};
+use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES};
 use super::place::Reservation;
+use super::quarantine;
 use super::response::{Body, BodyError};
 use crate::client::{ActiveConnection, ResponseBody};
 use crate::clock::BootClock;
@@ -38,6 +40,9 @@
     /// When events were last forwarded.
     last_forward: Option<Instant>,
     idle_timeout: Duration,
+    /// Completes when a part of the prompt is quarantined; none once the target has gone on
+    /// writing the answer.
+    quarantined: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 /// The target that currently sends the stream.
@@ -54,6 +59,8 @@
     Bytes(Bytes),
     End,
     Broken(String),
+    /// A part of the prompt was quarantined before the target had written anything.
+    Quarantined,
 }
 
 /// The response for a stream whose head, with a successful status, has arrived.
@@ -74,6 +81,7 @@
         events: 0,
         last_forward: None,
         idle_timeout: (gap_target * IDLE_FACTOR).max(MIN_IDLE_TIMEOUT),
+        quarantined: None,
     };
     forwarder.set_source(opened);
     let chunks = unfold(Some(forwarder), |forwarder| async move {
@@ -99,6 +107,10 @@
     fn set_source(&mut self, opened: OpenResponse<P>) {
         self.delivery.constraints.required_version =
             opened.response.version.or(opened.reservation.version);
+        let call = &self.delivery.call;
+        let parts = call.request.parts.clone();
+        let quarantined = quarantine::until_quarantined(self.delivery.shared.clone(), parts);
+        self.quarantined = Some(Box::pin(quarantined));
         self.source = Some(Source {
             body: opened.body,
             connection: opened.connection,
@@ -114,7 +126,15 @@
             let Some(source) = self.source.as_mut() else {
                 return Ok(None);
             };
-            let chunk = read_chunk_until(&mut source.body, idle_at).await;
+            let read = read_chunk_until(&mut source.body, idle_at);
+            let chunk = match self.quarantined.as_mut() {
+                Some(quarantined) => tokio::select! {
+                    biased;
+                    () = quarantined => Chunk::Quarantined,
+                    chunk = read => chunk,
+                },
+                None => read.await,
+            };
             match chunk {
                 Chunk::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(events) if events.is_empty() => {}
@@ -136,6 +156,7 @@
                     self.resume(&why).await?;
                     idle_at = self.idle_at();
                 }
+                Chunk::Quarantined => return Err(self.withdraw()),
             }
         }
     }
@@ -150,6 +171,10 @@
             source.reservation.record_first_byte();
         }
         self.delivery.written.batches += 1;
+        if self.delivery.written.batches == PROVEN_BATCHES {
+            self.quarantined = None;
+            quarantine::record_written(&self.delivery.shared, &self.delivery.call);
+        }
         let now = Instant::now();
         if let Some(last_forward) = self.last_forward.replace(now) {
             metrics::time(Span::Pause, now - last_forward);
@@ -212,6 +237,7 @@
 
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
+            quarantine::record_written(&self.delivery.shared, &self.delivery.call);
             let mut state = self.delivery.shared.state();
             state.placement.record_success(&source.reservation.target);
             drop(state);
@@ -239,8 +265,14 @@
         } else {
             Fault::Failed
         };
-        let left = self.delivery.call.time_left();
-        if left.is_zero() || self.delivery.failed(&target, fault, why).is_err() {
+        if self.delivery.call.time_left().is_zero() {
+            return Err(self.abort(why));
+        }
+        let failed = match fault {
+            Fault::Silent => self.delivery.failed(&target, fault, why),
+            _ => self.delivery.broke(&target, fault, why).await,
+        };
+        if failed.is_err() {
             return Err(self.abort(why));
         }
         self.delivery.last_event = self
@@ -263,6 +295,17 @@
         }
     }
 
+    /// Cancels the request at its target, which would crash.
+    fn withdraw(&mut self) -> BodyError {
+        let why = "a part of its prompt crashes targets";
+        if let Some(source) = self.source.take() {
+            let target = source.reservation.target.clone();
+            // It isn't sent anywhere else, whether or not it may be.
+            let _ = self.delivery.withdrawn(&target, why);
+        }
+        self.abort(why)
+    }
+
     fn abort(&self, why: &str) -> BodyError {
         LogEvent::Broken.log(&[
             ("request", self.delivery.call.id().into()),
--- a/crates/azurestand_gateway/src/lib.rs
+++ b/crates/azurestand_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod feed;
 mod log;
 mod metrics;
+mod notice;
 mod pieces;
 mod platform;
 mod presence;
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -85,6 +85,11 @@
     Unknown = "G0208", "unknown", "It is unknown whether a request ran.";
     BegunLate = "G0210", "begun_late", "A request began on weights that this process counts as replaced, after the bound.";
     Withdrawn = "G0211", "withdrawn", "A request that had not begun was withdrawn from a target whose weights expire.";
+    PartNoted = "G0212", "part_noted", "A target crashed under requests with this part of a prompt, which proves nothing yet.";
+    PartSuspected = "G0213", "part_suspected", "A part of a prompt is suspected to crash targets; its requests go one at a time.";
+    PartQuarantined = "G0214", "part_quarantined", "A part of a prompt crashes targets; its requests are refused.";
+    PartCleared = "G0215", "part_cleared", "A target wrote an answer under a suspected part of a prompt.";
+    NoticeUnreadable = "G0216", "notice_unreadable", "A datagram from another entry can't be read.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
@@ -211,6 +216,8 @@
             | Self::Withdrawn
             | Self::PieceFailed
             | Self::PieceSpoilt
+            | Self::PartNoted
+            | Self::NoticeUnreadable
             | Self::TargetUnreadable => Class::Failure,
             _ => Class::State,
         }
--- a/crates/azurestand_gateway/src/metrics.rs
+++ b/crates/azurestand_gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     Correction = "correction", "Seconds added to predictions, at the service with the most.";
     Targets = "targets", "Listed targets.";
     Config = "config", "The version of the configuration in force.";
+    SuspectedParts = "suspected_parts", "Parts of prompts that are suspected to crash targets.";
+    QuarantinedParts = "quarantined_parts", "Parts of prompts whose requests are refused since they crash targets.";
     Missing = "missing", "Missing pieces of the version that is being fetched.";
 }
 
--- /dev/null
+++ b/crates/azurestand_gateway/src/notice.rs
@@ -0,0 +1,104 @@
+//! Datagrams between entries: what each knows of parts of prompts that crash targets.
+//!
+//! There is no session and no acknowledgement. What is new goes to all other entries at
+//! once, and everything to a few of them at intervals, so that a lost datagram only delays
+//! it. [docs/QUARANTINE.md](../../../docs/QUARANTINE.md) compares the ways that were weighed.
+
+use std::time::Duration;
+
+use azurestand_direct::{Crash, PartId, PartNotice};
+use azurestand_types::Moment;
+use prost::Message;
+
+/// The largest datagram in bytes; larger ones are dropped.
+pub(crate) const MAX_BYTES: usize = 8 * 1024;
+/// The most parts in one datagram, so that it stays below [`MAX_BYTES`].
+pub(crate) const MAX_PARTS: usize = 12;
+/// The most crashes of one part that are read.
+const MAX_CRASHES: usize = 8;
+/// The longest name that is read, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// What one entry tells another.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Notices {
+    /// What it knows of some parts.
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) parts: Vec<PartState>,
+    /// Whether the receiver should tell all that it knows.
+    #[prost(bool, tag = "2")]
+    pub(crate) wants_all: bool,
+    /// Whether this is the reply to such a request.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_reply: bool,
+}
+
+/// What an entry knows of one part.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct PartState {
+    #[prost(fixed64, tag = "1")]
+    part: u64,
+    /// The crashes under it.
+    #[prost(message, repeated, tag = "2")]
+    crashes: Vec<CrashState>,
+    /// Whether a target has written an answer under it.
+    #[prost(bool, tag = "3")]
+    cleared: bool,
+}
+
+/// A crash of a target under a request with the part.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct CrashState {
+    #[prost(string, tag = "1")]
+    target: String,
+    #[prost(uint64, tag = "2")]
+    started_at: u64,
+    #[prost(string, tag = "3")]
+    request: String,
+    /// Whether the answer was beginning.
+    #[prost(bool, tag = "4")]
+    beginning: bool,
+    /// Milliseconds since the crash.
+    #[prost(uint64, tag = "5")]
+    age: u64,
+}
+
+impl PartState {
+    /// Encodes a notice; crashes are sent with their age, since clocks differ.
+    pub(crate) fn encode(now: Moment, notice: &PartNotice) -> Self {
+        let age = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let encode = |crash: &Crash| CrashState {
+            target: crash.target.to_string(),
+            started_at: crash.started_at,
+            request: crash.request.to_string(),
+            beginning: crash.beginning,
+            age: age(crash.at),
+        };
+        Self {
+            part: notice.part.0,
+            crashes: notice.crashes.iter().map(encode).collect(),
+            cleared: notice.cleared,
+        }
+    }
+
+    /// The notice, with crashes dated by this process's clock. Crashes with names that are
+    /// too long are left out.
+    pub(crate) fn decode(self, now: Moment) -> PartNotice {
+        let is_valid = |crash: &CrashState| {
+            crash.target.len() <= MAX_NAME_BYTES && crash.request.len() <= MAX_NAME_BYTES
+        };
+        let decode = |crash: CrashState| Crash {
+            target: crash.target.into(),
+            started_at: crash.started_at,
+            request: crash.request.into(),
+            beginning: crash.beginning,
+            at: now - Duration::from_millis(crash.age),
+        };
+        let crashes = self.crashes.into_iter().take(MAX_CRASHES);
+        PartNotice {
+            part: PartId(self.part),
+            crashes: crashes.filter(is_valid).map(decode).collect(),
+            cleared: self.cleared,
+        }
+    }
+}
--- a/crates/azurestand_gateway/src/settings.rs
+++ b/crates/azurestand_gateway/src/settings.rs
@@ -87,6 +87,15 @@
         self.peer_port
     }
 
+    /// The UDP port for notices between entries.
+    pub(crate) fn notice_port(&self) -> u16 {
+        match self.peer_port {
+            // Any free port, for tests only, since other processes can't know it.
+            0 => 0,
+            first => first + 2,
+        }
+    }
+
     /// The TCP port at which agents and entries serve pieces of weights.
     pub(crate) fn piece_port(&self) -> u16 {
         match self.peer_port {
