Take a stream that ends with its connection before any event for broken off

A target that ends as it begins to write closes the connection after the head. Where only the end of the connection tells the end of the stream, the entry passed that on as a complete stream without events.

a_stream_that_ends_with_its_connection_before_any_event_is_broken_off failed before. The other tests of streams and answers with neither a length nor chunks (ended inside an event, between events, reset; resumed after the last whole event) passed before the change too. A target that ends exactly between two events can't be told from a complete answer without reading its events; that remains.

--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -11,7 +11,7 @@
 use azurestand_direct::{EventSplitter, Fault};
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::Response;
+use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
@@ -52,6 +52,8 @@
     reservation: Reservation<P>,
     /// The version of the weights that the target names.
     version: Option<u64>,
+    /// Whether the head tells how the body ends, rather than the end of the connection.
+    is_delimited: bool,
 }
 
 /// The result of reading from a body.
@@ -116,6 +118,7 @@
             connection: opened.connection,
             reservation: opened.reservation,
             version: opened.response.version,
+            is_delimited: is_delimited(&opened.head.headers),
         });
     }
 
@@ -144,12 +147,12 @@
                         idle_at = self.idle_at();
                     }
                 },
-                Chunk::End if self.splitter.is_at_boundary() => {
+                Chunk::End if self.is_complete() => {
                     self.finish();
                     return Ok(None);
                 }
                 Chunk::End => {
-                    self.resume("the stream ended within an event").await?;
+                    self.resume("the stream ended early").await?;
                     idle_at = self.idle_at();
                 }
                 Chunk::Broken(why) => {
@@ -161,6 +164,17 @@
         }
     }
 
+    /// Whether a stream that has ended is complete: it ends between events, and, if only the end
+    /// of its connection tells its end, after at least one of this target.
+    fn is_complete(&self) -> bool {
+        let is_delimited = self
+            .source
+            .as_ref()
+            .is_some_and(|source| source.is_delimited);
+        let has_written = self.delivery.written.batches > 0 || is_delimited;
+        self.splitter.is_at_boundary() && has_written
+    }
+
     /// When the stream counts as idle unless the caller gets another event before.
     fn idle_at(&self) -> Instant {
         Instant::now() + self.idle_timeout.min(self.delivery.call.time_left())
@@ -317,6 +331,11 @@
     }
 }
 
+/// Whether a response with these headers tells where its body ends.
+fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads until `idle_at`, also if bytes that complete no new event keep arriving.
 async fn read_chunk_until(body: &mut ResponseBody, idle_at: Instant) -> Chunk {
     let silent = || Chunk::Broken("silent".to_owned());
