--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -16,6 +16,7 @@
 use crate::correction::Correction;
 use crate::directory::{Directory, Target, TargetState};
 use crate::engine::RequestSize;
+use crate::limit::RateLimit;
 use crate::rules::Service;
 use record::TargetRecord;
 
@@ -181,6 +182,19 @@
         }
     }
 
+    /// Records the rate limit that a target's answer names, if any; returns whether it differs
+    /// from that of the answer before.
+    pub fn record_limit(&mut self, target: &Target, limit: Option<RateLimit>) -> bool {
+        let record = self.record(target);
+        record.is_some_and(|record| record.record_limit(limit))
+    }
+
+    /// The number of targets that name a rate limit.
+    pub fn limited_targets(&self) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.has_limit()).count()
+    }
+
     /// Records that an agent reported on a target. When such reports stop, the target is
     /// suspect; when they stop for all targets of a data centre, all of it is suspect.
     pub fn record_agent_report(&mut self, now: Moment, target: &Target) {
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -9,6 +9,7 @@
 use super::{Fault, TargetLoad, TargetRequirements};
 use crate::cold::{ColdBucket, ColdShare};
 use crate::directory::Target;
+use crate::limit::RateLimit;
 
 /// The first pause after a refusal; each further fault in a row doubles it.
 const REFUSED_PAUSE: Duration = Duration::from_millis(120);
@@ -65,6 +66,8 @@
     failure_rate: f64,
     /// The time from which it accepts no requests because it loads weights.
     closes_at: Option<Moment>,
+    /// The most requests that it takes, as its last answer told.
+    rate_limit: Option<RateLimit>,
 }
 
 impl TargetRecord {
@@ -81,10 +84,21 @@
             fault_streak: 0,
             failure_rate: 0.0,
             closes_at: None,
+            rate_limit: None,
             target,
         }
     }
 
+    /// Records what the target's last answer told; returns whether it differs from before.
+    pub(super) fn record_limit(&mut self, limit: Option<RateLimit>) -> bool {
+        let known = std::mem::replace(&mut self.rate_limit, limit);
+        known != limit
+    }
+
+    pub(super) fn has_limit(&self) -> bool {
+        self.rate_limit.is_some()
+    }
+
     /// Updates the target from a newer list entry of the same incarnation.
     pub(super) fn update(&mut self, now: Moment, target: &Arc<Target>) {
         if self.target == *target {
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Fault, RouteKind, Target};
+use azurestand_direct::{Fault, RateLimit, RouteKind, Target};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
@@ -368,6 +368,7 @@
         let (head, body) = response.into_parts();
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
+        self.record_limit(target, response.rate_limit);
         if let Some(load) = response.load {
             let now = BootClock.now();
             let mut state = self.shared.state();
@@ -382,6 +383,18 @@
         })
     }
 
+    /// Records the rate limit that an answer of `target` names.
+    fn record_limit(&self, target: &Target, limit: Option<RateLimit>) {
+        let changed = self.shared.state().placement.record_limit(target, limit);
+        if changed {
+            LogEvent::LimitNamed.log(&[
+                ("target", target.id.as_ref().into()),
+                ("limit", limit.map(RateLimit::per_second).into()),
+                ("request", self.call.id().into()),
+            ]);
+        }
+    }
+
     /// Returns the response if it is usable, none if another target is to be tried.
     fn check_response(
         &mut self,
--- a/crates/azurestand_gateway/src/entry/status.rs
+++ b/crates/azurestand_gateway/src/entry/status.rs
@@ -58,6 +58,8 @@
     let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
     let rules = state.rules.as_ref();
     let (suspected, quarantined) = state.quarantine.counts(now);
+    let limited = state.placement.limited_targets();
+    metrics::set(Level::LimitedTargets, to_f64(limited));
     metrics::set(Level::SuspectedParts, to_f64(suspected));
     metrics::set(Level::QuarantinedParts, to_f64(quarantined));
     metrics::set(Level::Ready, f64::from(u8::from(is_ready)));
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -90,6 +90,7 @@
     PartQuarantined = "G0214", "part_quarantined", "A part of a prompt crashes targets; its requests are refused.";
     PartCleared = "G0215", "part_cleared", "A target wrote an answer under a suspected part of a prompt.";
     NoticeUnreadable = "G0216", "notice_unreadable", "A datagram from another entry can't be read.";
+    LimitNamed = "G0217", "limit_named", "A target named another rate limit than before, or none any more.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
--- a/crates/azurestand_gateway/src/metrics.rs
+++ b/crates/azurestand_gateway/src/metrics.rs
@@ -64,6 +64,7 @@
     Config = "config", "The version of the configuration in force.";
     SuspectedParts = "suspected_parts", "Parts of prompts that are suspected to crash targets.";
     QuarantinedParts = "quarantined_parts", "Parts of prompts whose requests are refused since they crash targets.";
+    LimitedTargets = "limited_targets", "Targets that name a rate limit.";
     Missing = "missing", "Missing pieces of the version that is being fetched.";
 }
 
--- a/crates/azurestand_gateway/src/platform.rs
+++ b/crates/azurestand_gateway/src/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{PartId, RequestSize, RulesParts, Target, TargetLoad};
+use azurestand_direct::{PartId, RateLimit, RequestSize, RulesParts, Target, TargetLoad};
 use azurestand_store::{ChangeFeed, Key, Scope};
 use http::{HeaderMap, request, response};
 use quick_error::quick_error;
@@ -72,6 +72,8 @@
     pub load: Option<TargetLoad>,
     /// The version of the weights that serve the request.
     pub version: Option<u64>,
+    /// The most requests that the target takes at present; none if it names no limit.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// The format of requests and responses.
