Name the share of a target's rate for what it is, before limits use it too

ColdShare, ColdBucket and ColdLimit divide any rate among entries; only the bound they start from is that of a cold target. They are now SendShare, SendBucket and SendLimit, with SendBound for what all entries together may send. No behaviour changes.

--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    ColdShare, Directory, NoTarget, Placement, Rank, RequestQueue, RequestSize, Service, Target,
+    Directory, NoTarget, Placement, Rank, RequestQueue, RequestSize, SendShare, Service, Target,
     TargetRequirements, Waiter,
 };
 use azurestand_types::Moment;
@@ -103,8 +103,8 @@
         &mut self.placement
     }
 
-    pub(super) fn set_cold_share(&mut self, share: ColdShare) {
-        self.placement.set_cold_share(share);
+    pub(super) fn set_send_share(&mut self, share: SendShare) {
+        self.placement.set_send_share(share);
     }
 
     /// The caller whose turn it is.
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use azurestand_direct::{
-    ColdShare, CostModel, Fault, LoadedWeights, Placement, RequestSize, Service, Target,
+    CostModel, Fault, LoadedWeights, Placement, RequestSize, SendShare, Service, Target,
     TargetState,
 };
 
@@ -147,7 +147,7 @@
                 service.clone(),
                 rng.fork(),
             );
-            entry.set_cold_share(ColdShare::new(names[number].clone(), names.clone()));
+            entry.set_send_share(SendShare::new(names[number].clone(), names.clone()));
             fleet.entries.push(entry);
         }
         fleet.tell_targets();
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`Placement`] chooses the target of a request.
 //! - [`RequestQueue`] queues the requests that wait for capacity.
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
-//! - [`ColdShare`] and [`ColdBucket`] limit the rate at which one entry sends to a cold target.
+//! - [`SendShare`] and [`SendBucket`] limit the rate at which one entry sends to a target that
+//!   all entries together may send little to.
 //! - [`PieceSelector`] chooses which piece of weights an agent fetches next.
 //! - [`next_version`] chooses among versions that were named in quick succession, and
 //!   [`useful_until`] tells how long the version that an engine holds may serve.
@@ -17,7 +18,6 @@
 //! [`Moment`](azurestand_types::Moment) and get decisions back.
 //! [docs/PLATFORM.md](../../../docs/PLATFORM.md) gives the reasons for the design.
 
-mod cold;
 mod correction;
 mod directory;
 mod engine;
@@ -30,10 +30,10 @@
 mod quarantine;
 mod queue;
 mod rules;
+mod share;
 mod turn;
 mod versions;
 
-pub use cold::{ColdBucket, ColdLimit, ColdShare};
 pub use correction::Correction;
 pub use directory::{Directory, LoadedWeights, Target, TargetState};
 pub use engine::{CostModel, RequestSize};
@@ -48,5 +48,6 @@
 pub use rules::{
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
+pub use share::{SendBound, SendBucket, SendLimit, SendShare};
 pub use turn::{LoadTurn, VERSION_MARGIN};
 pub use versions::{NamedVersion, NamedVersions, Naming, NamingSource, next_version, useful_until};
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -12,12 +12,12 @@
 
 use azurestand_types::Moment;
 
-use crate::cold::ColdShare;
 use crate::correction::Correction;
 use crate::directory::{Directory, Target, TargetState};
 use crate::engine::RequestSize;
 use crate::limit::RateLimit;
 use crate::rules::Service;
+use crate::share::SendShare;
 use record::TargetRecord;
 
 /// The number of targets in the own data centre that are sampled at random for one
@@ -111,7 +111,7 @@
     regions: BTreeMap<Arc<str>, Arc<str>>,
     excluded: BTreeSet<Arc<str>>,
     entry_count: u32,
-    cold_share: Arc<ColdShare>,
+    send_share: Arc<SendShare>,
     corrections: BTreeMap<Arc<str>, Correction>,
     rng: fastrand::Rng,
 }
@@ -132,7 +132,7 @@
             regions,
             excluded: BTreeSet::new(),
             entry_count,
-            cold_share: Arc::default(),
+            send_share: Arc::default(),
             corrections: BTreeMap::new(),
             rng,
         }
@@ -143,9 +143,9 @@
         self.entry_count = entries.max(1);
     }
 
-    /// Sets the entries among which the rate of cold targets is divided.
-    pub fn set_cold_share(&mut self, share: ColdShare) {
-        self.cold_share = Arc::new(share);
+    /// Sets the entries among which the rates of targets are divided.
+    pub fn set_send_share(&mut self, share: SendShare) {
+        self.send_share = Arc::new(share);
     }
 
     /// Sets which data centres the operators have excluded.
@@ -221,7 +221,7 @@
 
     /// Records that a request was sent.
     pub fn record_send(&mut self, now: Moment, target: &Target, cold_rate: Option<f64>) {
-        let share = self.cold_share.clone();
+        let share = self.send_share.clone();
         if let Some(record) = self.record(target) {
             record.record_send(now, cold_rate, &share);
         }
@@ -301,7 +301,7 @@
         for record in eligible {
             let expected = record.predict(now, requirements, peer_sends);
             soonest = Some(soonest.map_or(expected, |known| known.min(expected)));
-            if expected <= limit && record.has_room(now, requirements, peer_sends, &self.cold_share)
+            if expected <= limit && record.has_room(now, requirements, peer_sends, &self.send_share)
             {
                 candidates.push((expected, record));
             }
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -7,9 +7,9 @@
 use azurestand_types::Moment;
 
 use super::{Fault, TargetLoad, TargetRequirements};
-use crate::cold::{ColdBucket, ColdShare};
 use crate::directory::Target;
 use crate::limit::RateLimit;
+use crate::share::{SendBound, SendBucket, SendShare};
 
 /// The first pause after a refusal; each further fault in a row doubles it.
 const REFUSED_PAUSE: Duration = Duration::from_millis(120);
@@ -58,7 +58,7 @@
     /// The times of the sends that reports may not include yet.
     recent_sends: VecDeque<Moment>,
     cold_until: Moment,
-    cold_bucket: ColdBucket,
+    cold_bucket: SendBucket,
     paused_until: Moment,
     /// Faults in a row that led to a pause.
     fault_streak: u32,
@@ -79,7 +79,7 @@
             agent_report: None,
             recent_sends: VecDeque::new(),
             cold_until: now + target.cold,
-            cold_bucket: ColdBucket::new(now),
+            cold_bucket: SendBucket::new(now),
             paused_until: now,
             fault_streak: 0,
             failure_rate: 0.0,
@@ -159,7 +159,7 @@
         self.overrun(now, requirements) <= PREFERRED_OVERRUN_MS
     }
 
-    pub(super) fn record_send(&mut self, now: Moment, cold_rate: Option<f64>, share: &ColdShare) {
+    pub(super) fn record_send(&mut self, now: Moment, cold_rate: Option<f64>, share: &SendShare) {
         self.own.waiting += 1;
         while self
             .recent_sends
@@ -169,7 +169,8 @@
             self.recent_sends.pop_front();
         }
         self.recent_sends.push_back(now);
-        let limit = cold_rate.and_then(|rate| share.limit(&self.target.id, rate));
+        let bound = cold_rate.map(SendBound::cold);
+        let limit = bound.and_then(|bound| share.limit(&self.target.id, bound));
         if let Some(limit) = limit.filter(|_| self.is_cold(now)) {
             self.cold_bucket.spend(now, limit);
         }
@@ -304,11 +305,11 @@
         now: Moment,
         requirements: &TargetRequirements<'_>,
         peer_sends: f64,
-        share: &ColdShare,
+        share: &SendShare,
     ) -> bool {
         let rate = requirements.service.cold_rate.filter(|_| self.is_cold(now));
         let allows = |rate| {
-            let limit = share.limit(&self.target.id, rate);
+            let limit = share.limit(&self.target.id, SendBound::cold(rate));
             limit.is_some_and(|limit| self.cold_bucket.allows(now, limit))
         };
         let within_rate = rate.is_none_or(allows);
--- a/crates/azurestand_direct/src/cold.rs
+++ b/crates/azurestand_direct/src/share.rs
@@ -1,47 +1,67 @@
-//! One entry's share of the request rate that a cold target can take.
+//! One entry's share of the request rate that a target can take from all entries together.
 
 use std::sync::Arc;
 
 use azurestand_types::{Moment, rendezvous};
 
-/// How far all entries together may exceed a cold target's rate in any second, as a share
-/// of that rate.
-const EXCESS_SHARE: f64 = 0.5;
-/// Sends by which all entries together may exceed it besides; the bound allows five.
-const EXCESS_SENDS: f64 = 3.0;
 /// The maximum burst of one entry.
 const MAX_BURST: f64 = 2.0;
 
-/// The entries among which a cold target's rate is divided.
+/// What all entries together may send to one target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SendBound {
+    /// Sends per second, on average.
+    rate: f64,
+    /// Sends of all entries that may come at once, beyond that rate.
+    excess: f64,
+}
+
+impl SendBound {
+    /// How far all entries together may exceed a cold target's rate in any second, as a share
+    /// of that rate.
+    const COLD_EXCESS_SHARE: f64 = 0.5;
+    /// Sends by which all entries together may exceed it besides; the bound allows five.
+    const COLD_EXCESS_SENDS: f64 = 3.0;
+
+    /// The bound of a cold target that can take `rate` requests per second.
+    pub fn cold(rate: f64) -> Self {
+        Self {
+            rate,
+            excess: rate * Self::COLD_EXCESS_SHARE + Self::COLD_EXCESS_SENDS,
+        }
+    }
+}
+
+/// The entries among which a target's rate is divided.
 ///
-/// Where an even share would be less than a single send, only some of the entries send
-/// to a cold target. Rendezvous hashing of the names selects them.
+/// Where an even share would be less than a single send, only some of the entries send to
+/// the target. Rendezvous hashing of the names selects them.
 #[derive(Debug, Clone, Default)]
-pub struct ColdShare {
+pub struct SendShare {
     own: Arc<str>,
     entries: Vec<Arc<str>>,
 }
 
-/// What one entry may send to one cold target.
+/// What one entry may send to one target.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ColdLimit {
+pub struct SendLimit {
     /// Sends per second.
     pub rate: f64,
     /// The maximum number of unused sends that are kept, which is the burst.
     pub burst: f64,
 }
 
-impl ColdShare {
+impl SendShare {
     /// The share of the entry `own` among `entries`; without entries, nothing may be sent to
-    /// cold targets yet.
+    /// targets with a bound yet.
     pub fn new(own: Arc<str>, entries: Vec<Arc<str>>) -> Self {
         Self { own, entries }
     }
 
-    /// The limit of this entry for the cold target `id`, which can take `rate` requests
-    /// per second; none when only other entries send there.
-    pub fn limit(&self, id: &str, rate: f64) -> Option<ColdLimit> {
-        let excess = rate * EXCESS_SHARE + EXCESS_SENDS;
+    /// The limit of this entry for the target `id` with `bound`; none when only other entries
+    /// send there.
+    pub fn limit(&self, id: &str, bound: SendBound) -> Option<SendLimit> {
+        let SendBound { rate, excess } = bound;
         let count = self.entries.len();
         let even_share = excess / f64::from(u32::try_from(count.max(1)).unwrap_or(u32::MAX));
         let own_score = rendezvous::score(id.as_bytes(), &self.own);
@@ -53,21 +73,21 @@
             return None;
         }
         let senders = f64::from(u32::try_from(count).unwrap_or(u32::MAX)).min(excess.floor());
-        Some(ColdLimit {
+        Some(SendLimit {
             rate: rate / senders.max(1.0),
             burst: even_share.clamp(1.0, MAX_BURST),
         })
     }
 }
 
-/// A token bucket over one entry's sends to one cold target.
+/// A token bucket over one entry's sends to one target.
 #[derive(Debug, Clone, Copy)]
-pub struct ColdBucket {
+pub struct SendBucket {
     tokens: f64,
     updated: Moment,
 }
 
-impl ColdBucket {
+impl SendBucket {
     /// A bucket with one token.
     pub fn new(now: Moment) -> Self {
         Self {
@@ -77,17 +97,17 @@
     }
 
     /// Whether `limit` allows a send at `now`.
-    pub fn allows(&self, now: Moment, limit: ColdLimit) -> bool {
+    pub fn allows(&self, now: Moment, limit: SendLimit) -> bool {
         self.tokens_at(now, limit) >= 1.0
     }
 
     /// Takes the token of one send.
-    pub fn spend(&mut self, now: Moment, limit: ColdLimit) {
+    pub fn spend(&mut self, now: Moment, limit: SendLimit) {
         self.tokens = self.tokens_at(now, limit) - 1.0;
         self.updated = now;
     }
 
-    fn tokens_at(&self, now: Moment, limit: ColdLimit) -> f64 {
+    fn tokens_at(&self, now: Moment, limit: SendLimit) -> f64 {
         let refilled = now.since(self.updated).as_secs_f64() * limit.rate;
         (self.tokens + refilled).min(limit.burst)
     }
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -1,7 +1,6 @@
 //! Decisions about requests that go straight to targets, each under the load or the
 //! fault that it handles.
 
-mod cold;
 mod common;
 mod correction;
 mod directory;
@@ -12,4 +11,5 @@
 mod quarantine;
 mod queue;
 mod rules;
+mod share;
 mod versions;
--- a/crates/azurestand_direct/tests/direct/place.rs
+++ b/crates/azurestand_direct/tests/direct/place.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Choice, ColdShare, Directory, Fault, NoTarget, Placement, RequestSize, Service, Target,
+    Choice, Directory, Fault, NoTarget, Placement, RequestSize, SendShare, Service, Target,
     TargetLoad, TargetRequirements, TargetState,
 };
 use azurestand_types::Moment;
@@ -303,7 +303,7 @@
     cold.cold = Duration::from_secs(3);
     let mut placement = placement(at(0), vec![cold.clone()]);
     let entries: Vec<Arc<str>> = (0..9).map(|entry| format!("e{entry}").into()).collect();
-    placement.set_cold_share(ColdShare::new("e3".into(), entries));
+    placement.set_send_share(SendShare::new("e3".into(), entries));
     let mut sent = 0;
     for millis in 0..1_000 {
         if placement
--- a/crates/azurestand_direct/tests/direct/cold.rs
+++ b/crates/azurestand_direct/tests/direct/share.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azurestand_direct::{ColdBucket, ColdShare};
+use azurestand_direct::{SendBound, SendBucket, SendShare};
 use azurestand_types::Moment;
 use proptest::prelude::*;
 
@@ -13,11 +13,11 @@
         .collect();
     let mut sends = Vec::new();
     for own in &names {
-        let share = ColdShare::new(own.clone(), names.clone());
-        let Some(limit) = share.limit("i-1", rate) else {
+        let share = SendShare::new(own.clone(), names.clone());
+        let Some(limit) = share.limit("i-1", SendBound::cold(rate)) else {
             continue;
         };
-        let mut cold = ColdBucket::new(Moment::START);
+        let mut cold = SendBucket::new(Moment::START);
         let mut now = 0;
         while now < 4_000_000 {
             let moment = Moment::from_micros(now);
@@ -62,6 +62,6 @@
 
 #[test]
 fn an_entry_that_knows_no_others_sends_nothing_to_cold_targets() {
-    let share = ColdShare::new("10.0.0.1".into(), Vec::new());
-    assert_eq!(share.limit("i-1", 36.0), None);
+    let share = SendShare::new("10.0.0.1".into(), Vec::new());
+    assert_eq!(share.limit("i-1", SendBound::cold(36.0)), None);
 }
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    ColdShare, Directory, Freshness, NamedVersions, PartId, Placement, Quarantine, RequestQueue,
-    Rules, Target, VERSION_MARGIN, Waiter,
+    Directory, Freshness, NamedVersions, PartId, Placement, Quarantine, RequestQueue, Rules,
+    SendShare, Target, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
 use azurestand_types::Moment;
@@ -197,9 +197,9 @@
                 .map(|(ip, _): &(IpAddr, _)| ip.to_string().into());
             let names: Vec<Arc<str>> = names.collect();
             let own: Arc<str> = self.settings.ip.to_string().into();
-            let share = ColdShare::new(own.clone(), names.clone());
+            let share = SendShare::new(own.clone(), names.clone());
             let mut state = self.state();
-            state.placement.set_cold_share(share);
+            state.placement.set_send_share(share);
             state.quarantine.set_entries(own, names);
             drop(state);
             *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = known;
@@ -214,8 +214,8 @@
         let own: Arc<str> = self.settings.ip.to_string().into();
         let others = (1..ASSUMED_ENTRIES).map(|number| format!("unknown-{number}").into());
         let names = others.chain([own.clone()]).collect();
-        let share = ColdShare::new(own, names);
-        self.state().placement.set_cold_share(share);
+        let share = SendShare::new(own, names);
+        self.state().placement.set_send_share(share);
     }
 
     /// The entries that agents have reported, with their data centres.
