Keep to the rate limits that targets name, over all entries together

Cause: nothing acted on a limit. Class of fault: a bound on what all entries do together that is kept by none, as once with cold targets; the same mechanism now serves both.

Change: SendShare divides a named rate among the entries like a cold target's; entries tell each other of limits as they hear them; predictions and Retry-After count the wait for a share, of cold targets too; targets without a limit are filled first. An entry's place in the order of senders is computed once per change of the entries instead of twice per request and target.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -39,7 +39,7 @@
 pub use engine::{CostModel, RequestSize};
 pub use events::{EventError, EventSplitter, StreamEvent};
 pub use freshness::Freshness;
-pub use limit::{RateError, RateLimit};
+pub use limit::{LimitNotice, RateError, RateLimit};
 pub use part::PartId;
 pub use pieces::{Distance, PieceHost, PieceSelector};
 pub use place::{Choice, Fault, NoTarget, Placement, TargetLoad, TargetRequirements};
@@ -48,6 +48,6 @@
 pub use rules::{
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
-pub use share::{SendBound, SendBucket, SendLimit, SendShare};
+pub use share::{SendBound, SendBucket, SendLimit, SendPlace, SendShare};
 pub use turn::{LoadTurn, VERSION_MARGIN};
 pub use versions::{NamedVersion, NamedVersions, Naming, NamingSource, next_version, useful_until};
--- a/crates/azurestand_direct/src/limit.rs
+++ b/crates/azurestand_direct/src/limit.rs
@@ -1,5 +1,12 @@
 //! The request rate that a target names as the most it takes from all entries together.
+//!
+//! A limit is in force until an answer of the same incarnation names none: a target with a
+//! limit always gets some requests, whose answers tell its end.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use azurestand_types::Moment;
 use derive_more::Display;
 use quick_error::quick_error;
 
@@ -36,3 +43,63 @@
         }
     }
 }
+
+/// What an entry knows of the rate limit of one target.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct NamedLimit {
+    limit: Option<RateLimit>,
+    /// When the answer that told so arrived, at whichever entry.
+    observed_at: Option<Moment>,
+    /// When this entry learned of the last change.
+    changed_at: Option<Moment>,
+}
+
+impl NamedLimit {
+    /// The limit in force.
+    pub(crate) fn get(&self) -> Option<RateLimit> {
+        self.limit
+    }
+
+    /// Records what an answer told that arrived at `observed_at`, unless a later one is known;
+    /// returns whether the limit changed.
+    pub(crate) fn record(
+        &mut self,
+        now: Moment,
+        observed_at: Moment,
+        limit: Option<RateLimit>,
+    ) -> bool {
+        if self.observed_at.is_some_and(|known| known > observed_at) {
+            return false;
+        }
+        self.observed_at = Some(observed_at);
+        let has_changed = self.limit != limit;
+        if has_changed {
+            self.limit = limit;
+            self.changed_at = Some(now);
+        }
+        has_changed
+    }
+
+    /// When the last answer arrived, if the limit changed within `age` or is in force and
+    /// `age` is none.
+    pub(crate) fn observed(&self, now: Moment, age: Option<Duration>) -> Option<Moment> {
+        let is_due = match age {
+            Some(age) => self.changed_at.is_some_and(|at| now.since(at) < age),
+            None => self.limit.is_some(),
+        };
+        self.observed_at.filter(|_| is_due)
+    }
+}
+
+/// What an entry tells others of a target's rate limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitNotice {
+    /// The target.
+    pub target: Arc<str>,
+    /// Its incarnation.
+    pub started_at: u64,
+    /// The limit; none if it names none any more.
+    pub limit: Option<RateLimit>,
+    /// When the answer that told so arrived.
+    pub observed_at: Moment,
+}
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -15,7 +15,7 @@
 use crate::correction::Correction;
 use crate::directory::{Directory, Target, TargetState};
 use crate::engine::RequestSize;
-use crate::limit::RateLimit;
+use crate::limit::{LimitNotice, RateLimit};
 use crate::rules::Service;
 use crate::share::SendShare;
 use record::TargetRecord;
@@ -111,7 +111,7 @@
     regions: BTreeMap<Arc<str>, Arc<str>>,
     excluded: BTreeSet<Arc<str>>,
     entry_count: u32,
-    send_share: Arc<SendShare>,
+    send_share: SendShare,
     corrections: BTreeMap<Arc<str>, Correction>,
     rng: fastrand::Rng,
 }
@@ -132,7 +132,7 @@
             regions,
             excluded: BTreeSet::new(),
             entry_count,
-            send_share: Arc::default(),
+            send_share: SendShare::default(),
             corrections: BTreeMap::new(),
             rng,
         }
@@ -145,7 +145,13 @@
 
     /// Sets the entries among which the rates of targets are divided.
     pub fn set_send_share(&mut self, share: SendShare) {
-        self.send_share = Arc::new(share);
+        if self.send_share == share {
+            return;
+        }
+        self.send_share = share;
+        for (id, record) in &mut self.records {
+            record.set_place(self.send_share.place(id));
+        }
     }
 
     /// Sets which data centres the operators have excluded.
@@ -169,7 +175,8 @@
             if let Some(record) = self.records.get_mut(&target.id) {
                 record.update(now, target);
             } else {
-                let record = TargetRecord::new(now, target.clone());
+                let place = self.send_share.place(&target.id);
+                let record = TargetRecord::new(now, target.clone(), place);
                 self.records.insert(target.id.clone(), record);
             }
         }
@@ -182,11 +189,28 @@
         }
     }
 
-    /// Records the rate limit that a target's answer names, if any; returns whether it differs
-    /// from that of the answer before.
-    pub fn record_limit(&mut self, target: &Target, limit: Option<RateLimit>) -> bool {
+    /// Records the rate limit that an answer of a target names, if any; returns whether it
+    /// differs from what was known.
+    pub fn record_limit(&mut self, now: Moment, target: &Target, limit: Option<RateLimit>) -> bool {
         let record = self.record(target);
-        record.is_some_and(|record| record.record_limit(limit))
+        record.is_some_and(|record| record.record_limit(now, now, limit))
+    }
+
+    /// Records the rate limit that another entry tells of, unless a later answer is known;
+    /// returns whether it differs from what was known.
+    pub fn merge_limit(&mut self, now: Moment, notice: &LimitNotice) -> bool {
+        let record = self.records.get_mut(&notice.target);
+        let record = record.filter(|record| record.target.started_at == notice.started_at);
+        record.is_some_and(|record| record.record_limit(now, notice.observed_at, notice.limit))
+    }
+
+    /// What to tell other entries: the limits that changed within `age`, or, if that is none,
+    /// all that are in force.
+    pub fn limit_notices(&self, now: Moment, age: Option<Duration>) -> Vec<LimitNotice> {
+        let records = self.records.values();
+        records
+            .filter_map(|record| record.limit_notice(now, age))
+            .collect()
     }
 
     /// The number of targets that name a rate limit.
@@ -221,9 +245,8 @@
 
     /// Records that a request was sent.
     pub fn record_send(&mut self, now: Moment, target: &Target, cold_rate: Option<f64>) {
-        let share = self.send_share.clone();
         if let Some(record) = self.record(target) {
-            record.record_send(now, cold_rate, &share);
+            record.record_send(now, cold_rate);
         }
     }
 
@@ -301,12 +324,15 @@
         for record in eligible {
             let expected = record.predict(now, requirements, peer_sends);
             soonest = Some(soonest.map_or(expected, |known| known.min(expected)));
-            if expected <= limit && record.has_room(now, requirements, peer_sends, &self.send_share)
-            {
+            if expected <= limit && record.has_room(now, requirements, peer_sends) {
                 candidates.push((expected, record));
             }
         }
         self.exclude_suspects(now, &mut candidates);
+        // A target that names a limit is in need: others are filled first.
+        if candidates.iter().any(|(_, record)| !record.has_limit()) {
+            candidates.retain(|(_, record)| !record.has_limit());
+        }
         // A target that is about to load weights has to wait for its longest request.
         if candidates
             .iter()
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -8,8 +8,8 @@
 
 use super::{Fault, TargetLoad, TargetRequirements};
 use crate::directory::Target;
-use crate::limit::RateLimit;
-use crate::share::{SendBound, SendBucket, SendShare};
+use crate::limit::{LimitNotice, NamedLimit, RateLimit};
+use crate::share::{SendBound, SendBucket, SendPlace};
 
 /// The first pause after a refusal; each further fault in a row doubles it.
 const REFUSED_PAUSE: Duration = Duration::from_millis(120);
@@ -35,6 +35,9 @@
 /// How long it takes until a sent request is included in reports.
 const REPORT_LAG: Duration = Duration::from_millis(130);
 
+/// The assumed wait for a target to which only other entries send.
+const NO_SHARE_WAIT: Duration = Duration::from_secs(10);
+
 /// How long after a target closes a request may still run there, in milliseconds.
 const PREFERRED_OVERRUN_MS: f64 = 250.0;
 /// The same if no other target has capacity.
@@ -47,6 +50,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct TargetRecord {
     pub(super) target: Arc<Target>,
+    /// This entry's place among those that send to the target where all have to send little.
+    place: Option<SendPlace>,
     /// The load from this entry.
     own: TargetLoad,
     /// The load from the other entries at the last report.
@@ -66,13 +71,15 @@
     failure_rate: f64,
     /// The time from which it accepts no requests because it loads weights.
     closes_at: Option<Moment>,
-    /// The most requests that it takes, as its last answer told.
-    rate_limit: Option<RateLimit>,
+    /// The rate limit that it names.
+    named_limit: NamedLimit,
+    named_bucket: SendBucket,
 }
 
 impl TargetRecord {
-    pub(super) fn new(now: Moment, target: Arc<Target>) -> Self {
+    pub(super) fn new(now: Moment, target: Arc<Target>, place: Option<SendPlace>) -> Self {
         Self {
+            place,
             own: TargetLoad::default(),
             others: TargetLoad::default(),
             last_report: None,
@@ -84,19 +91,80 @@
             fault_streak: 0,
             failure_rate: 0.0,
             closes_at: None,
-            rate_limit: None,
+            named_limit: NamedLimit::default(),
+            named_bucket: SendBucket::new(now),
             target,
         }
     }
 
-    /// Records what the target's last answer told; returns whether it differs from before.
-    pub(super) fn record_limit(&mut self, limit: Option<RateLimit>) -> bool {
-        let known = std::mem::replace(&mut self.rate_limit, limit);
-        known != limit
+    /// Records the rate limit that an answer told which arrived at `observed_at`; returns
+    /// whether it changed.
+    pub(super) fn record_limit(
+        &mut self,
+        now: Moment,
+        observed_at: Moment,
+        limit: Option<RateLimit>,
+    ) -> bool {
+        let was_limited = self.has_limit();
+        let has_changed = self.named_limit.record(now, observed_at, limit);
+        if has_changed && !was_limited {
+            self.named_bucket = SendBucket::new(now);
+        }
+        has_changed
+    }
+
+    pub(super) fn set_place(&mut self, place: Option<SendPlace>) {
+        self.place = place;
     }
 
     pub(super) fn has_limit(&self) -> bool {
-        self.rate_limit.is_some()
+        self.named_limit.get().is_some()
+    }
+
+    /// What to tell other entries of the rate limit: if it changed within `age`, or, if that is
+    /// none, if there is one.
+    pub(super) fn limit_notice(&self, now: Moment, age: Option<Duration>) -> Option<LimitNotice> {
+        let observed_at = self.named_limit.observed(now, age)?;
+        Some(LimitNotice {
+            target: self.target.id.clone(),
+            started_at: self.target.started_at,
+            limit: self.named_limit.get(),
+            observed_at,
+        })
+    }
+
+    /// The bounds on what all entries together may send, with this entry's buckets.
+    fn bounds(&self, now: Moment, cold_rate: Option<f64>) -> [Option<(SendBound, SendBucket)>; 2] {
+        let cold = cold_rate.filter(|_| self.is_cold(now)).map(SendBound::cold);
+        let named = self.named_limit.get().map(SendBound::named);
+        [
+            cold.map(|bound| (bound, self.cold_bucket)),
+            named.map(|bound| (bound, self.named_bucket)),
+        ]
+    }
+
+    /// How long until this entry's shares of the bounds allow a send; none if other entries
+    /// send instead.
+    fn share_wait(&self, now: Moment, cold_rate: Option<f64>) -> Option<Duration> {
+        let mut longest = Duration::ZERO;
+        for (bound, bucket) in self.bounds(now, cold_rate).into_iter().flatten() {
+            let limit = self.place?.limit(bound)?;
+            longest = longest.max(bucket.wait(now, limit));
+        }
+        Some(longest)
+    }
+
+    /// Takes a send out of this entry's shares.
+    fn spend_share(&mut self, now: Moment, cold_rate: Option<f64>) {
+        let [cold, named] = self.bounds(now, cold_rate);
+        let spent = |bounded: Option<(SendBound, SendBucket)>| {
+            let (bound, mut bucket) = bounded?;
+            bucket.spend(now, self.place?.limit(bound)?);
+            Some(bucket)
+        };
+        let (cold, named) = (spent(cold), spent(named));
+        self.cold_bucket = cold.unwrap_or(self.cold_bucket);
+        self.named_bucket = named.unwrap_or(self.named_bucket);
     }
 
     /// Updates the target from a newer list entry of the same incarnation.
@@ -159,7 +227,7 @@
         self.overrun(now, requirements) <= PREFERRED_OVERRUN_MS
     }
 
-    pub(super) fn record_send(&mut self, now: Moment, cold_rate: Option<f64>, share: &SendShare) {
+    pub(super) fn record_send(&mut self, now: Moment, cold_rate: Option<f64>) {
         self.own.waiting += 1;
         while self
             .recent_sends
@@ -169,11 +237,7 @@
             self.recent_sends.pop_front();
         }
         self.recent_sends.push_back(now);
-        let bound = cold_rate.map(SendBound::cold);
-        let limit = bound.and_then(|bound| share.limit(&self.target.id, bound));
-        if let Some(limit) = limit.filter(|_| self.is_cold(now)) {
-            self.cold_bucket.spend(now, limit);
-        }
+        self.spend_share(now, cold_rate);
     }
 
     /// Records that the first byte of an answer arrived.
@@ -286,7 +350,9 @@
             PLAIN_MS * (1.0 + f64::from(excess) / f64::from(slots))
         };
         let pause = self.paused_until.since(now).as_secs_f64() * 1_000.0;
-        work + pause
+        let wait = self.share_wait(now, requirements.service.cold_rate);
+        let wait = wait.unwrap_or(NO_SHARE_WAIT).as_secs_f64() * 1_000.0;
+        work + pause.max(wait)
     }
 
     /// The amount added to a prediction when targets are compared, in milliseconds, since
@@ -305,14 +371,9 @@
         now: Moment,
         requirements: &TargetRequirements<'_>,
         peer_sends: f64,
-        share: &SendShare,
     ) -> bool {
-        let rate = requirements.service.cold_rate.filter(|_| self.is_cold(now));
-        let allows = |rate| {
-            let limit = share.limit(&self.target.id, SendBound::cold(rate));
-            limit.is_some_and(|limit| self.cold_bucket.allows(now, limit))
-        };
-        let within_rate = rate.is_none_or(allows);
+        let wait = self.share_wait(now, requirements.service.cold_rate);
+        let within_rate = wait.is_some_and(|wait| wait.is_zero());
         let max_load = self.target.slots * LOAD_FACTOR;
         let load = self.likely_load(now, peer_sends);
         let has_slots = load.running + load.waiting < max_load;
--- a/crates/azurestand_direct/tests/direct/place.rs
+++ b/crates/azurestand_direct/tests/direct/place.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Choice, Directory, Fault, NoTarget, Placement, RequestSize, SendShare, Service, Target,
-    TargetLoad, TargetRequirements, TargetState,
+    Choice, Directory, Fault, LimitNotice, NoTarget, Placement, RateLimit, RequestSize, SendShare,
+    Service, Target, TargetLoad, TargetRequirements, TargetState,
 };
 use azurestand_types::Moment;
 
@@ -461,3 +461,106 @@
             .is_ok()
     );
 }
+
+fn rate_limit(per_second: f64) -> RateLimit {
+    RateLimit::try_from(per_second).unwrap()
+}
+
+/// An entry alone before these targets, which may use all of their rates.
+fn lone_placement(targets: Vec<Target>) -> Placement {
+    let mut placement = placement(at(0), targets);
+    placement.set_send_share(SendShare::new("e".into(), vec!["e".into()]));
+    placement
+}
+
+#[test]
+fn targets_without_a_rate_limit_are_filled_first() {
+    let service = engines();
+    let all = vec![target("a", "llm"), target("b", "llm")];
+    let mut placement = lone_placement(all.clone());
+    placement.record_limit(at(0), &all[0], Some(rate_limit(4.0)));
+    let busy = TargetLoad {
+        running: 8,
+        waiting: 2,
+    };
+    placement.record_load(at(1), &all[1], busy);
+    for _ in 0..20 {
+        let choice = placement.choose(at(10), &requirements(&service, &[]));
+        assert_eq!(id(choice).as_deref(), Some("b"));
+    }
+    let full = TargetLoad {
+        running: 16,
+        waiting: 8,
+    };
+    placement.record_load(at(11), &all[1], full);
+    let choice = placement.choose(at(12), &requirements(&service, &[]));
+    assert_eq!(id(choice).as_deref(), Some("a"));
+}
+
+/// The targets were idle, so entries took them for free and callers came back at once.
+#[test]
+fn a_target_whose_rate_is_used_up_is_busy_until_the_next_send_is_due() {
+    let service = engines();
+    let only = target("a", "llm");
+    let mut placement = lone_placement(vec![only.clone()]);
+    placement.record_limit(at(0), &only, Some(rate_limit(0.5)));
+    assert!(
+        placement
+            .choose(at(0), &requirements(&service, &[]))
+            .is_ok()
+    );
+    placement.record_send(at(0), &only, None);
+    placement.record_end(&only, false);
+    let choice = placement.choose(at(400), &requirements(&service, &[]));
+    assert!(
+        matches!(choice, Err(NoTarget::Busy { soonest }) if (1_600..1_900).contains(&soonest.as_millis())),
+        "{choice:?}"
+    );
+    assert!(
+        placement
+            .choose(at(2_001), &requirements(&service, &[]))
+            .is_ok()
+    );
+}
+
+#[test]
+fn a_rate_limit_lasts_until_a_later_answer_of_the_same_incarnation_names_none() {
+    let only = target("a", "llm");
+    let mut placement = lone_placement(vec![only.clone()]);
+    let notice = |started_at, observed_at, limit| LimitNotice {
+        target: "a".into(),
+        started_at,
+        limit,
+        observed_at: at(observed_at),
+    };
+    assert!(placement.merge_limit(at(110), &notice(1, 100, Some(rate_limit(4.0)))));
+    assert_eq!(placement.limited_targets(), 1);
+    // An earlier answer, one of another incarnation, and the same once more.
+    assert!(!placement.merge_limit(at(120), &notice(1, 90, None)));
+    assert!(!placement.merge_limit(at(120), &notice(2, 115, None)));
+    assert!(!placement.merge_limit(at(130), &notice(1, 100, Some(rate_limit(4.0)))));
+    assert_eq!(placement.limited_targets(), 1);
+    assert!(placement.record_limit(at(60_000), &only, None));
+    assert_eq!(placement.limited_targets(), 0);
+    assert!(!placement.merge_limit(at(60_010), &notice(1, 59_990, Some(rate_limit(4.0)))));
+}
+
+/// An entry that missed the datagram of a change has to hear of it again, and one that starts
+/// of all that is in force.
+#[test]
+fn a_changed_rate_limit_is_told_for_a_time_and_one_in_force_whenever_asked() {
+    let only = target("a", "llm");
+    let mut placement = lone_placement(vec![only.clone()]);
+    let repeat = Some(Duration::from_secs(2));
+    assert!(placement.limit_notices(at(0), None).is_empty());
+    placement.record_limit(at(100), &only, Some(rate_limit(4.0)));
+    placement.record_limit(at(5_000), &only, Some(rate_limit(4.0)));
+    assert_eq!(placement.limit_notices(at(2_000), repeat).len(), 1);
+    assert!(placement.limit_notices(at(5_000), repeat).is_empty());
+    let told = placement.limit_notices(at(5_000), None);
+    assert_eq!(told[0].limit, Some(rate_limit(4.0)));
+    assert_eq!(told[0].observed_at, at(5_000));
+    placement.record_limit(at(9_000), &only, None);
+    assert!(placement.limit_notices(at(9_100), None).is_empty());
+    assert_eq!(placement.limit_notices(at(9_100), repeat)[0].limit, None);
+}
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -10,13 +10,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Fault, RateLimit, RouteKind, Target};
+use azurestand_direct::{Fault, LimitNotice, RouteKind, Target};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::call::Call;
+use super::exchange::{Topic, log_limit};
 use super::memory;
 use super::place::{Constraints, Reservation, place};
 use super::quarantine;
@@ -368,7 +369,7 @@
         let (head, body) = response.into_parts();
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
-        self.record_limit(target, response.rate_limit);
+        self.record_limit(target, &response);
         if let Some(load) = response.load {
             let now = BootClock.now();
             let mut state = self.shared.state();
@@ -383,15 +384,25 @@
         })
     }
 
-    /// Records the rate limit that an answer of `target` names.
-    fn record_limit(&self, target: &Target, limit: Option<RateLimit>) {
-        let changed = self.shared.state().placement.record_limit(target, limit);
-        if changed {
-            LogEvent::LimitNamed.log(&[
-                ("target", target.id.as_ref().into()),
-                ("limit", limit.map(RateLimit::per_second).into()),
-                ("request", self.call.id().into()),
-            ]);
+    /// Records the rate limit that an answer of `target` names, and tells other entries if it
+    /// is another one than before. A refusal without a limit says nothing.
+    fn record_limit(&self, target: &Target, response: &ResponseHead) {
+        let limit = response.rate_limit;
+        if response.not_run && limit.is_none() {
+            return;
+        }
+        let now = BootClock.now();
+        let mut state = self.shared.state();
+        if state.placement.record_limit(now, target, limit) {
+            drop(state);
+            let notice = LimitNotice {
+                target: target.id.clone(),
+                started_at: target.started_at,
+                limit,
+                observed_at: now,
+            };
+            log_limit(&notice, "own");
+            self.shared.exchange.tell(Topic::Limit(notice));
         }
     }
 
--- a/crates/azurestand_gateway/src/entry/exchange.rs
+++ b/crates/azurestand_gateway/src/entry/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{PartChange, PartId, PartNotice};
+use azurestand_direct::{LimitNotice, PartChange, PartId, PartNotice, RateLimit};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -15,42 +15,97 @@
 use crate::clock::BootClock;
 use crate::error::GatewayError;
 use crate::log::LogEvent;
-use crate::notice::{MAX_BYTES, MAX_PARTS, Notices, PartState};
+use crate::notice::{LimitState, MAX_BYTES, MAX_LIMITS, MAX_PARTS, Notices, PartState};
 use crate::platform::Platform;
 
 /// The interval at which everything known is sent to some entries.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// The entries that get everything each time.
 const REPEAT_PEERS: usize = 3;
+/// How long a change of a limit is repeated; later, answers of the target tell it.
+const LIMIT_REPEAT_TIME: Duration = Duration::from_secs(2);
 /// How long an entry that has started waits for another's reply before it is ready.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// An interval between two repetitions from which on notices may have been lost.
+const STALL_TIME: Duration = Duration::from_secs(1);
 /// Changes that wait to be sent; those beyond are sent at the next interval.
 const QUEUE_CAPACITY: usize = 256;
 
+/// A change that all other entries have to learn.
+#[derive(Debug)]
+pub(crate) enum Topic {
+    /// What is known of a part of prompts.
+    Part(PartId),
+    /// The rate limit of a target.
+    Limit(LimitNotice),
+}
+
 /// The sending side of the exchange.
 #[derive(Debug)]
 pub(crate) struct Exchange {
-    changed: Sender<PartId>,
+    changed: Sender<Topic>,
 }
 
 impl Exchange {
     /// Creates the sending side, and the queue for the task.
-    pub(crate) fn new() -> (Self, Receiver<PartId>) {
+    pub(crate) fn new() -> (Self, Receiver<Topic>) {
         let (changed, queue) = channel(QUEUE_CAPACITY);
         (Self { changed }, queue)
     }
 
-    /// Tells all other entries what is known of a part.
-    pub(crate) fn tell(&self, part: PartId) {
+    /// Tells all other entries of a change.
+    pub(crate) fn tell(&self, topic: Topic) {
         // If the queue is full, it is sent at the next interval.
-        let _ = self.changed.try_send(part);
+        let _ = self.changed.try_send(topic);
+    }
+}
+
+/// What an entry tells others.
+#[derive(Debug, Default)]
+struct Known {
+    parts: Vec<PartNotice>,
+    limits: Vec<LimitNotice>,
+}
+
+impl Known {
+    fn is_empty(&self) -> bool {
+        self.parts.is_empty() && self.limits.is_empty()
+    }
+
+    /// The messages that hold all of it; one at least.
+    fn messages(&self, wants_all: bool, is_reply: bool) -> Vec<Notices> {
+        let now = BootClock.now();
+        let message = || Notices {
+            wants_all,
+            is_reply,
+            ..Notices::default()
+        };
+        let parts = self.parts.chunks(MAX_PARTS).map(|chunk| Notices {
+            parts: chunk
+                .iter()
+                .map(|notice| PartState::encode(now, notice))
+                .collect(),
+            ..message()
+        });
+        let limits = self.limits.chunks(MAX_LIMITS).map(|chunk| Notices {
+            limits: chunk
+                .iter()
+                .map(|notice| LimitState::encode(now, notice))
+                .collect(),
+            ..message()
+        });
+        let mut messages: Vec<Notices> = parts.chain(limits).collect();
+        if messages.is_empty() {
+            messages.push(message());
+        }
+        messages
     }
 }
 
 /// Binds the socket and starts the task that exchanges notices.
 pub(crate) async fn start<P>(
     shared: &Arc<Shared<P>>,
-    queue: Receiver<PartId>,
+    queue: Receiver<Topic>,
 ) -> Result<(), GatewayError>
 where
     P: Platform,
@@ -76,9 +131,10 @@
 where
     P: Platform,
 {
-    async fn run(self, mut queue: Receiver<PartId>) {
+    async fn run(self, mut queue: Receiver<Topic>) {
         let mut buffer = [0; MAX_BYTES];
         let started = Instant::now();
+        let mut last_tick = BootClock.now();
         let mut ticks = interval(REPEAT_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -87,20 +143,20 @@
                     if started.elapsed() >= REPLY_TIMEOUT {
                         self.shared.set_informed();
                     }
-                    self.repeat();
+                    let now = BootClock.now();
+                    let was_suspended = now.since(last_tick) >= STALL_TIME;
+                    last_tick = now;
+                    self.repeat(was_suspended);
                 }
                 received = self.socket.recv_from(&mut buffer) => {
                     // An earlier datagram to a closed port causes an error here.
                     let Ok((length, from)) = received else { continue };
                     match Notices::decode(&buffer[..length]) {
                         Ok(notices) => self.receive(from, notices),
-                        Err(error) => LogEvent::NoticeUnreadable.log(&[
-                            ("from", from.to_string().into()),
-                            ("why", error.to_string().into()),
-                        ]),
+                        Err(error) => log_unreadable(from, &error.to_string()),
                     }
                 }
-                Some(part) = queue.recv() => self.tell_all(part),
+                Some(topic) = queue.recv() => self.tell_all(topic),
             }
         }
     }
@@ -112,64 +168,80 @@
             .collect()
     }
 
-    /// Sends everything to some entries, and asks them for everything until one has replied.
-    fn repeat(&self) {
+    /// Sends to some entries all that is known of parts, and the latest changes of limits;
+    /// asks them for everything until one has replied, or if this process was suspended.
+    fn repeat(&self, was_suspended: bool) {
         let now = BootClock.now();
         let mut state = self.shared.state();
         state.quarantine.expire(now);
-        let notices = state.quarantine.notices(now);
+        let known = Known {
+            parts: state.quarantine.notices(now),
+            limits: state.placement.limit_notices(now, Some(LIMIT_REPEAT_TIME)),
+        };
         drop(state);
-        let wants_all = !self.shared.is_informed();
-        if notices.is_empty() && !wants_all {
+        let wants_all = was_suspended || !self.shared.is_informed();
+        if known.is_empty() && !wants_all {
             return;
         }
         let mut peers = self.peers();
         fastrand::shuffle(&mut peers);
-        for peer in peers.into_iter().take(REPEAT_PEERS) {
-            self.send(peer, &notices, wants_all, false);
-        }
+        peers.truncate(REPEAT_PEERS);
+        self.send(&peers, &known, wants_all, false);
     }
 
-    fn tell_all(&self, part: PartId) {
-        let notice = self.shared.state().quarantine.notice(BootClock.now(), part);
-        for peer in self.peers() {
-            self.send(peer, std::slice::from_ref(&notice), false, false);
-        }
+    fn tell_all(&self, topic: Topic) {
+        let known = match topic {
+            Topic::Part(part) => Known {
+                parts: vec![self.shared.state().quarantine.notice(BootClock.now(), part)],
+                ..Known::default()
+            },
+            Topic::Limit(limit) => Known {
+                limits: vec![limit],
+                ..Known::default()
+            },
+        };
+        self.send(&self.peers(), &known, false, false);
     }
 
-    fn send(&self, peer: IpAddr, notices: &[PartNotice], wants_all: bool, is_reply: bool) {
-        let now = BootClock.now();
-        let mut chunks: Vec<&[PartNotice]> = notices.chunks(MAX_PARTS).collect();
-        if chunks.is_empty() {
-            chunks.push(&[]);
-        }
-        let address = SocketAddr::new(peer, self.shared.settings.notice_port());
-        for chunk in chunks {
-            let message = Notices {
-                parts: chunk
-                    .iter()
-                    .map(|notice| PartState::encode(now, notice))
-                    .collect(),
-                wants_all,
-                is_reply,
-            };
-            // What can't be sent now is sent again after the interval.
-            let _ = self.socket.try_send_to(&message.encode_to_vec(), address);
+    fn send(&self, peers: &[IpAddr], known: &Known, wants_all: bool, is_reply: bool) {
+        for message in known.messages(wants_all, is_reply) {
+            let bytes = message.encode_to_vec();
+            for peer in peers {
+                let address = SocketAddr::new(*peer, self.shared.settings.notice_port());
+                // What can't be sent now is sent again after the interval.
+                let _ = self.socket.try_send_to(&bytes, address);
+            }
         }
     }
 
     fn receive(&self, from: SocketAddr, notices: Notices) {
-        let now = BootClock.now();
         if notices.is_reply {
             self.shared.set_informed();
         }
-        let mut contradicted = Vec::new();
-        for part in notices.parts {
+        self.receive_parts(from, notices.parts);
+        self.receive_limits(from, notices.limits);
+        if notices.wants_all {
+            let now = BootClock.now();
+            let mut state = self.shared.state();
+            let known = Known {
+                parts: state.quarantine.notices(now),
+                limits: state.placement.limit_notices(now, None),
+            };
+            drop(state);
+            self.send(&[from.ip()], &known, false, true);
+        }
+    }
+
+    fn receive_parts(&self, from: SocketAddr, parts: Vec<PartState>) {
+        let now = BootClock.now();
+        let mut contradicted = Known::default();
+        for part in parts {
             let notice = part.decode(now);
             let mut state = self.shared.state();
             let merged = state.quarantine.merge(now, notice.clone());
             if merged.contradicts {
-                contradicted.push(state.quarantine.notice(now, notice.part));
+                let known = state.quarantine.notice(now, notice.part);
+                contradicted.parts.push(known);
             }
             drop(state);
             if let Some(change) = merged.change {
@@ -177,11 +249,21 @@
             }
         }
         if !contradicted.is_empty() {
-            self.send(from.ip(), &contradicted, false, false);
+            self.send(&[from.ip()], &contradicted, false, false);
         }
-        if notices.wants_all {
-            let known = self.shared.state().quarantine.notices(now);
-            self.send(from.ip(), &known, false, true);
+    }
+
+    fn receive_limits(&self, from: SocketAddr, limits: Vec<LimitState>) {
+        let now = BootClock.now();
+        for limit in limits {
+            match limit.decode(now) {
+                Ok(notice) => {
+                    if self.shared.state().placement.merge_limit(now, &notice) {
+                        log_limit(&notice, &from.ip().to_string());
+                    }
+                }
+                Err(error) => log_unreadable(from, &error.to_string()),
+            }
         }
     }
 
@@ -191,7 +273,20 @@
         log_change(change, &notice.crashes, &from.ip().to_string());
         self.shared.notify_quarantine();
         if let PartChange::Cleared(part) = change {
-            self.tell_all(*part);
+            self.tell_all(Topic::Part(*part));
         }
     }
 }
+
+/// Logs another rate limit than before, and from which host it was learned.
+pub(super) fn log_limit(notice: &LimitNotice, host: &str) {
+    LogEvent::LimitNamed.log(&[
+        ("target", notice.target.as_ref().into()),
+        ("limit", notice.limit.map(RateLimit::per_second).into()),
+        ("host", host.into()),
+    ]);
+}
+
+fn log_unreadable(from: SocketAddr, why: &str) {
+    LogEvent::NoticeUnreadable.log(&[("from", from.to_string().into()), ("why", why.into())]);
+}
--- a/crates/azurestand_gateway/src/entry/quarantine.rs
+++ b/crates/azurestand_gateway/src/entry/quarantine.rs
@@ -8,6 +8,7 @@
 use azurestand_types::Moment;
 
 use super::call::Call;
+use super::exchange::Topic;
 use super::response::RequestError;
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
@@ -82,7 +83,7 @@
     for change in changes {
         log_change(change, crashes, "own");
         let (PartChange::Crashed(part, _) | PartChange::Cleared(part)) = change;
-        shared.exchange.tell(*part);
+        shared.exchange.tell(Topic::Part(*part));
     }
     if !changes.is_empty() {
         shared.notify_quarantine();
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -10,15 +10,15 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Directory, Freshness, NamedVersions, PartId, Placement, Quarantine, RequestQueue, Rules,
-    SendShare, Target, VERSION_MARGIN, Waiter,
+    Directory, Freshness, NamedVersions, Placement, Quarantine, RequestQueue, Rules, SendShare,
+    Target, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
 use azurestand_types::Moment;
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::{Notify, watch};
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, Topic};
 use crate::client::Client;
 use crate::clock::BootClock;
 use crate::feed::ChangeTime;
@@ -117,12 +117,12 @@
 }
 
 impl<P> Shared<P> {
-    /// Creates the shared parts, and the queue of parts to tell other entries about.
+    /// Creates the shared parts, and the queue of changes to tell other entries.
     pub(crate) fn new(
         settings: GatewaySettings,
         platform: Arc<P>,
         client: Client,
-    ) -> (Self, Receiver<PartId>) {
+    ) -> (Self, Receiver<Topic>) {
         let (exchange, queue) = Exchange::new();
         let rng = fastrand::Rng::new();
         let state = State {
--- a/crates/azurestand_gateway/src/notice.rs
+++ b/crates/azurestand_gateway/src/notice.rs
@@ -1,4 +1,5 @@
-//! Datagrams between entries: what each knows of parts of prompts that crash targets.
+//! Datagrams between entries: what each knows of parts of prompts that crash targets, and of
+//! the rate limits that targets name.
 //!
 //! There is no session and no acknowledgement. What is new goes to all other entries at
 //! once, and everything to a few of them at intervals, so that a lost datagram only delays
@@ -6,7 +7,7 @@
 
 use std::time::Duration;
 
-use azurestand_direct::{Crash, PartId, PartNotice};
+use azurestand_direct::{Crash, LimitNotice, PartId, PartNotice, RateError, RateLimit};
 use azurestand_types::Moment;
 use prost::Message;
 
@@ -14,6 +15,8 @@
 pub(crate) const MAX_BYTES: usize = 8 * 1024;
 /// The most parts in one datagram, so that it stays below [`MAX_BYTES`].
 pub(crate) const MAX_PARTS: usize = 12;
+/// The most limits in one datagram.
+pub(crate) const MAX_LIMITS: usize = 64;
 /// The most crashes of one part that are read.
 const MAX_CRASHES: usize = 8;
 /// The longest name that is read, in bytes.
@@ -31,6 +34,55 @@
     /// Whether this is the reply to such a request.
     #[prost(bool, tag = "3")]
     pub(crate) is_reply: bool,
+    /// What it knows of the rate limits of some targets.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) limits: Vec<LimitState>,
+}
+
+/// The rate limit of one target.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LimitState {
+    #[prost(string, tag = "1")]
+    target: String,
+    #[prost(uint64, tag = "2")]
+    started_at: u64,
+    /// Requests per second; none if the target names no limit any more.
+    #[prost(double, optional, tag = "3")]
+    limit: Option<f64>,
+    /// Milliseconds since the answer that told so arrived.
+    #[prost(uint64, tag = "4")]
+    age: u64,
+}
+
+impl LimitState {
+    /// Encodes a notice with the age of its answer, since clocks differ.
+    pub(crate) fn encode(now: Moment, notice: &LimitNotice) -> Self {
+        Self {
+            target: notice.target.to_string(),
+            started_at: notice.started_at,
+            limit: notice.limit.map(RateLimit::per_second),
+            age: age(now, notice.observed_at),
+        }
+    }
+
+    /// The notice, dated by this process's clock.
+    ///
+    /// # Errors
+    ///
+    /// [`RateError`] if the limit is no rate.
+    pub(crate) fn decode(self, now: Moment) -> Result<LimitNotice, RateError> {
+        Ok(LimitNotice {
+            target: self.target.into(),
+            started_at: self.started_at,
+            limit: self.limit.map(RateLimit::try_from).transpose()?,
+            observed_at: now - Duration::from_millis(self.age),
+        })
+    }
+}
+
+/// The milliseconds since `at`.
+fn age(now: Moment, at: Moment) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
 }
 
 /// What an entry knows of one part.
@@ -66,13 +118,12 @@
 impl PartState {
     /// Encodes a notice; crashes are sent with their age, since clocks differ.
     pub(crate) fn encode(now: Moment, notice: &PartNotice) -> Self {
-        let age = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         let encode = |crash: &Crash| CrashState {
             target: crash.target.to_string(),
             started_at: crash.started_at,
             request: crash.request.to_string(),
             beginning: crash.beginning,
-            age: age(crash.at),
+            age: age(now, crash.at),
         };
         Self {
             part: notice.part.0,
