Begin the withdrawal of a version only when all answers are open

The test waited 300 ms for them and named the next version. Cause, by a run: with one request of each pair sent 1 s later, the test fails with the same answer (also with Busy at 2 s; at 0.5 s it passes). A request that arrives while all targets drain is refused, truthfully and with Retry-After. The test now waits until the engines have begun all of them; nothing else changes.

--- a/crates/azurestand_server/tests/promises/weights.rs
+++ b/crates/azurestand_server/tests/promises/weights.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use azurestand_standin::Traffic;
-use tokio::time::sleep;
+use azurestand_standin::{Deployment, Traffic};
+use tokio::time::{sleep, timeout};
 
 use crate::bench::{self, LIMIT, weights};
 
@@ -29,6 +29,25 @@
     assert_eq!((tally.lost, tally.foreign), (0, 0));
 }
 
+/// The number of requests that have begun at any engine.
+fn runs(deployment: &Deployment) -> usize {
+    let records = deployment
+        .runners
+        .iter()
+        .map(|runner| runner.engine.record());
+    records.map(|record| record.runs.len()).sum()
+}
+
+/// Waits until `count` requests have begun: one that arrives while all targets drain is refused.
+async fn wait_runs(deployment: &Deployment, count: usize) {
+    let begun = async {
+        while runs(deployment) < count {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, begun).await.expect("all requests begin");
+}
+
 /// An order for weights that were withdrawn while the target drained must not
 /// be given, nor asked for again without a pause.
 #[tokio::test(flavor = "multi_thread")]
@@ -50,8 +69,9 @@
         let body = bench::prompt(&deployment, 30, true);
         tokio::spawn(async move { bench::call(door, "/v1/chat/completions", &[], body).await })
     });
+    let runs = runs(&deployment);
     let open: Vec<_> = open.collect();
-    sleep(Duration::from_millis(300)).await;
+    wait_runs(&deployment, runs + open.len()).await;
     deployment.want("v2").await.unwrap();
     // Staged everywhere and draining, for the open answers take longer than this.
     sleep(Duration::from_secs(3)).await;
