Try a harmless part without the deadly one that it came with

What callers would have seen: all requests with a part refused for five minutes though it crashes nothing.

Cause: the evidence against two parts that always came together is the same, and a refusal of both keeps away what would tell them apart. Now a quarantined part is only suspected in requests that lack another quarantined part which was there at each of its crashes: they go one at a time, and the first answer clears it.

a_harmless_part_that_was_there_at_each_crash_of_a_deadly_one_is_tried_without_it failed before.

--- a/crates/azurestand_direct/src/quarantine.rs
+++ b/crates/azurestand_direct/src/quarantine.rs
@@ -111,12 +111,11 @@
     }
 
     /// Since when requests with the suspected part may be tried.
-    fn suspected_since(&self) -> Moment {
+    fn suspected_since(&self, now: Moment) -> Moment {
         let last = self.evidence.last();
-        if self.evidence.convicts() {
-            last + QUARANTINE_TIME
-        } else {
-            last
+        match self.standing(now) {
+            Standing::Suspected if self.evidence.convicts() => last + QUARANTINE_TIME,
+            Standing::Noted | Standing::Suspected | Standing::Quarantined => last,
         }
     }
 
@@ -153,7 +152,7 @@
             let Some(record) = self.records.get(part) else {
                 continue;
             };
-            match record.standing(now) {
+            match self.standing_for(now, *part, record, parts) {
                 Standing::Quarantined => {
                     let end = record.evidence.last() + QUARANTINE_TIME;
                     return Admission::Quarantined(*part, end.since(now));
@@ -170,12 +169,38 @@
         admission
     }
 
+    /// The standing of `part` for a request with `parts`. Where another quarantined part, which
+    /// the request doesn't have, was there at each crash too, it is only suspected.
+    fn standing_for(
+        &self,
+        now: Moment,
+        part: PartId,
+        record: &PartRecord,
+        parts: &[PartId],
+    ) -> Standing {
+        let standing = record.standing(now);
+        if standing != Standing::Quarantined {
+            return standing;
+        }
+        let explains = |(other, known): (&PartId, &PartRecord)| {
+            *other != part
+                && !parts.contains(other)
+                && known.standing(now) == Standing::Quarantined
+                && record.evidence.is_covered_by(&known.evidence)
+        };
+        if self.records.iter().any(explains) {
+            Standing::Suspected
+        } else {
+            standing
+        }
+    }
+
     /// Whether this entry may send a request with the suspected part.
     fn may_try(&self, now: Moment, part: PartId, record: &PartRecord) -> bool {
         if record.has_open_trial(now) {
             return false;
         }
-        let age = now.since(record.suspected_since());
+        let age = now.since(record.suspected_since(now));
         let doublings = age.as_secs() / DOUBLING_TIME.as_secs();
         let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
         let senders = 1_usize.checked_shl(doublings).unwrap_or(usize::MAX);
--- a/crates/azurestand_direct/src/quarantine/evidence.rs
+++ b/crates/azurestand_direct/src/quarantine/evidence.rs
@@ -35,6 +35,13 @@
 }
 
 impl Crash {
+    /// Whether both tell of the same crash; when it was may differ with how it was learned.
+    fn is_same(&self, other: &Self) -> bool {
+        self.started_at == other.started_at
+            && self.target == other.target
+            && self.request == other.request
+    }
+
     fn weight(&self) -> u32 {
         if self.beginning {
             BEGINNING_WEIGHT
@@ -79,6 +86,12 @@
         &self.crashes
     }
 
+    /// Whether these crashes were all under requests that had the part of `other` as well.
+    pub(super) fn is_covered_by(&self, other: &Self) -> bool {
+        let is_there = |crash: &Crash| other.crashes.iter().any(|known| known.is_same(crash));
+        self.crashes.iter().all(is_there)
+    }
+
     /// When the last target ended.
     pub(super) fn last(&self) -> Moment {
         let times = self.crashes.iter().map(|crash| crash.at);
--- a/crates/azurestand_direct/tests/direct/quarantine.rs
+++ b/crates/azurestand_direct/tests/direct/quarantine.rs
@@ -372,3 +372,33 @@
     assert_eq!(known.len(), 1_901);
     assert!(is_quarantined(&quarantine, 2_000, DEADLY));
 }
+
+/// Two crashes hit requests with both parts before an answer was written under either. All
+/// requests with the harmless one were refused for as long as the quarantine lasts.
+#[test]
+fn a_harmless_part_that_was_there_at_each_crash_of_a_deadly_one_is_tried_without_it() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..2 {
+        let at = 100 * number;
+        quarantine.record_crash(
+            Moment::from_millis(at),
+            &crash(number, at),
+            &[SHARED, DEADLY],
+        );
+    }
+    let now = Moment::from_millis(200);
+    let admits = |quarantine: &Quarantine, parts: &[PartId]| quarantine.admit(now, parts, false);
+    assert!(matches!(
+        admits(&quarantine, &[SHARED, DEADLY]),
+        Admission::Quarantined(..)
+    ));
+    assert_eq!(admits(&quarantine, &[SHARED]), Admission::Trial(SHARED));
+    // The other one could as well be the harmless one, until a target ends under it alone.
+    assert_eq!(admits(&quarantine, &[DEADLY]), Admission::Trial(DEADLY));
+    quarantine.record_crash(now, &crash(3, 200), &[DEADLY]);
+    assert!(is_quarantined(&quarantine, 200, DEADLY));
+    assert_eq!(admits(&quarantine, &[SHARED]), Admission::Trial(SHARED));
+    quarantine.record_written(now, &[SHARED]);
+    assert!(is_free(&quarantine, 200, SHARED));
+    assert!(is_quarantined(&quarantine, 200, DEADLY));
+}
