Replay named limits before emulated engines

A pattern LimitsNamed: two thirds of the targets name 4.5 requests a second for a third of the time, and entries tell each other what they hear. At 1.5 times the load, with what the daemons decide, no target gets more than the users' rule allows in 4 s (the plain policies exceed it) and over 0.8 of the named rates are used.

--- a/crates/azurestand_bench/src/load.rs
+++ b/crates/azurestand_bench/src/load.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod entry;
 mod fleet;
+mod limited;
 mod queue;
 mod tally;
 
@@ -49,10 +50,12 @@
     NewVersion,
     /// A third of the callers come back at once, three times.
     Abuse,
+    /// Two thirds of the targets name a rate limit for a third of the time.
+    LimitsNamed,
 }
 
 /// All patterns.
-pub const PATTERNS: [Pattern; 7] = [
+pub const PATTERNS: [Pattern; 8] = [
     Pattern::Steady,
     Pattern::Burst,
     Pattern::TargetsLost,
@@ -60,6 +63,7 @@
     Pattern::CentreOut,
     Pattern::NewVersion,
     Pattern::Abuse,
+    Pattern::LimitsNamed,
 ];
 
 /// One run.
@@ -100,4 +104,8 @@
     pub first_p99: f64,
     /// The most sends to one cold target in a second.
     pub cold_peak: u32,
+    /// The most sends to one target in 4 s, from 3 s after it first named a limit.
+    pub limited_peak: u32,
+    /// Sends to targets in that time, as a part of what their limits allow.
+    pub limited_use: f64,
 }
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 
 use azurestand_direct::{
-    CostModel, Fault, LoadedWeights, Placement, RequestSize, SendShare, Service, Target,
-    TargetState,
+    CostModel, Fault, LimitNotice, LoadedWeights, Placement, RequestSize, SendShare, Service,
+    Target, TargetState,
 };
 
 use super::caller::{CLASSES, Caller, PATIENCE_MS, State, gap, size};
 use super::engine::{Engine, Job, Word};
 use super::entry::{Ask, Decision, Entry, moment};
+use super::limited::Limited;
 use super::queue::Queue;
 use super::tally::tally;
 use super::{Figures, Pattern, Plan};
@@ -94,6 +95,7 @@
     /// Sends to each cold target, by second of its life.
     cold: BTreeMap<(usize, u32), u32>,
     born: Vec<f64>,
+    limited: Vec<Limited>,
     rng: fastrand::Rng,
 }
 
@@ -104,7 +106,7 @@
         fleet.now = at;
         fleet.take(event);
     }
-    tally(&fleet.callers, &fleet.cold)
+    tally(&fleet.callers, &fleet.cold, &fleet.limited)
 }
 
 impl Fleet {
@@ -131,6 +133,7 @@
             places: BTreeMap::new(),
             cold: BTreeMap::new(),
             born: Vec::new(),
+            limited: Vec::new(),
             rng: rng.fork(),
         };
         (0..ENGINES).for_each(|_| fleet.add_engine(0.0));
@@ -181,6 +184,7 @@
         self.engines.push(Engine::new(cost_model(), slots));
         self.open.push(true);
         self.loading.push(false);
+        self.limited.push(Limited::default());
         self.born.push(if cold > 0.0 { self.now } else { -COLD_MS });
     }
 
@@ -278,6 +282,7 @@
 
     fn send(&mut self, caller: usize, entry: usize, engine: usize) {
         self.entries[entry].sent(self.now, engine);
+        self.limited[engine].record_send(self.now);
         let age = self.now - self.born[engine];
         if age < COLD_MS {
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -367,6 +372,7 @@
     fn began(&mut self, caller: usize) {
         if let State::Sent { entry, engine } = self.callers[caller].state {
             self.entries[entry].began(self.now, caller, engine);
+            self.hear_limit(entry, engine);
             let after = self.now - self.callers[caller].arrived;
             self.callers[caller].state = State::Begun {
                 entry,
@@ -376,6 +382,26 @@
         }
     }
 
+    /// Lets an entry hear the limit that an answer names, and tell the others of a change.
+    fn hear_limit(&mut self, entry: usize, engine: usize) {
+        let now = moment(self.now);
+        let target = &self.targets[engine];
+        let limit = self.limited[engine].limit(self.now);
+        let placement = self.entries[entry].placement();
+        if !placement.record_limit(now, target, limit) {
+            return;
+        }
+        let notice = LimitNotice {
+            target: target.id.clone(),
+            started_at: target.started_at,
+            limit,
+            observed_at: now,
+        };
+        for other in &mut self.entries {
+            other.placement().merge_limit(now, &notice);
+        }
+    }
+
     fn served(&mut self, caller: usize) {
         if let State::Begun {
             entry,
@@ -434,6 +460,14 @@
                     }
                 }
             }
+            (Pattern::LimitsNamed, true) => {
+                let needy = self.limited.iter_mut().skip(third);
+                needy.for_each(|limited| limited.begin(self.now));
+            }
+            (Pattern::LimitsNamed, false) => {
+                let needy = self.limited.iter_mut();
+                needy.for_each(|limited| limited.end(self.now));
+            }
             (Pattern::ColdAdded, true) => (0..third).for_each(|_| self.add_engine(COLD_MS)),
             (Pattern::CentreOut, _) => {
                 let places = (0..ENGINES).filter(|engine| engine % CENTRES.len() == 0);
--- a/crates/azurestand_bench/src/load/tally.rs
+++ b/crates/azurestand_bench/src/load/tally.rs
@@ -4,9 +4,14 @@
 
 use super::Figures;
 use super::caller::{CLASSES, Caller, State};
+use super::limited::Limited;
 
 /// The figures of a run; `cold` counts sends to each cold target, by second of its life.
-pub(super) fn tally(callers: &[Caller], cold: &BTreeMap<(usize, u32), u32>) -> Figures {
+pub(super) fn tally(
+    callers: &[Caller],
+    cold: &BTreeMap<(usize, u32), u32>,
+    limited: &[Limited],
+) -> Figures {
     let mut figures = Figures::default();
     let mut owed = 0.0;
     let mut earned = 0.0;
@@ -43,5 +48,11 @@
     figures.first_p50 = at(50).unwrap_or_default();
     figures.first_p99 = at(99).unwrap_or_default();
     figures.cold_peak = cold.values().copied().max().unwrap_or_default();
+    let peak = limited.iter().map(Limited::peak).max().unwrap_or_default();
+    figures.limited_peak = u32::try_from(peak).unwrap_or(u32::MAX);
+    let uses: Vec<(f64, f64)> = limited.iter().filter_map(Limited::uses).collect();
+    let sent: f64 = uses.iter().map(|(sent, _)| sent).sum();
+    let allowed: f64 = uses.iter().map(|(_, allowed)| allowed).sum();
+    figures.limited_use = sent / f64::max(allowed, 1.0);
     figures
 }
--- a/crates/azurestand_bench/tests/load.rs
+++ b/crates/azurestand_bench/tests/load.rs
@@ -6,6 +6,8 @@
 
 /// The rate of a cold target, half as much again and five more, as the users' rules allow.
 const COLD_MOST: u32 = 59;
+/// One and a half times the named rate over 4 s, and five more, as the users' rules allow.
+const LIMITED_MOST: u32 = 32;
 /// A kind of request that is served less than a quarter as often as all is starved.
 const STARVED: f64 = 0.25;
 /// What the users' marks ask for of a day.
@@ -96,6 +98,25 @@
     assert!(own.cold_peak <= COLD_MOST, "{own:?}");
 }
 
+#[test]
+fn targets_that_name_limits_get_no_more_from_all_entries_together() {
+    let figures = |policy| {
+        run(&Plan {
+            policy,
+            pattern: Pattern::LimitsNamed,
+            load: 1.5,
+            time: Duration::from_secs(36),
+            seed: 11,
+        })
+    };
+    let blind = figures(Policy::LeastOwn);
+    assert!(blind.limited_peak > LIMITED_MOST, "{blind:?}");
+    let own = figures(Policy::Predicted);
+    assert!(own.limited_peak <= LIMITED_MOST, "{own:?}");
+    // The rates are used while callers are refused.
+    assert!(own.limited_use >= 0.8, "{own:?}");
+}
+
 #[test]
 fn whoever_is_refused_is_refused_before_giving_up() {
     for pattern in PATTERNS
