Tell with a refusal which targets ended under the part of its prompt

explain names the crashes that speak against the part for which a request was refused; the refused line names the part, and lines of suspected and quarantined parts name all crashes that are known instead of the last one.

--- a/crates/azurestand/src/commands/explain.rs
+++ b/crates/azurestand/src/commands/explain.rs
@@ -1,5 +1,6 @@
 //! `explain`: tells the story of one request from the logs of entries.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 
@@ -33,18 +34,27 @@
     cause: String,
 }
 
+/// What the logs hold on one request.
+#[derive(Debug, Default)]
+struct Found {
+    steps: Vec<Step>,
+    /// The crashes of targets that speak against parts of prompts, by part.
+    crashes: BTreeMap<String, String>,
+}
+
 /// Reads `files`, or standard input if there are none.
 pub(crate) fn run(request: &str, files: &[PathBuf]) -> Result<Report, Failure> {
-    let mut steps = Vec::new();
+    let mut found = Found::default();
     if files.is_empty() {
-        collect(io::stdin().lock(), request, &mut steps)?;
+        collect(io::stdin().lock(), request, &mut found)?;
     }
     for path in files {
         let opened = std::fs::File::open(path);
         let file = opened.map_err(|error| Failure::File(path.clone(), error))?;
-        collect(BufReader::new(file), request, &mut steps).map_err(|error| named(path, error))?;
+        collect(BufReader::new(file), request, &mut found).map_err(|error| named(path, error))?;
     }
-    let cause = cause(&steps);
+    let cause = cause(&found);
+    let steps = found.steps;
     let text = text(request, &steps, &cause);
     let story = Story {
         request,
@@ -63,7 +73,7 @@
 }
 
 /// Takes the lines about the request; whatever stands before the object is left out.
-fn collect<R>(reader: R, request: &str, steps: &mut Vec<Step>) -> io::Result<()>
+fn collect<R>(reader: R, request: &str, found: &mut Found) -> io::Result<()>
 where
     R: Read + BufRead,
 {
@@ -74,12 +84,23 @@
             continue;
         };
         if fields.get("request").and_then(Value::as_str) == Some(request) {
-            steps.push(step(fields));
+            found.steps.push(step(fields));
+        } else if let Some((part, crashes)) = part_crashes(&fields) {
+            found.crashes.insert(part.to_owned(), crashes.to_owned());
         }
     }
     Ok(())
 }
 
+/// The part of prompts that a line is about, with the crashes that speak against it.
+fn part_crashes(fields: &Map<String, Value>) -> Option<(&str, &str)> {
+    let text = |name| fields.get(name).and_then(Value::as_str);
+    let crashes = text("crashes").filter(|crashes| !crashes.is_empty())?;
+    let names_part = matches!(text("what"), Some("part_suspected" | "part_quarantined"));
+    let part = text("part").filter(|_| names_part)?;
+    Some((part, crashes))
+}
+
 fn step(mut fields: Map<String, Value>) -> Step {
     let text = |fields: &Map<String, Value>, name| {
         let value = fields.get(name).and_then(Value::as_str);
@@ -103,7 +124,8 @@
 }
 
 /// The last word on the request, with what led to it.
-fn cause(steps: &[Step]) -> String {
+fn cause(found: &Found) -> String {
+    let steps = &found.steps;
     let Some(last) = steps.last() else {
         return "no line names the request; read the logs of all entries of its data centre, \
                 or lines were left out (G0005)"
@@ -125,7 +147,13 @@
     };
     match last.what.as_str() {
         "answered" => format!("answered{led}"),
-        "refused" => format!("refused before it ran: {why}{led}"),
+        "refused" => {
+            let crashes = field(last, "part").and_then(|part| found.crashes.get(part));
+            let proof = crashes.map_or_else(String::new, |crashes| {
+                format!("; targets that ended under it: {crashes}")
+            });
+            format!("refused before it ran: {why}{led}{proof}")
+        }
         "unknown" => format!("its outcome can't be known: {why}{led}"),
         "broken" => format!("broken off midway: {why}{led}"),
         "attempt_failed" | "withdrawn" => format!("its caller left, or the process ended{led}"),
--- a/crates/azurestand/tests/explain.rs
+++ b/crates/azurestand/tests/explain.rs
@@ -10,6 +10,8 @@
 {"ms":150,"event":"G0207","what":"broken","request":"d4","why":"silent"}
 {"ms":160,"event":"G0211","what":"withdrawn","request":"e5","target":"i-3","why":"it had not begun when its weights expired"}
 {"ms":190,"event":"G0205","what":"answered","request":"e5","target":"i-4"}
+{"ms":170,"event":"G0214","what":"part_quarantined","part":"5c1e","crashes":"i-5@1 g7 beginning, i-6@1 h8 beginning","host":"own"}
+{"ms":200,"event":"G0201","what":"refused","request":"f6","part":"5c1e","why":"the part 5c1e of the prompt crashes targets; leave it out","status":503}
 not a line of ours
 "#;
 
@@ -56,6 +58,15 @@
     );
 }
 
+#[test]
+fn a_refusal_for_a_part_of_the_prompt_names_the_targets_that_ended_under_it() {
+    let text = text(&explain("f6"));
+    assert!(
+        text.ends_with("targets that ended under it: i-5@1 g7 beginning, i-6@1 h8 beginning\n"),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_request_without_a_line_is_not_found() {
     assert_eq!(explain("zz").status.code(), Some(6));
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -138,6 +138,7 @@
             ("request", self.call.id().into()),
             ("service", self.call.service.name.as_ref().into()),
             ("why", error.to_string().into()),
+            ("part", error.part().map(|part| part.to_string()).into()),
             ("status", error.status().as_u16().into()),
             ("sends", self.sends.into()),
             ("waited_ms", millis(self.call.waited())),
--- a/crates/azurestand_gateway/src/entry/exchange.rs
+++ b/crates/azurestand_gateway/src/entry/exchange.rs
@@ -237,15 +237,16 @@
         let mut contradicted = Known::default();
         for part in parts {
             let notice = part.decode(now);
+            let part = notice.part;
             let mut state = self.shared.state();
-            let merged = state.quarantine.merge(now, notice.clone());
+            let merged = state.quarantine.merge(now, notice);
             if merged.contradicts {
-                let known = state.quarantine.notice(now, notice.part);
+                let known = state.quarantine.notice(now, part);
                 contradicted.parts.push(known);
             }
             drop(state);
             if let Some(change) = merged.change {
-                self.apply_change(from, &change, &notice);
+                self.apply_change(from, &change);
             }
         }
         if !contradicted.is_empty() {
@@ -269,8 +270,8 @@
 
     /// Logs what another entry's notice changed. A clearance is passed on, since only the
     /// entry that had told of the crash gets it.
-    fn apply_change(&self, from: SocketAddr, change: &PartChange, notice: &PartNotice) {
-        log_change(change, &notice.crashes, &from.ip().to_string());
+    fn apply_change(&self, from: SocketAddr, change: &PartChange) {
+        log_change(&self.shared, change, &from.ip().to_string());
         self.shared.notify_quarantine();
         if let PartChange::Cleared(part) = change {
             self.tell_all(Topic::Part(*part));
--- a/crates/azurestand_gateway/src/entry/quarantine.rs
+++ b/crates/azurestand_gateway/src/entry/quarantine.rs
@@ -47,7 +47,7 @@
         .state()
         .quarantine
         .record_written(now, &call.request.parts);
-    tell(shared, &changes, &[]);
+    tell(shared, &changes);
 }
 
 /// Whether `target` has ended, rather than only closed a connection.
@@ -75,13 +75,13 @@
     let now = BootClock.now();
     let parts = &call.request.parts;
     let changes = shared.state().quarantine.record_crash(now, &crash, parts);
-    tell(shared, &changes, &[crash]);
+    tell(shared, &changes);
 }
 
 /// Logs changes and tells the other entries.
-fn tell<P>(shared: &Shared<P>, changes: &[PartChange], crashes: &[Crash]) {
+fn tell<P>(shared: &Shared<P>, changes: &[PartChange]) {
     for change in changes {
-        log_change(change, crashes, "own");
+        log_change(shared, change, "own");
         let (PartChange::Crashed(part, _) | PartChange::Cleared(part)) = change;
         shared.exchange.tell(Topic::Part(*part));
     }
@@ -109,8 +109,8 @@
     }
 }
 
-/// Logs a change with the crashes that prove it, and from which host they were learned.
-pub(super) fn log_change(change: &PartChange, crashes: &[Crash], host: &str) {
+/// Logs a change with the crashes that prove it, and from which host it was learned.
+pub(super) fn log_change<P>(shared: &Shared<P>, change: &PartChange, host: &str) {
     let (event, part) = match change {
         PartChange::Crashed(part, Standing::Noted) => (LogEvent::PartNoted, part),
         PartChange::Crashed(part, Standing::Suspected) => (LogEvent::PartSuspected, part),
@@ -128,7 +128,8 @@
             crash.target, crash.started_at, crash.request
         )
     };
-    let crashes: Vec<String> = crashes.iter().map(describe).collect();
+    let known = shared.state().quarantine.notice(BootClock.now(), *part);
+    let crashes: Vec<String> = known.crashes.iter().map(describe).collect();
     event.log(&[
         ("part", part.to_string().into()),
         ("crashes", crashes.join(", ").into()),
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -100,6 +100,14 @@
         }
     }
 
+    /// The part of the prompt for which the request is refused.
+    pub(crate) fn part(self) -> Option<PartId> {
+        match self {
+            Self::Suspected(part, _) | Self::Quarantined(part, _) => Some(part),
+            _ => None,
+        }
+    }
+
     /// The response for the caller.
     pub(crate) fn response(self) -> Response<Body> {
         let mut response = Response::new(full(Bytes::from(format!("{self}\n"))));
