Count a version that an outage hid from the recovery

What callers saw: up to 5 s of refusals after an outage of the store in which two versions were named. Entries learned of the second one at the recovery, and of the first one only from reports without a time. Cause: such a version counted from the start of the process, so its bound was over at once and engines with the version before both were left alone.

The version was named before the newer one and no earlier than this process could see, so it now counts from the same recovery as the newer one; a report with an earlier time still corrects it.

--- a/crates/azurestand_direct/src/versions.rs
+++ b/crates/azurestand_direct/src/versions.rs
@@ -128,7 +128,8 @@
     /// Records that another process knows a version; `since` is when it was named, none
     /// if that process doesn't know. The earliest observation counts, since this process
     /// and others may have observed the naming late. A version that this process doesn't
-    /// know was named before a newer one; without a time it counts as named at `before`.
+    /// know was named before a newer one. Without a time it counts from the recovery that
+    /// brought the newer one, if the store had failed for this process, or else from `before`.
     pub fn record_reported(&mut self, version: u64, since: Option<Moment>, before: Moment) {
         if version > self.newest() {
             // The store will report it.
@@ -147,8 +148,13 @@
                 *source = NamingSource::Reported;
             }
             _ => {
-                let source = since.map_or(NamingSource::Assumed, |_| NamingSource::Reported);
-                let since = since.unwrap_or(before);
+                let next = self.named.get(index);
+                let hidden = next.filter(|next| next.source == NamingSource::Recovered);
+                let (since, source) = match (since, hidden) {
+                    (Some(since), _) => (since, NamingSource::Reported),
+                    (None, Some(next)) => (next.named.since, NamingSource::Recovered),
+                    (None, None) => (before, NamingSource::Assumed),
+                };
                 let named = NamedVersion { version, since };
                 self.named.insert(index, Naming { named, source });
             }
