Share the evidence of crashes under requests with long names

Found in review. A caller names its requests; a crash under a name of over 64 bytes was left out by every entry that read the notice, so such a caller's part was known to one entry alone. Names are now cut off where the crash is recorded, and a datagram holds eight parts so that it can't exceed the buffer. A notice about a part without crashes left a record that was sent on for ever.

--- a/crates/azurestand_direct/src/quarantine.rs
+++ b/crates/azurestand_direct/src/quarantine.rs
@@ -86,7 +86,7 @@
 /// The result of merging a notice.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Merged {
-    /// What changed here, which other entries have to be told.
+    /// What changed here.
     pub change: Option<PartChange>,
     /// Whether the sender has to be told that the part is cleared.
     pub contradicts: bool,
@@ -256,7 +256,8 @@
         part: PartId,
         crashes: Vec<Crash>,
     ) -> Option<PartChange> {
-        if self.cleared.contains(now, part) || !self.has_room(now, part) {
+        let is_cleared = self.cleared.contains(now, part);
+        if is_cleared || crashes.is_empty() || !self.has_room(now, part) {
             return None;
         }
         let record = self.records.entry(part).or_default();
--- a/crates/azurestand_direct/tests/direct/quarantine.rs
+++ b/crates/azurestand_direct/tests/direct/quarantine.rs
@@ -402,3 +402,16 @@
     assert!(is_free(&quarantine, 200, SHARED));
     assert!(is_quarantined(&quarantine, 200, DEADLY));
 }
+
+/// Such a notice left a record without a crash, which was sent on for ever.
+#[test]
+fn a_notice_without_crashes_leaves_no_record() {
+    let mut quarantine = Quarantine::default();
+    let notice = PartNotice {
+        part: DEADLY,
+        crashes: Vec::new(),
+        cleared: false,
+    };
+    assert_eq!(quarantine.merge(Moment::START, notice).change, None);
+    assert!(quarantine.notices(Moment::START).is_empty());
+}
--- a/crates/azurestand_gateway/src/entry/quarantine.rs
+++ b/crates/azurestand_gateway/src/entry/quarantine.rs
@@ -13,6 +13,7 @@
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::log::LogEvent;
+use crate::notice::MAX_NAME_BYTES;
 
 /// How long a target may take to refuse a connection for it to count as ended.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
@@ -68,7 +69,7 @@
     let crash = Crash {
         target: target.id.clone(),
         started_at: target.started_at,
-        request: call.id().into(),
+        request: shortened(call.id()).into(),
         beginning,
         at,
     };
@@ -78,6 +79,12 @@
     tell(shared, &changes);
 }
 
+/// The beginning of a caller's name for a request, as long as notices may hold.
+fn shortened(name: &str) -> &str {
+    let end = name.floor_char_boundary(MAX_NAME_BYTES);
+    &name[..end]
+}
+
 /// Logs changes and tells the other entries.
 fn tell<P>(shared: &Shared<P>, changes: &[PartChange]) {
     for change in changes {
--- a/crates/azurestand_gateway/src/notice.rs
+++ b/crates/azurestand_gateway/src/notice.rs
@@ -14,13 +14,13 @@
 /// The largest datagram in bytes; larger ones are dropped.
 pub(crate) const MAX_BYTES: usize = 8 * 1024;
 /// The most parts in one datagram, so that it stays below [`MAX_BYTES`].
-pub(crate) const MAX_PARTS: usize = 12;
+pub(crate) const MAX_PARTS: usize = 8;
 /// The most limits in one datagram.
 pub(crate) const MAX_LIMITS: usize = 64;
 /// The most crashes of one part that are read.
 const MAX_CRASHES: usize = 8;
 /// The longest name that is read, in bytes.
-const MAX_NAME_BYTES: usize = 64;
+pub(crate) const MAX_NAME_BYTES: usize = 64;
 
 /// What one entry tells another.
 #[derive(Clone, PartialEq, Message)]
