Take an answer that ends with its target for broken off

Found in review: where only the end of the connection tells the end of an answer, a target that ended after a whole event, or within a whole body's bytes, looked like one that had finished. The entry passed the answer on as complete, and took the parts of its prompt for cleared. It now asks whether the target still accepts connections before it takes such an answer for complete.

A request that is withdrawn since a part of its prompt is quarantined takes no retry out of the budget any more; it is answered at once.

an_answer_that_ends_with_its_target_is_broken_off failed before.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -12,6 +12,7 @@
 
 use azurestand_direct::{Fault, LimitNotice, RouteKind, Target};
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
 use tokio::time::timeout;
@@ -44,6 +45,8 @@
 
 /// Targets that may end under one request; it isn't offered to another one then.
 const MAX_ENDED_TARGETS: u32 = 2;
+/// Why a request is cancelled at its target when a part of its prompt is quarantined.
+pub(crate) const QUARANTINED: &str = "a part of its prompt crashes targets";
 /// The batches of events after which a target has gone on writing an answer.
 pub(crate) const PROVEN_BATCHES: u32 = 2;
 
@@ -56,6 +59,14 @@
     pub(crate) response: ResponseHead,
 }
 
+impl<P> OpenResponse<P> {
+    /// Whether the head tells how the body ends, rather than the end of the connection.
+    pub(crate) fn is_delimited(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
 /// What a target has written of the answer to one attempt.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Written {
@@ -177,12 +188,13 @@
                 biased;
                 sent = timeout(limit, self.send(reservation)) => sent,
                 () = expiry => {
-                    self.withdrawn(&target, "it had not begun when its weights expired")?;
+                    self.log_withdrawn(&target, "it had not begun when its weights expired");
+                    self.try_another(&target)?;
                     continue;
                 }
                 () = quarantined => {
-                    self.withdrawn(&target, "a part of its prompt crashes targets")?;
-                    continue;
+                    self.log_withdrawn(&target, QUARANTINED);
+                    return Err(RequestError::Unknown);
                 }
             };
             match sent {
@@ -216,20 +228,15 @@
         }
     }
 
-    /// Handles a request that was withdrawn because it may no longer begin at the target. The
-    /// target may have begun it at the same moment.
-    pub(crate) fn withdrawn(
-        &mut self,
-        target: &Arc<Target>,
-        why: &str,
-    ) -> Result<(), RequestError> {
+    /// Logs that a request was cancelled at its target, which may have begun it at the same
+    /// moment.
+    pub(crate) fn log_withdrawn(&self, target: &Target, why: &str) {
         LogEvent::Withdrawn.log(&[
             ("request", self.call.id().into()),
             ("target", target.id.as_ref().into()),
             ("why", why.into()),
             ("waited_ms", millis(self.call.waited())),
         ]);
-        self.try_another(target)
     }
 
     fn expiry_error(&self) -> RequestError {
@@ -462,8 +469,14 @@
         opened: OpenResponse<P>,
     ) -> Result<Option<Response<Body>>, RequestError> {
         let target = opened.reservation.target.clone();
+        let is_delimited = opened.is_delimited();
         let body = memory::collect_response(opened.body, MAX_RESPONSE_BYTES);
         match timeout(self.call.time_left(), body).await {
+            Ok(Ok(_)) if !is_delimited && quarantine::has_ended(&self.shared, &target).await => {
+                self.broke(&target, Fault::Failed, "the answer ended with its target")
+                    .await?;
+                Ok(None)
+            }
             Ok(Ok(bytes)) => {
                 opened.connection.release();
                 Ok(Some(self.finish(&opened.head, &target, bytes)))
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -11,12 +11,12 @@
 use azurestand_direct::{EventSplitter, Fault};
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::{HeaderMap, Response, header};
+use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
 
-use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES};
+use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES, QUARANTINED};
 use super::place::Reservation;
 use super::quarantine;
 use super::response::{Body, BodyError};
@@ -114,11 +114,11 @@
         let quarantined = quarantine::until_quarantined(self.delivery.shared.clone(), parts);
         self.quarantined = Some(Box::pin(quarantined));
         self.source = Some(Source {
+            is_delimited: opened.is_delimited(),
             body: opened.body,
             connection: opened.connection,
             reservation: opened.reservation,
             version: opened.response.version,
-            is_delimited: is_delimited(&opened.head.headers),
         });
     }
 
@@ -147,7 +147,7 @@
                         idle_at = self.idle_at();
                     }
                 },
-                Chunk::End if self.is_complete() => {
+                Chunk::End if self.is_complete().await => {
                     self.finish();
                     return Ok(None);
                 }
@@ -165,14 +165,17 @@
     }
 
     /// Whether a stream that has ended is complete: it ends between events, and, if only the end
-    /// of its connection tells its end, after at least one of this target.
-    fn is_complete(&self) -> bool {
-        let is_delimited = self
-            .source
-            .as_ref()
-            .is_some_and(|source| source.is_delimited);
-        let has_written = self.delivery.written.batches > 0 || is_delimited;
-        self.splitter.is_at_boundary() && has_written
+    /// of its connection tells its end, after at least one of a target that is still there.
+    async fn is_complete(&mut self) -> bool {
+        let Some(source) = self.source.as_ref() else {
+            return false;
+        };
+        if !self.splitter.is_at_boundary() || source.is_delimited {
+            return self.splitter.is_at_boundary();
+        }
+        let target = source.reservation.target.clone();
+        let has_written = self.delivery.written.batches > 0;
+        has_written && !quarantine::has_ended(&self.delivery.shared, &target).await
     }
 
     /// When the stream counts as idle unless the caller gets another event before.
@@ -311,13 +314,11 @@
 
     /// Cancels the request at its target, which would crash.
     fn withdraw(&mut self) -> BodyError {
-        let why = "a part of its prompt crashes targets";
         if let Some(source) = self.source.take() {
-            let target = source.reservation.target.clone();
-            // It isn't sent anywhere else, whether or not it may be.
-            let _ = self.delivery.withdrawn(&target, why);
+            let target = &source.reservation.target;
+            self.delivery.log_withdrawn(target, QUARANTINED);
         }
-        self.abort(why)
+        self.abort(QUARANTINED)
     }
 
     fn abort(&self, why: &str) -> BodyError {
@@ -331,11 +332,6 @@
     }
 }
 
-/// Whether a response with these headers tells where its body ends.
-fn is_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Reads until `idle_at`, also if bytes that complete no new event keep arriving.
 async fn read_chunk_until(body: &mut ResponseBody, idle_at: Instant) -> Chunk {
     let silent = || Chunk::Broken("silent".to_owned());
