--- a/crates/azurestand_direct/src/quarantine.rs
+++ b/crates/azurestand_direct/src/quarantine.rs
@@ -33,7 +33,7 @@
 /// The most parts with known crashes.
 const MAX_PARTS: usize = 128;
 /// The time after which twice as many entries may send requests with a suspected part.
-const DOUBLING_TIME: Duration = Duration::from_secs(1);
+const DOUBLING_TIME: Duration = Duration::from_millis(500);
 /// The longest time for which a request with a suspected part keeps others back.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
 /// The `Retry-After` of a request with a suspected part.
@@ -201,7 +201,7 @@
             return false;
         }
         let age = now.since(record.suspected_since(now));
-        let doublings = age.as_secs() / DOUBLING_TIME.as_secs();
+        let doublings = age.as_millis() / DOUBLING_TIME.as_millis();
         let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
         let senders = 1_usize.checked_shl(doublings).unwrap_or(usize::MAX);
         self.rank(part) < senders
--- a/crates/azurestand_direct/tests/direct/quarantine.rs
+++ b/crates/azurestand_direct/tests/direct/quarantine.rs
@@ -316,8 +316,8 @@
         world.entries.iter().filter(admits).count()
     };
     assert_eq!(tries(&world, 100), 1);
-    assert_eq!(tries(&world, 1_500), 2);
-    assert_eq!(tries(&world, 6_000), 29);
+    assert_eq!(tries(&world, 700), 2);
+    assert_eq!(tries(&world, 3_000), 29);
 }
 
 #[test]
