--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -5,6 +5,7 @@
 //! kept until the next report.
 
 mod record;
+mod shares;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -150,7 +151,7 @@
         }
         self.send_share = share;
         for (id, record) in &mut self.records {
-            record.set_place(self.send_share.place(id));
+            record.shares_mut().set_place(self.send_share.place(id));
         }
     }
 
@@ -193,7 +194,7 @@
     /// differs from what was known.
     pub fn record_limit(&mut self, now: Moment, target: &Target, limit: Option<RateLimit>) -> bool {
         let record = self.record(target);
-        record.is_some_and(|record| record.record_limit(now, now, limit))
+        record.is_some_and(|record| record.shares_mut().record_limit(now, now, limit))
     }
 
     /// Records the rate limit that another entry tells of, unless a later answer is known;
@@ -201,7 +202,10 @@
     pub fn merge_limit(&mut self, now: Moment, notice: &LimitNotice) -> bool {
         let record = self.records.get_mut(&notice.target);
         let record = record.filter(|record| record.target.started_at == notice.started_at);
-        record.is_some_and(|record| record.record_limit(now, notice.observed_at, notice.limit))
+        record.is_some_and(|record| {
+            let shares = record.shares_mut();
+            shares.record_limit(now, notice.observed_at, notice.limit)
+        })
     }
 
     /// What to tell other entries: the limits that changed within `age`, or, if that is none,
@@ -216,7 +220,7 @@
     /// The number of targets that name a rate limit.
     pub fn limited_targets(&self) -> usize {
         let records = self.records.values();
-        records.filter(|record| record.has_limit()).count()
+        records.filter(|record| record.shares().has_limit()).count()
     }
 
     /// Records that an agent reported on a target. When such reports stop, the target is
@@ -330,8 +334,11 @@
         }
         self.exclude_suspects(now, &mut candidates);
         // A target that names a limit is in need: others are filled first.
-        if candidates.iter().any(|(_, record)| !record.has_limit()) {
-            candidates.retain(|(_, record)| !record.has_limit());
+        if candidates
+            .iter()
+            .any(|(_, record)| !record.shares().has_limit())
+        {
+            candidates.retain(|(_, record)| !record.shares().has_limit());
         }
         // A target that is about to load weights has to wait for its longest request.
         if candidates
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -6,10 +6,11 @@
 
 use azurestand_types::Moment;
 
+use super::shares::Shares;
 use super::{Fault, TargetLoad, TargetRequirements};
 use crate::directory::Target;
-use crate::limit::{LimitNotice, NamedLimit, RateLimit};
-use crate::share::{SendBound, SendBucket, SendPlace};
+use crate::limit::LimitNotice;
+use crate::share::SendPlace;
 
 /// The first pause after a refusal; each further fault in a row doubles it.
 const REFUSED_PAUSE: Duration = Duration::from_millis(120);
@@ -50,8 +51,6 @@
 #[derive(Debug, Clone)]
 pub(super) struct TargetRecord {
     pub(super) target: Arc<Target>,
-    /// This entry's place among those that send to the target where all have to send little.
-    place: Option<SendPlace>,
     /// The load from this entry.
     own: TargetLoad,
     /// The load from the other entries at the last report.
@@ -62,8 +61,7 @@
     agent_report: Option<Moment>,
     /// The times of the sends that reports may not include yet.
     recent_sends: VecDeque<Moment>,
-    cold_until: Moment,
-    cold_bucket: SendBucket,
+    shares: Shares,
     paused_until: Moment,
     /// Faults in a row that led to a pause.
     fault_streak: u32,
@@ -71,109 +69,54 @@
     failure_rate: f64,
     /// The time from which it accepts no requests because it loads weights.
     closes_at: Option<Moment>,
-    /// The rate limit that it names.
-    named_limit: NamedLimit,
-    named_bucket: SendBucket,
 }
 
 impl TargetRecord {
     pub(super) fn new(now: Moment, target: Arc<Target>, place: Option<SendPlace>) -> Self {
         Self {
-            place,
             own: TargetLoad::default(),
             others: TargetLoad::default(),
             last_report: None,
             agent_report: None,
             recent_sends: VecDeque::new(),
-            cold_until: now + target.cold,
-            cold_bucket: SendBucket::new(now),
+            shares: Shares::new(now, target.cold, place),
             paused_until: now,
             fault_streak: 0,
             failure_rate: 0.0,
             closes_at: None,
-            named_limit: NamedLimit::default(),
-            named_bucket: SendBucket::new(now),
             target,
         }
     }
 
-    /// Records the rate limit that an answer told which arrived at `observed_at`; returns
-    /// whether it changed.
-    pub(super) fn record_limit(
-        &mut self,
-        now: Moment,
-        observed_at: Moment,
-        limit: Option<RateLimit>,
-    ) -> bool {
-        let was_limited = self.has_limit();
-        let has_changed = self.named_limit.record(now, observed_at, limit);
-        if has_changed && !was_limited {
-            self.named_bucket = SendBucket::new(now);
-        }
-        has_changed
-    }
-
-    pub(super) fn set_place(&mut self, place: Option<SendPlace>) {
-        self.place = place;
+    /// What this entry may send to the target.
+    pub(super) fn shares(&self) -> &Shares {
+        &self.shares
     }
 
-    pub(super) fn has_limit(&self) -> bool {
-        self.named_limit.get().is_some()
+    /// The same, to record changes.
+    pub(super) fn shares_mut(&mut self) -> &mut Shares {
+        &mut self.shares
     }
 
     /// What to tell other entries of the rate limit: if it changed within `age`, or, if that is
     /// none, if there is one.
     pub(super) fn limit_notice(&self, now: Moment, age: Option<Duration>) -> Option<LimitNotice> {
-        let observed_at = self.named_limit.observed(now, age)?;
+        let (limit, observed_at) = self.shares.observed_limit(now, age)?;
         Some(LimitNotice {
             target: self.target.id.clone(),
             started_at: self.target.started_at,
-            limit: self.named_limit.get(),
+            limit,
             observed_at,
         })
     }
 
-    /// The bounds on what all entries together may send, with this entry's buckets.
-    fn bounds(&self, now: Moment, cold_rate: Option<f64>) -> [Option<(SendBound, SendBucket)>; 2] {
-        let cold = cold_rate.filter(|_| self.is_cold(now)).map(SendBound::cold);
-        let named = self.named_limit.get().map(SendBound::named);
-        [
-            cold.map(|bound| (bound, self.cold_bucket)),
-            named.map(|bound| (bound, self.named_bucket)),
-        ]
-    }
-
-    /// How long until this entry's shares of the bounds allow a send; none if other entries
-    /// send instead.
-    fn share_wait(&self, now: Moment, cold_rate: Option<f64>) -> Option<Duration> {
-        let mut longest = Duration::ZERO;
-        for (bound, bucket) in self.bounds(now, cold_rate).into_iter().flatten() {
-            let limit = self.place?.limit(bound)?;
-            longest = longest.max(bucket.wait(now, limit));
-        }
-        Some(longest)
-    }
-
-    /// Takes a send out of this entry's shares.
-    fn spend_share(&mut self, now: Moment, cold_rate: Option<f64>) {
-        let [cold, named] = self.bounds(now, cold_rate);
-        let spent = |bounded: Option<(SendBound, SendBucket)>| {
-            let (bound, mut bucket) = bounded?;
-            bucket.spend(now, self.place?.limit(bound)?);
-            Some(bucket)
-        };
-        let (cold, named) = (spent(cold), spent(named));
-        self.cold_bucket = cold.unwrap_or(self.cold_bucket);
-        self.named_bucket = named.unwrap_or(self.named_bucket);
-    }
-
     /// Updates the target from a newer list entry of the same incarnation.
     pub(super) fn update(&mut self, now: Moment, target: &Arc<Target>) {
         if self.target == *target {
             return;
         }
         if target.cold != self.target.cold {
-            self.cold_until = self.cold_until.max(now + target.cold);
+            self.shares.extend_cold(now + target.cold);
         }
         self.target = target.clone();
     }
@@ -237,7 +180,7 @@
             self.recent_sends.pop_front();
         }
         self.recent_sends.push_back(now);
-        self.spend_share(now, cold_rate);
+        self.shares.spend(now, cold_rate);
     }
 
     /// Records that the first byte of an answer arrived.
@@ -350,7 +293,7 @@
             PLAIN_MS * (1.0 + f64::from(excess) / f64::from(slots))
         };
         let pause = self.paused_until.since(now).as_secs_f64() * 1_000.0;
-        let wait = self.share_wait(now, requirements.service.cold_rate);
+        let wait = self.shares.wait(now, requirements.service.cold_rate);
         let wait = wait.unwrap_or(NO_SHARE_WAIT).as_secs_f64() * 1_000.0;
         work + pause.max(wait)
     }
@@ -361,10 +304,6 @@
         self.failure_rate * FAILURE_MS
     }
 
-    fn is_cold(&self, now: Moment) -> bool {
-        now < self.cold_until
-    }
-
     /// Whether the target can accept the request now.
     pub(super) fn has_room(
         &self,
@@ -372,7 +311,7 @@
         requirements: &TargetRequirements<'_>,
         peer_sends: f64,
     ) -> bool {
-        let wait = self.share_wait(now, requirements.service.cold_rate);
+        let wait = self.shares.wait(now, requirements.service.cold_rate);
         let within_rate = wait.is_some_and(|wait| wait.is_zero());
         let max_load = self.target.slots * LOAD_FACTOR;
         let load = self.likely_load(now, peer_sends);
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -6,6 +6,8 @@
 //!   of attempts, its deadline and the retry budget.
 //! - A request that a target may have run is never reported as not run.
 
+mod failure;
+
 use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,8 +36,6 @@
 
 /// The largest response that isn't a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Failed connection attempts after which a request is refused.
-const MAX_CONNECT_FAILURES: u32 = 3;
 /// Another target is tried after this many times the expected time to the first byte.
 const HEAD_TIMEOUT_FACTOR: u32 = 3;
 /// The shortest wait for a response head before another target is tried.
@@ -43,8 +43,6 @@
 /// The `Retry-After` of a request that a target refused or that could not be sent to any.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Targets that may end under one request; it isn't offered to another one then.
-const MAX_ENDED_TARGETS: u32 = 2;
 /// Why a request is cancelled at its target when a part of its prompt is quarantined.
 pub(crate) const QUARANTINED: &str = "a part of its prompt crashes targets";
 /// The batches of events after which a target has gone on writing an answer.
@@ -132,46 +130,6 @@
 where
     P: Platform,
 {
-    fn error_response(&self, error: RequestError) -> Response<Body> {
-        let error = match error {
-            RequestError::Unknown | RequestError::TimedOut => error,
-            // An earlier target may have run the request.
-            _ if self.maybe_ran => RequestError::Unknown,
-            _ => error,
-        };
-        let (event, span) = if error.retry_after().is_some() {
-            (LogEvent::Refused, Span::Refusal)
-        } else {
-            (LogEvent::Unknown, Span::Doubt)
-        };
-        metrics::time(span, self.call.waited());
-        event.log(&[
-            ("request", self.call.id().into()),
-            ("service", self.call.service.name.as_ref().into()),
-            ("why", error.to_string().into()),
-            ("part", error.part().map(|part| part.to_string()).into()),
-            ("status", error.status().as_u16().into()),
-            ("sends", self.sends.into()),
-            ("waited_ms", millis(self.call.waited())),
-        ]);
-        error.response()
-    }
-
-    /// Whether another target may be tried after a failure.
-    fn may_repeat(&self) -> bool {
-        let repeatable = self.call.route.kind.may_repeat();
-        repeatable && self.has_attempts_left()
-    }
-
-    fn has_attempts_left(&self) -> bool {
-        self.sends < self.call.route.attempts.max(1)
-    }
-
-    /// Takes one retry from the retry budget; returns whether there was one.
-    fn spend_retry(&self) -> bool {
-        self.shared.state().retries.spend()
-    }
-
     /// Sends the request to targets until one returns the head of a usable response.
     pub(crate) async fn open(&mut self) -> Result<OpenResponse<P>, RequestError> {
         loop {
@@ -228,17 +186,6 @@
         }
     }
 
-    /// Logs that a request was cancelled at its target, which may have begun it at the same
-    /// moment.
-    pub(crate) fn log_withdrawn(&self, target: &Target, why: &str) {
-        LogEvent::Withdrawn.log(&[
-            ("request", self.call.id().into()),
-            ("target", target.id.as_ref().into()),
-            ("why", why.into()),
-            ("waited_ms", millis(self.call.waited())),
-        ]);
-    }
-
     fn expiry_error(&self) -> RequestError {
         if self.sends > 0 {
             RequestError::TimedOut
@@ -260,93 +207,6 @@
         }
     }
 
-    /// Handles a failed connection: nothing was sent, so the attempt isn't counted.
-    fn unsent(&mut self, target: &Arc<Target>, reason: &str) -> Result<(), RequestError> {
-        self.record_fault(target, Fault::Unreachable, reason);
-        self.sends -= 1;
-        self.connect_failures += 1;
-        self.constraints.avoid.push(target.id.clone());
-        if self.connect_failures >= MAX_CONNECT_FAILURES {
-            return Err(RequestError::NoTarget(REFUSED_RETRY_AFTER));
-        }
-        Ok(())
-    }
-
-    /// Handles a connection that broke: the target may have run the request, and may have
-    /// crashed under it.
-    pub(crate) async fn broke(
-        &mut self,
-        target: &Arc<Target>,
-        fault: Fault,
-        reason: &str,
-    ) -> Result<(), RequestError> {
-        let at = BootClock.now();
-        let is_unproven = self.written.batches < PROVEN_BATCHES;
-        if is_unproven && quarantine::has_ended(&self.shared, target).await {
-            self.ended_targets += 1;
-            self.constraints.crashed = true;
-            let beginning = self.written.head;
-            quarantine::record_crash(&self.shared, &self.call, target, beginning, at);
-        }
-        self.failed(target, fault, reason)
-    }
-
-    /// Handles a failure after which the target may have run the request.
-    pub(crate) fn failed(
-        &mut self,
-        target: &Arc<Target>,
-        fault: Fault,
-        reason: &str,
-    ) -> Result<(), RequestError> {
-        self.record_fault(target, fault, reason);
-        self.try_another(target)
-    }
-
-    /// Lets the request go to another target although this one may have run it.
-    ///
-    /// # Errors
-    ///
-    /// [`RequestError::Unknown`] if it may not be repeated.
-    fn try_another(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
-        self.maybe_ran = true;
-        self.constraints.avoid.push(target.id.clone());
-        let may_repeat = self.may_repeat() && self.ended_targets < MAX_ENDED_TARGETS;
-        if may_repeat && self.spend_retry() {
-            return Ok(());
-        }
-        Err(RequestError::Unknown)
-    }
-
-    fn timed_out(&mut self, target: &Arc<Target>, waited: Duration) -> Result<(), RequestError> {
-        if self.call.time_left().is_zero() {
-            // A missed deadline that was short is no sign of a faulty target.
-            if waited >= MIN_HEAD_TIMEOUT {
-                self.record_fault(target, Fault::Silent, "no answer in time");
-            }
-            return Err(RequestError::TimedOut);
-        }
-        self.failed(target, Fault::Silent, "silent")
-    }
-
-    fn record_fault(&self, target: &Arc<Target>, fault: Fault, reason: &str) {
-        let now = BootClock.now();
-        self.shared
-            .state()
-            .placement
-            .record_fault(now, target, fault);
-        LogEvent::AttemptFailed.log(&[
-            ("request", self.call.id().into()),
-            ("target", target.id.as_ref().into()),
-            ("fault", format!("{fault:?}").into()),
-            ("why", reason.into()),
-            ("started_at", target.started_at.into()),
-            ("head", self.written.head.into()),
-            ("batches", self.written.batches.into()),
-            ("parts", self.call.parts_text().into()),
-            ("waited_ms", millis(self.call.waited())),
-        ]);
-    }
-
     async fn send(&mut self, reservation: Reservation<P>) -> Result<OpenResponse<P>, CallError> {
         self.sends += 1;
         self.written = Written::default();
