--- a/crates/azurestand_direct/src/limit.rs
+++ b/crates/azurestand_direct/src/limit.rs
@@ -80,14 +80,14 @@
         has_changed
     }
 
-    /// When the last answer arrived, if the limit changed within `age` or is in force and
-    /// `age` is none.
-    pub(crate) fn observed(&self, now: Moment, age: Option<Duration>) -> Option<Moment> {
-        let is_due = match age {
-            Some(age) => self.changed_at.is_some_and(|at| now.since(at) < age),
-            None => self.limit.is_some(),
-        };
-        self.observed_at.filter(|_| is_due)
+    /// When the last answer arrived; none before the first one.
+    pub(crate) fn observed_at(&self) -> Option<Moment> {
+        self.observed_at
+    }
+
+    /// Whether this entry has learned of a change within the last `age`.
+    pub(crate) fn has_changed(&self, now: Moment, age: Duration) -> bool {
+        self.changed_at.is_some_and(|at| now.since(at) < age)
     }
 }
 
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -208,13 +208,19 @@
         })
     }
 
-    /// What to tell other entries: the limits that changed within `age`, or, if that is none,
-    /// all that are in force.
-    pub fn limit_notices(&self, now: Moment, age: Option<Duration>) -> Vec<LimitNotice> {
+    /// What to tell an entry that asks: all rate limits that are in force.
+    pub fn limits_in_force(&self) -> Vec<LimitNotice> {
         let records = self.records.values();
-        records
-            .filter_map(|record| record.limit_notice(now, age))
-            .collect()
+        let limited = records.filter(|record| record.shares().has_limit());
+        limited.filter_map(TargetRecord::limit_notice).collect()
+    }
+
+    /// What to tell other entries again: the rate limits, and their ends, that this entry
+    /// learned of within the last `age`.
+    pub fn changed_limits(&self, now: Moment, age: Duration) -> Vec<LimitNotice> {
+        let records = self.records.values();
+        let changed = records.filter(|record| record.shares().named_limit().has_changed(now, age));
+        changed.filter_map(TargetRecord::limit_notice).collect()
     }
 
     /// The number of targets that name a rate limit.
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -98,15 +98,14 @@
         &mut self.shares
     }
 
-    /// What to tell other entries of the rate limit: if it changed within `age`, or, if that is
-    /// none, if there is one.
-    pub(super) fn limit_notice(&self, now: Moment, age: Option<Duration>) -> Option<LimitNotice> {
-        let (limit, observed_at) = self.shares.observed_limit(now, age)?;
+    /// What to tell other entries of the rate limit; none before the first answer.
+    pub(super) fn limit_notice(&self) -> Option<LimitNotice> {
+        let named = self.shares.named_limit();
         Some(LimitNotice {
             target: self.target.id.clone(),
             started_at: self.target.started_at,
-            limit,
-            observed_at,
+            limit: named.get(),
+            observed_at: named.observed_at()?,
         })
     }
 
--- a/crates/azurestand_direct/src/place/shares.rs
+++ b/crates/azurestand_direct/src/place/shares.rs
@@ -60,15 +60,9 @@
         self.named_limit.get().is_some()
     }
 
-    /// The limit and when the last answer told of it: if it changed within `age`, or, if that
-    /// is none, if there is one.
-    pub(super) fn observed_limit(
-        &self,
-        now: Moment,
-        age: Option<Duration>,
-    ) -> Option<(Option<RateLimit>, Moment)> {
-        let observed_at = self.named_limit.observed(now, age)?;
-        Some((self.named_limit.get(), observed_at))
+    /// The rate limit that the target names.
+    pub(super) fn named_limit(&self) -> &NamedLimit {
+        &self.named_limit
     }
 
     /// How long until the shares allow a send; none if other entries send instead.
--- a/crates/azurestand_direct/tests/direct/place.rs
+++ b/crates/azurestand_direct/tests/direct/place.rs
@@ -551,16 +551,16 @@
 fn a_changed_rate_limit_is_told_for_a_time_and_one_in_force_whenever_asked() {
     let only = target("a", "llm");
     let mut placement = lone_placement(vec![only.clone()]);
-    let repeat = Some(Duration::from_secs(2));
-    assert!(placement.limit_notices(at(0), None).is_empty());
+    let repeat = Duration::from_secs(2);
+    assert!(placement.limits_in_force().is_empty());
     placement.record_limit(at(100), &only, Some(rate_limit(4.0)));
     placement.record_limit(at(5_000), &only, Some(rate_limit(4.0)));
-    assert_eq!(placement.limit_notices(at(2_000), repeat).len(), 1);
-    assert!(placement.limit_notices(at(5_000), repeat).is_empty());
-    let told = placement.limit_notices(at(5_000), None);
+    assert_eq!(placement.changed_limits(at(2_000), repeat).len(), 1);
+    assert!(placement.changed_limits(at(5_000), repeat).is_empty());
+    let told = placement.limits_in_force();
     assert_eq!(told[0].limit, Some(rate_limit(4.0)));
     assert_eq!(told[0].observed_at, at(5_000));
     placement.record_limit(at(9_000), &only, None);
-    assert!(placement.limit_notices(at(9_100), None).is_empty());
-    assert_eq!(placement.limit_notices(at(9_100), repeat)[0].limit, None);
+    assert!(placement.limits_in_force().is_empty());
+    assert_eq!(placement.changed_limits(at(9_100), repeat)[0].limit, None);
 }
--- a/crates/azurestand_gateway/src/entry/exchange.rs
+++ b/crates/azurestand_gateway/src/entry/exchange.rs
@@ -60,6 +60,17 @@
     }
 }
 
+/// Why an entry sends what it knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// Others should know it.
+    Tell,
+    /// The same, and the receivers should tell all that they know.
+    Ask,
+    /// The receiver has asked.
+    Reply,
+}
+
 /// What an entry tells others.
 #[derive(Debug, Default)]
 struct Known {
@@ -73,11 +84,11 @@
     }
 
     /// The messages that hold all of it; one at least.
-    fn messages(&self, wants_all: bool, is_reply: bool) -> Vec<Notices> {
+    fn messages(&self, purpose: Purpose) -> Vec<Notices> {
         let now = BootClock.now();
         let message = || Notices {
-            wants_all,
-            is_reply,
+            wants_all: purpose == Purpose::Ask,
+            is_reply: purpose == Purpose::Reply,
             ..Notices::default()
         };
         let parts = self.parts.chunks(MAX_PARTS).map(|chunk| Notices {
@@ -176,17 +187,21 @@
         state.quarantine.expire(now);
         let known = Known {
             parts: state.quarantine.notices(now),
-            limits: state.placement.limit_notices(now, Some(LIMIT_REPEAT_TIME)),
+            limits: state.placement.changed_limits(now, LIMIT_REPEAT_TIME),
         };
         drop(state);
-        let wants_all = was_suspended || !self.shared.is_informed();
-        if known.is_empty() && !wants_all {
+        let purpose = if was_suspended || !self.shared.is_informed() {
+            Purpose::Ask
+        } else {
+            Purpose::Tell
+        };
+        if known.is_empty() && purpose == Purpose::Tell {
             return;
         }
         let mut peers = self.peers();
         fastrand::shuffle(&mut peers);
         peers.truncate(REPEAT_PEERS);
-        self.send(&peers, &known, wants_all, false);
+        self.send(&peers, &known, purpose);
     }
 
     fn tell_all(&self, topic: Topic) {
@@ -200,11 +215,11 @@
                 ..Known::default()
             },
         };
-        self.send(&self.peers(), &known, false, false);
+        self.send(&self.peers(), &known, Purpose::Tell);
     }
 
-    fn send(&self, peers: &[IpAddr], known: &Known, wants_all: bool, is_reply: bool) {
-        for message in known.messages(wants_all, is_reply) {
+    fn send(&self, peers: &[IpAddr], known: &Known, purpose: Purpose) {
+        for message in known.messages(purpose) {
             let bytes = message.encode_to_vec();
             for peer in peers {
                 let address = SocketAddr::new(*peer, self.shared.settings.notice_port());
@@ -225,10 +240,10 @@
             let mut state = self.shared.state();
             let known = Known {
                 parts: state.quarantine.notices(now),
-                limits: state.placement.limit_notices(now, None),
+                limits: state.placement.limits_in_force(),
             };
             drop(state);
-            self.send(&[from.ip()], &known, false, true);
+            self.send(&[from.ip()], &known, Purpose::Reply);
         }
     }
 
@@ -250,7 +265,7 @@
             }
         }
         if !contradicted.is_empty() {
-            self.send(&[from.ip()], &contradicted, false, false);
+            self.send(&[from.ip()], &contradicted, Purpose::Tell);
         }
     }
 
