Say in a refusal which prediction and which limit decided it

A refusal for want of capacity told neither what was predicted nor what was allowed, so that a lack of capacity could not be told from a queue that holds requests back. No decision changes.

--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -37,9 +37,23 @@
             (LogEvent::Unknown, Span::Doubt)
         };
         metrics::time(span, self.call.waited());
+        let shortage = error.shortage();
+        let account = self.call.account.as_ref();
         event.log(&[
             ("request", self.call.id().into()),
             ("service", self.call.service.name.as_ref().into()),
+            ("route", self.call.route.name.as_ref().into()),
+            (
+                "account",
+                account.map(|account| account.name.as_ref()).into(),
+            ),
+            ("priority", u64::from(self.call.priority()).into()),
+            ("ahead", shortage.map(|known| known.ahead).into()),
+            ("limit_ms", shortage.map(|known| millis(known.limit)).into()),
+            (
+                "soonest_ms",
+                shortage.and_then(|known| known.soonest).map(millis).into(),
+            ),
             ("why", error.to_string().into()),
             ("part", error.part().map(|part| part.to_string()).into()),
             ("status", error.status().as_u16().into()),
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -10,7 +10,7 @@
 
 use super::call::Call;
 use super::quarantine;
-use super::response::RequestError;
+use super::response::{RequestError, Shortage};
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::metrics::{self, Span};
@@ -24,6 +24,8 @@
 const MIN_LIMIT: Duration = Duration::from_millis(60);
 /// The shortest `Retry-After` of a refused request, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// The `Retry-After` of a request that waited behind others only, before jitter.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The longest `Retry-After` of a refused request, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
@@ -124,27 +126,26 @@
         new_caller: true,
         arrived_at: call.arrived,
     };
-    let (waker, waiter) = {
+    let mut soonest = None;
+    let (waker, waiter, ahead) = {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
-        let is_first = state
-            .queues
-            .get(&call.service.name)
-            .is_none_or(|queue| queue.waiters.ahead(rank) == 0);
-        if is_first {
+        let queue = state.queues.get(&call.service.name);
+        let ahead = queue.map_or(0, |queue| queue.waiters.ahead(rank));
+        if ahead == 0 {
             match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
                 Err(NoTarget::NoneEligible) => {
                     return Err(RequestError::NoTarget(jittered(Duration::from_millis(400))));
                 }
-                Err(NoTarget::Busy { .. }) => {}
+                Err(NoTarget::Busy { soonest: time }) => soonest = Some(time),
             }
         }
         let queue = state.queues.entry(call.service.name.clone()).or_default();
         let waiter = queue.waiters.push(rank);
         let waker = Arc::new(Notify::new());
         queue.wakers.insert(waiter, waker.clone());
-        (waker, waiter)
+        (waker, waiter, ahead)
     };
     let guard = QueueGuard {
         shared,
@@ -154,7 +155,6 @@
         joined: now,
     };
     let wait_end = Instant::now() + queue_timeout(call);
-    let mut soonest = Duration::from_millis(300);
     while timeout_at(wait_end, waker.notified()).await.is_ok() {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
@@ -171,11 +171,16 @@
                 drop(guard);
                 return Ok(reservation);
             }
-            Err(NoTarget::Busy { soonest: time }) => soonest = time,
+            Err(NoTarget::Busy { soonest: time }) => soonest = Some(time),
             Err(NoTarget::NoneEligible) => break,
         }
     }
-    Err(RequestError::Busy(jittered(soonest)))
+    Err(RequestError::Busy(Shortage {
+        retry_after: jittered(soonest.unwrap_or(DEFAULT_RETRY_AFTER)),
+        soonest,
+        limit: first_byte_limit(call, constraints),
+        ahead,
+    }))
 }
 
 /// How long a request may wait in the queue.
@@ -186,6 +191,16 @@
         .min(call.time_left() / 3)
 }
 
+/// The longest predicted time to the first byte with which the request may be sent now.
+fn first_byte_limit(call: &Call, constraints: &Constraints) -> Duration {
+    if constraints.allow_late {
+        return call.time_left();
+    }
+    let limit = call.route.latency_target.mul_f64(FIRST_BYTE_SHARE);
+    let limit = limit.saturating_sub(call.waited()).max(MIN_LIMIT);
+    limit.min(call.time_left())
+}
+
 /// Adds jitter of ±30 % to `time`, so that refused callers don't retry simultaneously.
 fn jittered(time: Duration) -> Duration {
     let time = time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
@@ -213,15 +228,6 @@
         &call.route.regions,
         account.map_or(&[][..], |account| &account.regions),
     ];
-    let first_byte_limit = call.route.latency_target.mul_f64(FIRST_BYTE_SHARE);
-    let limit = first_byte_limit
-        .saturating_sub(call.waited())
-        .max(MIN_LIMIT);
-    let limit = if constraints.allow_late {
-        call.time_left()
-    } else {
-        limit
-    };
     let requirements = TargetRequirements {
         service: &call.service,
         model,
@@ -230,7 +236,7 @@
         size: call.request.work,
         avoid: &constraints.avoid,
         regions: &regions,
-        limit: limit.min(call.time_left()),
+        limit: first_byte_limit(call, constraints),
     };
     let choice = state.placement.choose(now, &requirements)?;
     let Choice {
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -14,6 +14,20 @@
 /// The body of any response of this entry.
 pub(crate) type Body = UnsyncBoxBody<Bytes, BodyError>;
 
+/// The inputs of the decision that no target has capacity for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Shortage {
+    /// The time after which the caller may retry.
+    pub(crate) retry_after: Duration,
+    /// The shortest predicted time to the first byte; none if the request only waited behind
+    /// others.
+    pub(crate) soonest: Option<Duration>,
+    /// The longest predicted time with which it might have been sent when it was refused.
+    pub(crate) limit: Duration,
+    /// The number of requests that were queued before it when it arrived.
+    pub(crate) ahead: usize,
+}
+
 /// Why the entry answers a request with an error of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum RequestError {
@@ -38,9 +52,9 @@
     /// No target can serve the request now; the caller may retry after this time.
     #[display("no target can take the request now")]
     NoTarget(Duration),
-    /// All targets are at capacity; the caller may retry after this time.
+    /// All targets are at capacity.
     #[display("all targets are busy")]
-    Busy(Duration),
+    Busy(Shortage),
     /// A target refused the request, and no other target may be tried.
     #[display("the target refused the request")]
     TargetRefused(Duration),
@@ -86,10 +100,10 @@
         match self {
             Self::NoRules | Self::Stale => Some(Duration::from_millis(50)),
             Self::NoTarget(after)
-            | Self::Busy(after)
             | Self::TargetRefused(after)
             | Self::Suspected(_, after)
             | Self::Quarantined(_, after) => Some(after),
+            Self::Busy(shortage) => Some(shortage.retry_after),
             Self::Expired => Some(Duration::ZERO),
             Self::NoRoute
             | Self::NoAccount
@@ -100,6 +114,14 @@
         }
     }
 
+    /// Why there was no capacity, if that is why the request is refused.
+    pub(crate) fn shortage(self) -> Option<Shortage> {
+        match self {
+            Self::Busy(shortage) => Some(shortage),
+            _ => None,
+        }
+    }
+
     /// The part of the prompt for which the request is refused.
     pub(crate) fn part(self) -> Option<PartId> {
         match self {
