Let the newest request go first, and all kinds wait for the same

Cause: requests waited in the order of arrival, the wait was taken off what their target might take, and the first in the queue held back those behind it; so an entry with a standing queue could only use targets that were nearly idle. Class of fault: a queue whose head can't be served holds back work that could be. Looked for elsewhere: the loopback product queues at the target, where any request takes the next free place.

Now the newest request goes first; while requests are queued, all kinds have one limit, by the shortest latency target among them. The shares stand once, in azurestand_direct, for the daemons and the emulator.

--- a/crates/azurestand_bench/src/load/caller.rs
+++ b/crates/azurestand_bench/src/load/caller.rs
@@ -59,6 +59,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Caller {
     pub(super) class: usize,
+    /// The data centre that it is in, where that matters.
+    pub(super) centre: usize,
     pub(super) arrived: f64,
     pub(super) prompt: u32,
     pub(super) answer: u32,
--- a/crates/azurestand_bench/tests/load.rs
+++ b/crates/azurestand_bench/tests/load.rs
@@ -127,3 +127,20 @@
         assert_eq!(own.failed, 0, "{pattern:?} {own:?}");
     }
 }
+
+/// Callers who get an answer less than half as often as others are starved.
+#[test]
+fn callers_of_a_busy_data_centre_are_served_at_least_half_as_often_as_others() {
+    for seed in 1..=3 {
+        let own = run(&Plan {
+            policy: Policy::Predicted,
+            pattern: Pattern::Uneven,
+            load: 2.0,
+            time: Duration::from_secs(20),
+            seed,
+        });
+        let most = own.served_centres.iter().copied().fold(0.0, f64::max);
+        let least = own.served_centres.iter().copied().fold(1.0, f64::min);
+        assert!(least >= most / 2.0, "seed {seed}: {own:?}");
+    }
+}
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -5,7 +5,8 @@
 //! - [`Directory`] tracks which targets exist and which of them are leaving.
 //! - [`Freshness`] tells whether what this process last read is recent enough to rely on.
 //! - [`Placement`] chooses the target of a request.
-//! - [`RequestQueue`] queues the requests that wait for capacity.
+//! - [`RequestQueue`] queues the requests that wait for capacity; [`first_byte_limit`] and
+//!   [`max_wait`] tell when an answer would come too late to be sent for.
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
 //! - [`SendShare`] and [`SendBucket`] limit the rate at which one entry sends to a target that
 //!   all entries together may send little to.
@@ -23,6 +24,7 @@
 mod engine;
 mod events;
 mod freshness;
+mod lateness;
 mod limit;
 mod part;
 mod pieces;
@@ -39,6 +41,7 @@
 pub use engine::{CostModel, RequestSize};
 pub use events::{EventError, EventSplitter, StreamEvent};
 pub use freshness::Freshness;
+pub use lateness::{first_byte_limit, max_wait};
 pub use limit::{LimitNotice, RateError, RateLimit};
 pub use part::PartId;
 pub use pieces::{Distance, PieceHost, PieceSelector};
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod events;
 mod freshness;
+mod lateness;
 mod pieces;
 mod place;
 mod quarantine;
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -1,9 +1,12 @@
 //! Chooses the target of a request, immediately or after queueing for free capacity.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Choice, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter};
+use azurestand_direct::{
+    Choice, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter, first_byte_limit, max_wait,
+};
 use azurestand_types::Moment;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
@@ -16,12 +19,6 @@
 use crate::metrics::{self, Span};
 use crate::platform::Platform;
 
-/// The part of the route's latency target within which the first byte must be expected.
-const FIRST_BYTE_SHARE: f64 = 0.9;
-/// The part of the route's latency target that a request may spend in the queue.
-const WAIT_SHARE: f64 = 0.45;
-/// The lower bound for the limit of the expected time to the first byte.
-const MIN_LIMIT: Duration = Duration::from_millis(60);
 /// The shortest `Retry-After` of a refused request, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// The `Retry-After` of a request that waited behind others only, before jitter.
@@ -124,7 +121,7 @@
     let rank = Rank {
         priority: call.priority(),
         new_caller: true,
-        arrived_at: call.arrived,
+        arrived_at: Reverse(call.arrived),
     };
     let mut soonest = None;
     let (waker, waiter, ahead) = {
@@ -142,7 +139,7 @@
             }
         }
         let queue = state.queues.entry(call.service.name.clone()).or_default();
-        let waiter = queue.waiters.push(rank);
+        let waiter = queue.waiters.push(rank, call.route.latency_target);
         let waker = Arc::new(Notify::new());
         queue.wakers.insert(waiter, waker.clone());
         (waker, waiter, ahead)
@@ -178,27 +175,27 @@
     Err(RequestError::Busy(Shortage {
         retry_after: jittered(soonest.unwrap_or(DEFAULT_RETRY_AFTER)),
         soonest,
-        limit: first_byte_limit(call, constraints),
+        limit: latest(&shared.state(), call, constraints),
         ahead,
     }))
 }
 
 /// How long a request may wait in the queue.
 fn queue_timeout(call: &Call) -> Duration {
-    let max_wait = call.route.latency_target.mul_f64(WAIT_SHARE);
-    max_wait
+    max_wait(call.route.latency_target)
         .saturating_sub(call.waited())
         .min(call.time_left() / 3)
 }
 
 /// The longest predicted time to the first byte with which the request may be sent now.
-fn first_byte_limit(call: &Call, constraints: &Constraints) -> Duration {
+fn latest(state: &State, call: &Call, constraints: &Constraints) -> Duration {
+    let left = call.time_left();
     if constraints.allow_late {
-        return call.time_left();
+        return left;
     }
-    let limit = call.route.latency_target.mul_f64(FIRST_BYTE_SHARE);
-    let limit = limit.saturating_sub(call.waited()).max(MIN_LIMIT);
-    limit.min(call.time_left())
+    let queue = state.queues.get(&call.service.name);
+    let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.priority()));
+    first_byte_limit(call.route.latency_target, call.waited(), shortest).min(left)
 }
 
 /// Adds jitter of ±30 % to `time`, so that refused callers don't retry simultaneously.
@@ -236,7 +233,7 @@
         size: call.request.work,
         avoid: &constraints.avoid,
         regions: &regions,
-        limit: first_byte_limit(call, constraints),
+        limit: latest(state, call, constraints),
     };
     let choice = state.placement.choose(now, &requirements)?;
     let Choice {
