--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -1,29 +1,28 @@
 //! Chooses the target of a request, immediately or after queueing for free capacity.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Choice, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter};
+use azurestand_direct::{
+    Choice, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter, first_byte_limit, max_wait,
+};
 use azurestand_types::Moment;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use super::call::Call;
 use super::quarantine;
-use super::response::RequestError;
+use super::response::{RequestError, Shortage};
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::metrics::{self, Span};
 use crate::platform::Platform;
 
-/// The part of the route's latency target within which the first byte must be expected.
-const FIRST_BYTE_SHARE: f64 = 0.9;
-/// The part of the route's latency target that a request may spend in the queue.
-const WAIT_SHARE: f64 = 0.45;
-/// The lower bound for the limit of the expected time to the first byte.
-const MIN_LIMIT: Duration = Duration::from_millis(60);
 /// The shortest `Retry-After` of a refused request, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// The `Retry-After` of a request that waited behind others only, before jitter.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The longest `Retry-After` of a refused request, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
@@ -122,29 +121,28 @@
     let rank = Rank {
         priority: call.priority(),
         new_caller: true,
-        arrived_at: call.arrived,
+        arrived_at: Reverse(call.arrived),
     };
-    let (waker, waiter) = {
+    let mut soonest = None;
+    let (waker, waiter, ahead) = {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
-        let is_first = state
-            .queues
-            .get(&call.service.name)
-            .is_none_or(|queue| queue.waiters.ahead(rank) == 0);
-        if is_first {
+        let queue = state.queues.get(&call.service.name);
+        let ahead = queue.map_or(0, |queue| queue.waiters.ahead(rank));
+        if ahead == 0 {
             match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
                 Err(NoTarget::NoneEligible) => {
                     return Err(RequestError::NoTarget(jittered(Duration::from_millis(400))));
                 }
-                Err(NoTarget::Busy { .. }) => {}
+                Err(NoTarget::Busy { soonest: time }) => soonest = Some(time),
             }
         }
         let queue = state.queues.entry(call.service.name.clone()).or_default();
-        let waiter = queue.waiters.push(rank);
+        let waiter = queue.waiters.push(rank, call.route.latency_target);
         let waker = Arc::new(Notify::new());
         queue.wakers.insert(waiter, waker.clone());
-        (waker, waiter)
+        (waker, waiter, ahead)
     };
     let guard = QueueGuard {
         shared,
@@ -154,7 +152,6 @@
         joined: now,
     };
     let wait_end = Instant::now() + queue_timeout(call);
-    let mut soonest = Duration::from_millis(300);
     while timeout_at(wait_end, waker.notified()).await.is_ok() {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
@@ -171,21 +168,36 @@
                 drop(guard);
                 return Ok(reservation);
             }
-            Err(NoTarget::Busy { soonest: time }) => soonest = time,
+            Err(NoTarget::Busy { soonest: time }) => soonest = Some(time),
             Err(NoTarget::NoneEligible) => break,
         }
     }
-    Err(RequestError::Busy(jittered(soonest)))
+    Err(RequestError::Busy(Shortage {
+        retry_after: jittered(soonest.unwrap_or(DEFAULT_RETRY_AFTER)),
+        soonest,
+        limit: latest(&shared.state(), call, constraints),
+        ahead,
+    }))
 }
 
 /// How long a request may wait in the queue.
 fn queue_timeout(call: &Call) -> Duration {
-    let max_wait = call.route.latency_target.mul_f64(WAIT_SHARE);
-    max_wait
+    max_wait(call.route.latency_target)
         .saturating_sub(call.waited())
         .min(call.time_left() / 3)
 }
 
+/// The longest predicted time to the first byte with which the request may be sent now.
+fn latest(state: &State, call: &Call, constraints: &Constraints) -> Duration {
+    let left = call.time_left();
+    if constraints.allow_late {
+        return left;
+    }
+    let queue = state.queues.get(&call.service.name);
+    let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.priority()));
+    first_byte_limit(call.route.latency_target, call.waited(), shortest).min(left)
+}
+
 /// Adds jitter of ±30 % to `time`, so that refused callers don't retry simultaneously.
 fn jittered(time: Duration) -> Duration {
     let time = time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
@@ -213,15 +225,6 @@
         &call.route.regions,
         account.map_or(&[][..], |account| &account.regions),
     ];
-    let first_byte_limit = call.route.latency_target.mul_f64(FIRST_BYTE_SHARE);
-    let limit = first_byte_limit
-        .saturating_sub(call.waited())
-        .max(MIN_LIMIT);
-    let limit = if constraints.allow_late {
-        call.time_left()
-    } else {
-        limit
-    };
     let requirements = TargetRequirements {
         service: &call.service,
         model,
@@ -230,7 +233,7 @@
         size: call.request.work,
         avoid: &constraints.avoid,
         regions: &regions,
-        limit: limit.min(call.time_left()),
+        limit: latest(state, call, constraints),
     };
     let choice = state.placement.choose(now, &requirements)?;
     let Choice {
