Keep a silent target's stream until another target has taken over

Callers saw a stream break off without an end when its target was silent for 1.2 s (or four times the longest pause) in the middle of it, although the target was sound and went on: on routes that may not be resumed always, on resumable ones when no attempt, retry or other target was left.

Cause: the silent target was dropped before it was known whether another one may and can continue. Class: giving up what works before its replacement stands.

Evidence: silence::* failed before: the caller got the first event and a reset, after 1.2 s where the route allowed 3 s; both streams that no other target resumes ended the same way.

Now the silent target is still read while another one is sought; the first that writes an event, or takes over, wins. With none, the stream waits until its time ends. Bytes that complete no event for two idle times are no silence and break the stream as before (endless::*).

--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -136,6 +136,16 @@
         Err(RequestError::Unknown)
     }
 
+    /// Records that the target of a stream is silent; it may still go on.
+    pub(crate) fn record_silence(&self, target: &Arc<Target>) {
+        self.record_fault(target, Fault::Silent, "silent");
+    }
+
+    /// Whether another target may take over from this one, which may go on at any moment.
+    pub(crate) fn may_replace(&mut self, target: &Arc<Target>) -> bool {
+        self.try_another(target).is_ok()
+    }
+
     pub(super) fn timed_out(
         &mut self,
         target: &Arc<Target>,
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -1,19 +1,21 @@
 //! Forwards a stream of events; only complete events are forwarded.
 //!
-//! When a target's stream breaks or stalls, another target continues after the last event
-//! that the caller has received, where the route allows it. The response keeps the head
-//! from its first target. A stream that can't be continued ends with a broken connection,
-//! never as a complete response.
+//! When a target's stream breaks, another target continues after the last event that the
+//! caller has received, where the route allows it. When a target falls silent, it is given up
+//! only once another one has taken over, since it may go on at any moment. The response keeps
+//! the head from its first target. A stream that can't be continued ends with a broken
+//! connection, never as a complete response.
 
 use std::pin::Pin;
 use std::time::Duration;
 
-use azurestand_direct::{EventSplitter, Fault};
+use azurestand_direct::{EventSplitter, Fault, StreamEvent};
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use tokio::task::coop::consume_budget;
 use tokio::time::{Instant, timeout_at};
 
 use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES, QUARANTINED};
@@ -26,10 +28,15 @@
 use crate::metrics::{self, Span};
 use crate::platform::Platform;
 
-/// A stream is resumed at another target when idle for this many times the longest pause.
+/// Another target is sought for a stream that is idle for this many times the longest pause.
 const IDLE_FACTOR: u32 = 4;
-/// The shortest idle time after which a stream is resumed at another target.
+/// The shortest idle time after which another target is sought.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A target isn't silent, and its stream is broken, when bytes arrive for so many idle times
+/// and complete no event.
+const MAX_UNFINISHED_TIMES: u32 = 2;
+/// Why a stream ends whose target was silent until the end of its time.
+const SILENT: &str = "silent";
 
 /// The state of a stream that is being forwarded.
 struct Forwarder<P> {
@@ -40,6 +47,8 @@
     /// When events were last forwarded.
     last_forward: Option<Instant>,
     idle_timeout: Duration,
+    /// Idle times in a row in which bytes arrived and completed no event.
+    unfinished_times: u32,
     /// Completes when a part of the prompt is quarantined; none once the target has gone on
     /// writing the answer.
     quarantined: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
@@ -57,10 +66,13 @@
 }
 
 /// The result of reading from a body.
-enum Chunk {
-    Bytes(Bytes),
+enum Read {
+    /// At least one complete event.
+    Events(Vec<StreamEvent>),
     End,
     Broken(String),
+    /// No event was completed for the idle time.
+    Silent,
     /// A part of the prompt was quarantined before the target had written anything.
     Quarantined,
 }
@@ -83,6 +95,7 @@
         events: 0,
         last_forward: None,
         idle_timeout: (gap_target * IDLE_FACTOR).max(MIN_IDLE_TIMEOUT),
+        unfinished_times: 0,
         quarantined: None,
     };
     forwarder.set_source(opened);
@@ -113,6 +126,7 @@
         let parts = call.request.parts.clone();
         let quarantined = quarantine::until_quarantined(self.delivery.shared.clone(), parts);
         self.quarantined = Some(Box::pin(quarantined));
+        self.unfinished_times = 0;
         self.source = Some(Source {
             is_delimited: opened.is_delimited(),
             body: opened.body,
@@ -124,46 +138,55 @@
 
     /// The next complete events; none at the end of the stream.
     async fn next_events(&mut self) -> Result<Option<Bytes>, BodyError> {
-        let mut idle_at = self.idle_at();
         loop {
-            let Some(source) = self.source.as_mut() else {
-                return Ok(None);
-            };
-            let read = read_chunk_until(&mut source.body, idle_at);
-            let chunk = match self.quarantined.as_mut() {
-                Some(quarantined) => tokio::select! {
-                    biased;
-                    () = quarantined => Chunk::Quarantined,
-                    chunk = read => chunk,
-                },
-                None => read.await,
-            };
-            match chunk {
-                Chunk::Bytes(bytes) => match self.splitter.push(&bytes) {
-                    Ok(events) if events.is_empty() => {}
-                    Ok(events) => return Ok(Some(self.forward(&events))),
-                    Err(error) => {
-                        self.resume(&error.to_string()).await?;
-                        idle_at = self.idle_at();
-                    }
-                },
-                Chunk::End if self.is_complete().await => {
+            let mut read = self.read().await;
+            if matches!(read, Read::Silent) {
+                read = match self.replace_silent().await? {
+                    Some(read) => read,
+                    None => continue,
+                };
+            }
+            match read {
+                Read::Events(events) => return Ok(Some(self.forward(&events))),
+                Read::End if self.is_complete().await => {
                     self.finish();
                     return Ok(None);
                 }
-                Chunk::End => {
-                    self.resume("the stream ended early").await?;
-                    idle_at = self.idle_at();
-                }
-                Chunk::Broken(why) => {
-                    self.resume(&why).await?;
-                    idle_at = self.idle_at();
-                }
-                Chunk::Quarantined => return Err(self.withdraw()),
+                Read::End => self.resume("the stream ended early").await?,
+                Read::Broken(why) => self.resume(&why).await?,
+                Read::Silent => {}
+                Read::Quarantined => return Err(self.withdraw()),
             }
         }
     }
 
+    /// Reads from the current target until it has completed an event or counts as silent.
+    async fn read(&mut self) -> Read {
+        let idle_at = self.idle_at();
+        let Some(source) = self.source.as_mut() else {
+            return Read::End;
+        };
+        let mut has_bytes = false;
+        let read = read_events(&mut source.body, &mut self.splitter, &mut has_bytes);
+        let read = timeout_at(idle_at, read);
+        let read = match self.quarantined.as_mut() {
+            Some(quarantined) => tokio::select! {
+                biased;
+                () = quarantined => return Read::Quarantined,
+                read = read => read,
+            },
+            None => read.await,
+        };
+        self.unfinished_times = match read {
+            Err(_) if has_bytes => self.unfinished_times + 1,
+            _ => 0,
+        };
+        if self.unfinished_times >= MAX_UNFINISHED_TIMES {
+            return Read::Broken("its event doesn't end".to_owned());
+        }
+        read.unwrap_or(Read::Silent)
+    }
+
     /// Whether a stream that has ended is complete: it ends between events, and, if only the end
     /// of its connection tells its end, after at least one of a target that is still there.
     async fn is_complete(&mut self) -> bool {
@@ -183,7 +206,7 @@
         Instant::now() + self.idle_timeout.min(self.delivery.call.time_left())
     }
 
-    fn forward(&mut self, events: &[azurestand_direct::StreamEvent]) -> Bytes {
+    fn forward(&mut self, events: &[StreamEvent]) -> Bytes {
         if let Some(source) = self.source.as_mut() {
             source.reservation.record_first_byte();
         }
@@ -269,42 +292,24 @@
         }
     }
 
-    /// Resumes the stream at another target after the last event that the caller has.
+    /// Resumes a broken stream at another target after the last event that the caller has.
     async fn resume(&mut self, why: &str) -> Result<(), BodyError> {
         let Some(source) = self.source.take() else {
             return Err(why.into());
         };
         let target = source.reservation.target.clone();
         drop(source);
-        self.splitter.discard_partial();
-        let fault = if why == "silent" {
-            Fault::Silent
-        } else {
-            Fault::Failed
-        };
         if self.delivery.call.time_left().is_zero() {
             return Err(self.abort(why));
         }
-        let failed = match fault {
-            Fault::Silent => self.delivery.failed(&target, fault, why),
-            _ => self.delivery.broke(&target, fault, why).await,
-        };
+        let failed = self.delivery.broke(&target, Fault::Failed, why).await;
         if failed.is_err() {
             return Err(self.abort(why));
         }
-        self.delivery.last_event = self
-            .splitter
-            .last()
-            .or(self.delivery.call.request.last_event);
-        self.delivery.constraints.allow_late = true;
+        self.resume_after_last_event();
         match self.delivery.open().await {
             Ok(opened) if opened.head.status.is_success() => {
-                LogEvent::Resumed.log(&[
-                    ("request", self.delivery.call.id().into()),
-                    ("target", opened.reservation.target.id.as_ref().into()),
-                    ("after", self.delivery.last_event.into()),
-                ]);
-                self.set_source(opened);
+                self.continue_at(opened);
                 Ok(())
             }
             Ok(opened) => Err(self.abort(opened.head.status.as_str())),
@@ -312,6 +317,64 @@
         }
     }
 
+    /// Seeks another target for a stream whose target is silent; returns what that one has
+    /// sent meanwhile, none if another target has taken over or can't.
+    async fn replace_silent(&mut self) -> Result<Option<Read>, BodyError> {
+        if self.delivery.call.time_left().is_zero() {
+            return Err(self.abort(SILENT));
+        }
+        let Some(source) = self.source.as_ref() else {
+            return Ok(None);
+        };
+        let target = source.reservation.target.clone();
+        self.delivery.record_silence(&target);
+        if !self.delivery.may_replace(&target) {
+            return Ok(None);
+        }
+        self.resume_after_last_event();
+        let written = self.delivery.written;
+        let Some(source) = self.source.as_mut() else {
+            return Ok(None);
+        };
+        let mut has_bytes = false;
+        let goes_on = read_events(&mut source.body, &mut self.splitter, &mut has_bytes);
+        let raced = tokio::select! {
+            biased;
+            read = goes_on => Err(read),
+            opened = self.delivery.open() => Ok(opened),
+        };
+        match raced {
+            Ok(Ok(opened)) if opened.head.status.is_success() => {
+                self.continue_at(opened);
+                Ok(None)
+            }
+            Ok(_) => {
+                self.delivery.written = written;
+                Ok(None)
+            }
+            Err(read) => {
+                self.delivery.written = written;
+                Ok(Some(read))
+            }
+        }
+    }
+
+    fn resume_after_last_event(&mut self) {
+        let before = self.delivery.call.request.last_event;
+        self.delivery.last_event = self.splitter.last().or(before);
+        self.delivery.constraints.allow_late = true;
+    }
+
+    fn continue_at(&mut self, opened: OpenResponse<P>) {
+        LogEvent::Resumed.log(&[
+            ("request", self.delivery.call.id().into()),
+            ("target", opened.reservation.target.id.as_ref().into()),
+            ("after", self.delivery.last_event.into()),
+        ]);
+        self.splitter.discard_partial();
+        self.set_source(opened);
+    }
+
     /// Cancels the request at its target, which would crash.
     fn withdraw(&mut self) -> BodyError {
         if let Some(source) = self.source.take() {
@@ -332,26 +395,23 @@
     }
 }
 
-/// Reads until `idle_at`, also if bytes that complete no new event keep arriving.
-async fn read_chunk_until(body: &mut ResponseBody, idle_at: Instant) -> Chunk {
-    let silent = || Chunk::Broken("silent".to_owned());
-    if Instant::now() >= idle_at {
-        return silent();
-    }
-    let chunk = timeout_at(idle_at, read_chunk(body)).await;
-    chunk.unwrap_or_else(|_| silent())
-}
-
-async fn read_chunk(body: &mut ResponseBody) -> Chunk {
+/// Reads until an event is complete, and tells whether any bytes have arrived.
+async fn read_events(
+    body: &mut ResponseBody,
+    splitter: &mut EventSplitter,
+    has_bytes: &mut bool,
+) -> Read {
     loop {
-        match body.frame().await {
-            None => return Chunk::End,
-            Some(Err(error)) => return Chunk::Broken(error.to_string()),
-            Some(Ok(frame)) => {
-                if let Ok(bytes) = frame.into_data() {
-                    return Chunk::Bytes(bytes);
-                }
-            }
+        let bytes = match body.frame().await {
+            None => return Read::End,
+            Some(Err(error)) => return Read::Broken(error.to_string()),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        *has_bytes |= !bytes.is_empty();
+        match splitter.push(&bytes) {
+            Ok(events) if events.is_empty() => consume_budget().await,
+            Ok(events) => return Read::Events(events),
+            Err(error) => return Read::Broken(error.to_string()),
         }
     }
 }
