Count a request as open until its response has ended

Callers saw a stream cut, and the next request that they had sent meanwhile without an answer, when they sent bytes during a stream: a second request on the connection, or a blank line.

Cause: the timer of a slow request head took a request as ended when the head of its response was ready. Class: a state that ends with an earlier step than the one that it stands for.

A guard now opens the request when its head has arrived and closes it when the last frame of the response was taken or the request is dropped, so no path can leave it open or end it early.

Sought elsewhere: queues, reservations and retries are released by guards already.

--- a/crates/azurestand_gateway/src/entry/connections.rs
+++ b/crates/azurestand_gateway/src/entry/connections.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves the requests on them.
 
 mod head_timer;
+mod open_request;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use crate::log::LogEvent;
 use crate::platform::Platform;
 use head_timer::{HeadTimer, TimedStream};
+use open_request::OpenRequest;
 
 /// How long a connection may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(20);
@@ -82,12 +84,11 @@
     let io = TokioIo::new(TimedStream::new(stream, timer.clone()));
     let request_timer = timer.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (shared, request_timer) = (shared.clone(), request_timer.clone());
+        let shared = shared.clone();
+        let open = OpenRequest::begin(request_timer.clone());
         async move {
-            request_timer.begin_request();
             let response = respond(shared, request).await;
-            request_timer.end_request();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(open.track(response))
         }
     });
     let connection = graceful.watch(builder.serve_connection(io, service));
--- a/crates/azurestand_gateway/src/entry/connections/head_timer.rs
+++ b/crates/azurestand_gateway/src/entry/connections/head_timer.rs
@@ -51,7 +51,7 @@
         arrival.head_start = None;
     }
 
-    /// Records that the response head is ready to be sent.
+    /// Records that the response has ended.
     pub(super) fn end_request(&self) {
         let mut arrival = self.arrival();
         arrival.open_requests = arrival.open_requests.saturating_sub(1);
