Hold open connections to the time limits of the configuration in force

Callers saw a connection closed under a request that the limits in force allow: after a configuration raised idle_timeout_ms they reuse a connection up to four fifths of the new limit, after one raised header_timeout_ms a head may take longer, and both were cut by the limits of the time when the connection was opened.

Cause: both limits were read once, when the connection was accepted. Class: a setting that is copied at the start of a long-lived object and never updated.

Evidence: a_longer_idle_limit_holds_for_open_connections and a_longer_head_limit_holds_for_open_connections failed before, with the connection closed and no answer.

Now the entry measures both times itself and asks for the limits in force when one seems exceeded; the HTTP library's single fixed limit is off. What has arrived is read before a limit may close the connection, so an entry that stood still doesn't close one whose next request is already there.

Sought elsewhere: max_header_bytes still binds as of the opening (a buffer size of the HTTP library); max_body_bytes is read for each request.

--- a/crates/azurestand_gateway/src/entry/connections.rs
+++ b/crates/azurestand_gateway/src/entry/connections.rs
@@ -1,7 +1,7 @@
 //! Accepts callers' connections and serves the requests on them.
 
-mod head_timer;
 mod open_request;
+mod timer;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
@@ -22,8 +22,8 @@
 use super::shared::Shared;
 use crate::log::LogEvent;
 use crate::platform::Platform;
-use head_timer::{HeadTimer, TimedStream};
 use open_request::OpenRequest;
+use timer::{ConnectionTimer, Exceeded, TimeLimits, TimedStream};
 
 /// How long a connection may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(20);
@@ -71,18 +71,14 @@
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
     let limits = shared.state().rules.as_ref().map(|rules| rules.limits());
-    let idle = limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time + IDLE_MARGIN);
     let head = limits.map_or(DEFAULT_HEAD, |limits| limits.head_bytes.max(MIN_HEAD));
     let mut builder = Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head);
-    let head_time = limits.map_or(DEFAULT_HEAD_TIME, |limits| limits.head_time);
+    builder.header_read_timeout(None).max_buf_size(head);
     let shared = shared.clone();
-    let timer = HeadTimer::default();
+    let timer = ConnectionTimer::default();
     let io = TokioIo::new(TimedStream::new(stream, timer.clone()));
     let request_timer = timer.clone();
+    let limited = shared.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let shared = shared.clone();
         let open = OpenRequest::begin(request_timer.clone());
@@ -93,14 +89,28 @@
     });
     let connection = graceful.watch(builder.serve_connection(io, service));
     tokio::spawn(async move {
-        tokio::select! {
+        let exceeded = tokio::select! {
+            // What has arrived is read before a limit may close the connection.
+            biased;
             // A caller that closes its connection isn't logged.
-            _ = connection => {}
-            () = timer.head_late(head_time) => LogEvent::HeadLate.log(&[]),
+            _ = connection => return,
+            exceeded = timer.exceeded(|| time_limits(&limited)) => exceeded,
+        };
+        if exceeded == Exceeded::Head {
+            LogEvent::HeadLate.log(&[]);
         }
     });
 }
 
+/// The limits in force, which a new configuration may change for open connections too.
+fn time_limits<P>(shared: &Shared<P>) -> TimeLimits {
+    let limits = shared.state().rules.as_ref().map(|rules| rules.limits());
+    TimeLimits {
+        head: limits.map_or(DEFAULT_HEAD_TIME, |limits| limits.head_time),
+        idle: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time + IDLE_MARGIN),
+    }
+}
+
 async fn respond<P>(shared: Arc<Shared<P>>, request: Request<Incoming>) -> Response<Body>
 where
     P: Platform,
--- a/crates/azurestand_gateway/src/entry/connections/open_request.rs
+++ b/crates/azurestand_gateway/src/entry/connections/open_request.rs
@@ -8,18 +8,18 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, SizeHint};
 
-use super::head_timer::HeadTimer;
+use super::timer::ConnectionTimer;
 use crate::entry::response::{Body, BodyError};
 
 /// A request that is being handled; it is open until dropped.
 #[derive(Debug)]
 pub(super) struct OpenRequest {
-    timer: HeadTimer,
+    timer: ConnectionTimer,
 }
 
 impl OpenRequest {
     /// Begins a request whose head has arrived.
-    pub(super) fn begin(timer: HeadTimer) -> Self {
+    pub(super) fn begin(timer: ConnectionTimer) -> Self {
         timer.begin_request();
         Self { timer }
     }
