Read the body of a refused request before the refusal is sent

Callers that were still sending a body saw a broken connection in place of the refusal (401, 404, 413, 503 while the configuration is out of date), and lost their connection with it: most often beside a change of the configuration, when entries don't know a new route yet or can't prove theirs.

Cause: refusals were sent before the body was read. The HTTP library drains only what it holds and then closes; a close with unread bytes resets the connection, and the caller's next write fails. Class: an answer that the peer can't read since it is still sending.

Evidence: a_refusal_before_the_body_has_arrived_reaches_its_caller and the_refusal_of_a_body_that_is_too_large_reaches_its_caller failed before with a broken pipe at the caller.

Now the rest of the body is read first, at most 2 MiB and for the time that a head may take; a caller that waits for 100 Continue is refused at once.

Sought elsewhere: all other answers follow a whole body; a body that did not arrive in time is answered 408 as before.

--- a/crates/azurestand_gateway/src/entry/filter.rs
+++ b/crates/azurestand_gateway/src/entry/filter.rs
@@ -18,6 +18,10 @@
 use crate::log::LogEvent;
 use crate::platform::{Platform, RequestHead};
 
+/// How much of a body is read in vain, in bytes, so that its caller gets the refusal.
+const MAX_DISCARDED_BYTES: usize = 2 << 20;
+/// How long a body is read in vain while no configuration is known.
+const DEFAULT_DISCARD_TIME: Duration = Duration::from_secs(3);
 /// The deadline of requests that state none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 
@@ -35,15 +39,18 @@
     P: Platform,
 {
     let arrived = BootClock.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let request = shared.platform.read_request(&head);
-    let destination = match find_destination(shared, &head, &request) {
-        Ok(destination) => destination,
-        Err(error) => return error_response(&request, error),
-    };
-    let body = match read_body(body, destination.limits).await {
-        Ok(body) => body,
-        Err(error) => return error_response(&request, error),
+    let checked = check(shared, &head, &request, &mut body).await;
+    let (destination, body) = match checked {
+        Ok(checked) => checked,
+        Err(error) => {
+            // The time for a body that did not arrive is over.
+            if error != RequestError::NoBody {
+                discard_body(shared, &head, body).await;
+            }
+            return error_response(&request, error);
+        }
     };
     let deadline = arrived + request.deadline.unwrap_or(DEFAULT_DEADLINE);
     let call = Call {
@@ -60,6 +67,42 @@
     deliver::run(shared.clone(), call).await
 }
 
+async fn check<P>(
+    shared: &Shared<P>,
+    head: &request::Parts,
+    request: &RequestHead,
+    body: &mut Incoming,
+) -> Result<(Destination, Bytes), RequestError>
+where
+    P: Platform,
+{
+    let destination = find_destination(shared, head, request)?;
+    let body = read_body(body, destination.limits).await?;
+    Ok((destination, body))
+}
+
+/// Reads what is left of the body of a refused request. A connection that is closed with
+/// unread bytes is reset, and the caller may never see the refusal.
+async fn discard_body<P>(shared: &Shared<P>, head: &request::Parts, mut body: Incoming) {
+    // Such a caller sends the body only when asked to, and reading it would ask.
+    if head.headers.contains_key(header::EXPECT) {
+        return;
+    }
+    let limits = shared.state().rules.as_ref().map(|rules| rules.limits());
+    let limit = limits.map_or(DEFAULT_DISCARD_TIME, |limits| limits.head_time);
+    let discard = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+            if discarded > MAX_DISCARDED_BYTES {
+                break;
+            }
+        }
+    };
+    // The refusal is sent either way.
+    let _ = timeout(limit, discard).await;
+}
+
 fn error_response(request: &RequestHead, error: RequestError) -> Response<Body> {
     LogEvent::Refused.log(&[
         ("request", request.id.as_deref().unwrap_or("-").into()),
@@ -120,7 +163,7 @@
     Some(host.split(':').next().unwrap_or(host))
 }
 
-async fn read_body(body: Incoming, limits: InputLimits) -> Result<Bytes, RequestError> {
+async fn read_body(body: &mut Incoming, limits: InputLimits) -> Result<Bytes, RequestError> {
     let body = Limited::new(body, limits.body_bytes).collect();
     let body = timeout(limits.head_time, body).await;
     let body = body.map_err(|_| RequestError::NoBody)?;
