Keep a request at its silent target until another one is reserved

Callers of idempotent requests and of streams that may be resumed got 502 when the target had sent no head for 1.5 s, although it was sound and would have answered: the request had left it and no other target was free, no retry was in the budget, or the service had no other target.

Cause: the attempt was cancelled by a timeout, and only then was it asked whether and where the request may go on: the class of the streams' fault.

Evidence: a_request_that_no_other_target_takes_waits_for_its_silent_target failed before with 502.

Now a retry and a free target are reserved first, without queueing, and the silent target may answer until then; without one the request stays there until its time ends. Streams in progress use the same reservation, so that a silence costs no retry when nobody can take over.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -73,7 +73,7 @@
 }
 
 /// A peer's address and its incarnation; the incarnation is empty where it doesn't matter.
-type PeerKey = (SocketAddr, Arc<str>);
+pub(crate) type PeerKey = (SocketAddr, Arc<str>);
 
 /// A pooled connection without a call in progress.
 #[derive(Debug)]
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -17,18 +17,18 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::call::Call;
 use super::exchange::{Topic, log_limit};
 use super::memory;
-use super::place::{Constraints, Reservation, place};
+use super::place::{Constraints, Reservation, place, try_place};
 use super::quarantine;
 use super::response::{Body, RequestError, full};
 use super::shared::Shared;
 use super::stream;
 use super::withdrawal::until_expired;
-use crate::client::{ActiveConnection, CallError, ResponseBody, Reuse};
+use crate::client::{ActiveConnection, CallError, PeerKey, ResponseBody, Reuse};
 use crate::clock::BootClock;
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
@@ -36,10 +36,12 @@
 
 /// The largest response that isn't a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Another target is tried after this many times the expected time to the first byte.
+/// Another target is sought after this many times the expected time to the first byte.
 const HEAD_TIMEOUT_FACTOR: u32 = 3;
-/// The shortest wait for a response head before another target is tried.
+/// The shortest wait for a response head before another target is sought.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The interval at which another target is sought in place of a silent one.
+const REPLACE_INTERVAL: Duration = Duration::from_millis(100);
 /// The `Retry-After` of a request that a target refused or that could not be sent to any.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -74,6 +76,13 @@
     pub(crate) batches: u32,
 }
 
+/// What is sent to a target, and over which connection.
+struct Attempt {
+    key: PeerKey,
+    request: Request<Full<Bytes>>,
+    reuse: Reuse,
+}
+
 /// A request with the state of its attempts.
 pub(crate) struct Delivery<P> {
     pub(crate) shared: Arc<Shared<P>>,
@@ -89,6 +98,8 @@
     pub(crate) written: Written,
     /// Whether a target may have run the request.
     maybe_ran: bool,
+    /// The target of the next attempt, reserved when the last one was silent.
+    replacement: Option<Reservation<P>>,
 }
 
 /// Sends the request and returns the response for its caller.
@@ -108,6 +119,7 @@
         ended_targets: 0,
         written: Written::default(),
         maybe_ran: false,
+        replacement: None,
     };
     let is_stream = delivery.call.route.kind.is_stream();
     loop {
@@ -136,15 +148,24 @@
             if self.call.time_left().is_zero() {
                 return Err(self.expiry_error());
             }
-            let reservation = place(&self.shared, &self.call, &self.constraints).await?;
-            let limit = self.head_timeout(&reservation);
+            let reservation = match self.replacement.take() {
+                Some(reservation) => reservation,
+                None => place(&self.shared, &self.call, &self.constraints).await?,
+            };
             let target = reservation.target.clone();
             let expiry = self.expiry(&reservation);
             let parts = self.call.request.parts.clone();
             let quarantined = quarantine::until_quarantined(self.shared.clone(), parts);
+            let patience = patience(&reservation);
+            let shared = self.shared.clone();
+            let Attempt {
+                key,
+                request,
+                reuse,
+            } = self.begin_attempt(&reservation);
             let sent = tokio::select! {
                 biased;
-                sent = timeout(limit, self.send(reservation)) => sent,
+                sent = shared.client.send(&key, request, reuse) => sent,
                 () = expiry => {
                     self.log_withdrawn(&target, "it had not begun when its weights expired");
                     self.try_another(&target)?;
@@ -154,19 +175,27 @@
                     self.log_withdrawn(&target, QUARANTINED);
                     return Err(RequestError::Unknown);
                 }
+                () = self.replace_silent(&target, patience) => {
+                    self.timed_out(&target, reservation.age())?;
+                    continue;
+                }
             };
             match sent {
-                Ok(Ok(opened)) => {
+                Ok((response, connection)) => {
+                    let opened = self.receive(response, connection, reservation);
                     if let Some(opened) = self.check_response(opened)? {
                         return Ok(opened);
                     }
                 }
-                Ok(Err(CallError::NotSent(reason))) => self.unsent(&target, &reason)?,
-                Ok(Err(error)) => {
+                Err(CallError::NotSent(reason)) => {
+                    drop(reservation);
+                    self.unsent(&target, &reason)?;
+                }
+                Err(error) => {
+                    drop(reservation);
                     self.broke(&target, Fault::Unreachable, &error.to_string())
                         .await?;
                 }
-                Err(_) => self.timed_out(&target, limit)?,
             }
         }
     }
@@ -194,20 +223,46 @@
         }
     }
 
-    /// How long to wait for the head of a response.
-    fn head_timeout(&self, reservation: &Reservation<P>) -> Duration {
-        let left = self.call.time_left();
-        let can_retry =
-            self.call.route.kind.may_repeat() && self.sends + 1 < self.call.route.attempts.max(1);
-        if can_retry {
-            let limit = (reservation.expected * HEAD_TIMEOUT_FACTOR).max(MIN_HEAD_TIMEOUT);
-            left.min(limit)
-        } else {
-            left
+    /// Completes when another target is reserved in place of a silent one, or the time is
+    /// over. The silent one may still answer until then.
+    async fn replace_silent(&mut self, target: &Arc<Target>, patience: Duration) {
+        sleep(patience.min(self.call.time_left())).await;
+        if self.may_try_another() && !self.call.time_left().is_zero() {
+            self.record_silence(target);
+        }
+        while !self.call.time_left().is_zero() {
+            if self.reserve_other(target) {
+                return;
+            }
+            sleep(REPLACE_INTERVAL.min(self.call.time_left())).await;
+        }
+    }
+
+    /// Reserves another target for the next attempt, if one is free and the request may go
+    /// there; returns whether it is reserved.
+    pub(crate) fn reserve_other(&mut self, target: &Target) -> bool {
+        if !self.may_try_another() {
+            return false;
         }
+        let mut constraints = self.constraints.clone();
+        constraints.avoid.push(target.id.clone());
+        let Some(reservation) = try_place(&self.shared, &self.call, &constraints) else {
+            return false;
+        };
+        if !self.spend_retry() {
+            return false;
+        }
+        self.replacement = Some(reservation);
+        true
+    }
+
+    /// Goes on with a target that had `written` this before another one was sought.
+    pub(crate) fn stay(&mut self, written: Written) {
+        self.replacement = None;
+        self.written = written;
     }
 
-    async fn send(&mut self, reservation: Reservation<P>) -> Result<OpenResponse<P>, CallError> {
+    fn begin_attempt(&mut self, reservation: &Reservation<P>) -> Attempt {
         self.sends += 1;
         self.written = Written::default();
         let target = &reservation.target;
@@ -232,8 +287,20 @@
             RouteKind::NonIdempotent => Reuse::Never,
             RouteKind::Idempotent | RouteKind::Streaming { .. } => Reuse::Pooled,
         };
-        let key = (target.address, incarnation(target));
-        let (response, connection) = self.shared.client.send(&key, request, reuse).await?;
+        Attempt {
+            key: (target.address, incarnation(target)),
+            request,
+            reuse,
+        }
+    }
+
+    fn receive(
+        &mut self,
+        response: Response<ResponseBody>,
+        connection: ActiveConnection,
+        reservation: Reservation<P>,
+    ) -> OpenResponse<P> {
+        let target = &reservation.target;
         let (head, body) = response.into_parts();
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
@@ -243,13 +310,13 @@
             let mut state = self.shared.state();
             state.placement.record_load(now, target, load);
         }
-        Ok(OpenResponse {
+        OpenResponse {
             head,
             body,
             connection,
             reservation,
             response,
-        })
+        }
     }
 
     /// Records the rate limit that an answer of `target` names, and tells other entries if it
@@ -370,6 +437,11 @@
     }
 }
 
+/// How long to wait for the head of a response before another target is sought.
+fn patience<P>(reservation: &Reservation<P>) -> Duration {
+    (reservation.expected * HEAD_TIMEOUT_FACTOR).max(MIN_HEAD_TIMEOUT)
+}
+
 /// Identifies the incarnation of a target; a connection is reused for one incarnation only.
 fn incarnation(target: &Target) -> Arc<str> {
     format!("{}@{}", target.id, target.started_at).into()
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -127,38 +127,44 @@
     ///
     /// [`RequestError::Unknown`] if it may not be repeated.
     pub(super) fn try_another(&mut self, target: &Arc<Target>) -> Result<(), RequestError> {
-        self.maybe_ran = true;
-        self.constraints.avoid.push(target.id.clone());
-        let may_repeat = self.may_repeat() && self.ended_targets < MAX_ENDED_TARGETS;
-        if may_repeat && self.spend_retry() {
+        self.leave(target);
+        if self.may_try_another() && self.spend_retry() {
             return Ok(());
         }
         Err(RequestError::Unknown)
     }
 
-    /// Records that the target of a stream is silent; it may still go on.
-    pub(crate) fn record_silence(&self, target: &Arc<Target>) {
-        self.record_fault(target, Fault::Silent, "silent");
+    /// Whether another target may be tried although this one may have run the request.
+    pub(super) fn may_try_another(&self) -> bool {
+        self.may_repeat() && self.ended_targets < MAX_ENDED_TARGETS
+    }
+
+    /// Excludes a target that may have run the request from the next attempts.
+    pub(crate) fn leave(&mut self, target: &Target) {
+        self.maybe_ran = true;
+        self.constraints.avoid.push(target.id.clone());
     }
 
-    /// Whether another target may take over from this one, which may go on at any moment.
-    pub(crate) fn may_replace(&mut self, target: &Arc<Target>) -> bool {
-        self.try_another(target).is_ok()
+    /// Records that the target is silent; it may still go on.
+    pub(crate) fn record_silence(&self, target: &Arc<Target>) {
+        self.record_fault(target, Fault::Silent, "silent");
     }
 
+    /// Handles a target that has sent no response in time; another one may be reserved.
     pub(super) fn timed_out(
         &mut self,
         target: &Arc<Target>,
         waited: Duration,
     ) -> Result<(), RequestError> {
-        if self.call.time_left().is_zero() {
-            // A missed deadline that was short is no sign of a faulty target.
-            if waited >= MIN_HEAD_TIMEOUT {
-                self.record_fault(target, Fault::Silent, "no answer in time");
-            }
-            return Err(RequestError::TimedOut);
+        if self.replacement.is_some() {
+            self.leave(target);
+            return Ok(());
+        }
+        // A missed deadline that was short is no sign of a faulty target.
+        if waited >= MIN_HEAD_TIMEOUT {
+            self.record_fault(target, Fault::Silent, "no answer in time");
         }
-        self.failed(target, Fault::Silent, "silent")
+        Err(RequestError::TimedOut)
     }
 
     pub(super) fn record_fault(&self, target: &Arc<Target>, fault: Fault, reason: &str) {
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -119,19 +119,11 @@
     P: Platform,
 {
     let now = BootClock.now();
-    let rank = Rank {
-        priority: call.priority(),
-        new_caller: true,
-        arrived_at: call.arrived,
-    };
+    let rank = rank(call);
     let (waker, waiter) = {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
-        let is_first = state
-            .queues
-            .get(&call.service.name)
-            .is_none_or(|queue| queue.waiters.ahead(rank) == 0);
-        if is_first {
+        if is_first(&state, call) {
             match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
                 Err(NoTarget::NoneEligible) => {
@@ -178,6 +170,38 @@
     Err(RequestError::Busy(jittered(soonest)))
 }
 
+/// Reserves capacity at a target for `call` if one is free at once and no more urgent request
+/// waits.
+pub(crate) fn try_place<P>(
+    shared: &Arc<Shared<P>>,
+    call: &Call,
+    constraints: &Constraints,
+) -> Option<Reservation<P>>
+where
+    P: Platform,
+{
+    let now = BootClock.now();
+    let mut state = shared.state();
+    let trial = quarantine::admit(&state, call, constraints.crashed).ok()?;
+    if !is_first(&state, call) {
+        return None;
+    }
+    choose(shared, &mut state, now, call, constraints, trial).ok()
+}
+
+fn is_first(state: &State, call: &Call) -> bool {
+    let queue = state.queues.get(&call.service.name);
+    queue.is_none_or(|queue| queue.waiters.ahead(rank(call)) == 0)
+}
+
+fn rank(call: &Call) -> Rank {
+    Rank {
+        priority: call.priority(),
+        new_caller: true,
+        arrived_at: call.arrived,
+    }
+}
+
 /// How long a request may wait in the queue.
 fn queue_timeout(call: &Call) -> Duration {
     let max_wait = call.route.latency_target.mul_f64(WAIT_SHARE);
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -63,6 +63,8 @@
     version: Option<u64>,
     /// Whether the head tells how the body ends, rather than the end of the connection.
     is_delimited: bool,
+    /// Whether its silence since its last event was recorded.
+    is_silent: bool,
 }
 
 /// The result of reading from a body.
@@ -133,6 +135,7 @@
             connection: opened.connection,
             reservation: opened.reservation,
             version: opened.response.version,
+            is_silent: false,
         });
     }
 
@@ -209,6 +212,7 @@
     fn forward(&mut self, events: &[StreamEvent]) -> Bytes {
         if let Some(source) = self.source.as_mut() {
             source.reservation.record_first_byte();
+            source.is_silent = false;
         }
         self.delivery.written.batches += 1;
         if self.delivery.written.batches == PROVEN_BATCHES {
@@ -323,15 +327,18 @@
         if self.delivery.call.time_left().is_zero() {
             return Err(self.abort(SILENT));
         }
-        let Some(source) = self.source.as_ref() else {
+        let Some(source) = self.source.as_mut() else {
             return Ok(None);
         };
         let target = source.reservation.target.clone();
-        self.delivery.record_silence(&target);
-        if !self.delivery.may_replace(&target) {
-            return Ok(None);
+        if !std::mem::replace(&mut source.is_silent, true) {
+            self.delivery.record_silence(&target);
         }
         self.resume_after_last_event();
+        if !self.delivery.reserve_other(&target) {
+            return Ok(None);
+        }
+        self.delivery.leave(&target);
         let written = self.delivery.written;
         let Some(source) = self.source.as_mut() else {
             return Ok(None);
@@ -349,11 +356,11 @@
                 Ok(None)
             }
             Ok(_) => {
-                self.delivery.written = written;
+                self.delivery.stay(written);
                 Ok(None)
             }
             Err(read) => {
-                self.delivery.written = written;
+                self.delivery.stay(written);
                 Ok(Some(read))
             }
         }
