Answer a request whose handling panics, and log each that is cut off

And nothing told a caller that left from a request that the entry dropped: both left no line.

Class: an outcome that exists only if all code before it returns.

Evidence: a_request_whose_handling_panics_is_answered; the code before had nothing between the handling and the connection's task, which a panic ends.

Each request that was read now has a guard from its head to the last bytes of its response. A panic before the response is answered 502, which promises nothing; every other end without a whole response is logged with the id and the time (G0230 cut_off, G0231 panicked) and counted. Broken streams keep their own line (G0207).

--- a/crates/azurestand_gateway/src/entry/connections.rs
+++ b/crates/azurestand_gateway/src/entry/connections.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use super::filter;
+use super::filter::{self, ReceivedRequest};
 use super::response::Body;
 use super::shared::Shared;
 use crate::log::LogEvent;
@@ -81,10 +81,12 @@
     let limited = shared.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let shared = shared.clone();
-        let open = OpenRequest::begin(request_timer.clone());
+        let request = ReceivedRequest::read(shared.platform.as_ref(), request);
+        let open = OpenRequest::begin(request_timer.clone(), request.request.id.clone());
         async move {
-            let response = respond(shared, request).await;
-            Ok::<_, Infallible>(open.track(response))
+            let method = request.head.method.clone();
+            let response = open.answer(&method, respond(shared, request)).await;
+            Ok::<_, Infallible>(response)
         }
     });
     let connection = graceful.watch(builder.serve_connection(io, service));
@@ -111,7 +113,7 @@
     }
 }
 
-async fn respond<P>(shared: Arc<Shared<P>>, request: Request<Incoming>) -> Response<Body>
+async fn respond<P>(shared: Arc<Shared<P>>, request: ReceivedRequest) -> Response<Body>
 where
     P: Platform,
 {
--- a/crates/azurestand_gateway/src/entry/connections/timer.rs
+++ b/crates/azurestand_gateway/src/entry/connections/timer.rs
@@ -95,6 +95,11 @@
         self.changed.notify_one();
     }
 
+    #[cfg(test)]
+    pub(super) fn has_open_requests(&self) -> bool {
+        self.activity().open_requests > 0
+    }
+
     /// Completes when the connection has exceeded one of the `limits` in force.
     pub(super) async fn exceeded<F>(&self, limits: F) -> Exceeded
     where
--- a/crates/azurestand_gateway/src/entry/filter.rs
+++ b/crates/azurestand_gateway/src/entry/filter.rs
@@ -25,6 +25,29 @@
 /// The deadline of requests that state none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 
+/// A request whose head has arrived.
+pub(crate) struct ReceivedRequest {
+    pub(crate) head: request::Parts,
+    /// What the platform reads in the head.
+    pub(crate) request: RequestHead,
+    body: Incoming,
+}
+
+impl ReceivedRequest {
+    pub(crate) fn read<P>(platform: &P, request: Request<Incoming>) -> Self
+    where
+        P: Platform,
+    {
+        let (head, body) = request.into_parts();
+        let request = platform.read_request(&head);
+        Self {
+            head,
+            request,
+            body,
+        }
+    }
+}
+
 /// The route, service and account of a request, with the limits of its body.
 struct Destination {
     route: Arc<Route>,
@@ -34,13 +57,16 @@
 }
 
 /// Checks one request and delivers it.
-pub(crate) async fn run<P>(shared: &Arc<Shared<P>>, request: Request<Incoming>) -> Response<Body>
+pub(crate) async fn run<P>(shared: &Arc<Shared<P>>, received: ReceivedRequest) -> Response<Body>
 where
     P: Platform,
 {
     let arrived = BootClock.now();
-    let (head, mut body) = request.into_parts();
-    let request = shared.platform.read_request(&head);
+    let ReceivedRequest {
+        head,
+        request,
+        mut body,
+    } = received;
     let checked = check(shared, &head, &request, &mut body).await;
     let (destination, body) = match checked {
         Ok(checked) => checked,
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -92,6 +92,8 @@
     NoticeUnreadable = "G0216", "notice_unreadable", "A datagram from another entry can't be read.";
     LimitNamed = "G0217", "limit_named", "A target named another rate limit than before, or none any more.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
+    CutOff = "G0230", "cut_off", "A request ended before its response was complete: its caller closed the connection, or a planned stop ran out of time.";
+    Panicked = "G0231", "panicked", "Handling a request panicked; its caller was told that it may have run, unless the response had begun.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
     Staged = "G0303", "staged", "All pieces of a version are staged.";
@@ -213,6 +215,8 @@
             | Self::Broken
             | Self::Unknown
             | Self::HeadLate
+            | Self::CutOff
+            | Self::Panicked
             | Self::BegunLate
             | Self::Withdrawn
             | Self::PieceFailed
