Seek another target for a silent stream until one is free

Callers of resumable streams whose target stays silent waited longer than needed: another target was sought once in each idle time (1.2 s or more), and callers leave after 2 s without an event.

Cause: the time after which a stream counts as idle was also the interval of the search. Class: one constant for two purposes.

Evidence: a_silent_stream_goes_on_at_a_target_that_becomes_free_later failed before, with 1.0 s between the other target's appearance and the end.

Once silent, a stream asks every 100 ms, as a request without a head does; asking costs neither a retry nor an attempt. Bytes that complete no event are counted by time, so that the shorter interval doesn't break a slow event.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -41,7 +41,7 @@
 /// The shortest wait for a response head before another target is sought.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The interval at which another target is sought in place of a silent one.
-const REPLACE_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const REPLACE_INTERVAL: Duration = Duration::from_millis(100);
 /// The `Retry-After` of a request that a target refused or that could not be sent to any.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -18,7 +18,7 @@
 use tokio::task::coop::consume_budget;
 use tokio::time::{Instant, timeout_at};
 
-use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES, QUARANTINED};
+use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES, QUARANTINED, REPLACE_INTERVAL};
 use super::place::Reservation;
 use super::quarantine;
 use super::response::{Body, BodyError};
@@ -32,9 +32,8 @@
 const IDLE_FACTOR: u32 = 4;
 /// The shortest idle time after which another target is sought.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// A target isn't silent, and its stream is broken, when bytes arrive for so many idle times
-/// and complete no event.
-const MAX_UNFINISHED_TIMES: u32 = 2;
+/// A stream is broken when bytes have arrived for this many idle times and completed no event.
+const MAX_UNFINISHED_FACTOR: u32 = 2;
 /// Why a stream ends whose target was silent until the end of its time.
 const SILENT: &str = "silent";
 
@@ -47,8 +46,8 @@
     /// When events were last forwarded.
     last_forward: Option<Instant>,
     idle_timeout: Duration,
-    /// Idle times in a row in which bytes arrived and completed no event.
-    unfinished_times: u32,
+    /// For how long bytes have arrived that completed no event.
+    unfinished: Duration,
     /// Completes when a part of the prompt is quarantined; none once the target has gone on
     /// writing the answer.
     quarantined: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
@@ -97,7 +96,7 @@
         events: 0,
         last_forward: None,
         idle_timeout: (gap_target * IDLE_FACTOR).max(MIN_IDLE_TIMEOUT),
-        unfinished_times: 0,
+        unfinished: Duration::ZERO,
         quarantined: None,
     };
     forwarder.set_source(opened);
@@ -128,7 +127,7 @@
         let parts = call.request.parts.clone();
         let quarantined = quarantine::until_quarantined(self.delivery.shared.clone(), parts);
         self.quarantined = Some(Box::pin(quarantined));
-        self.unfinished_times = 0;
+        self.unfinished = Duration::ZERO;
         self.source = Some(Source {
             is_delimited: opened.is_delimited(),
             body: opened.body,
@@ -165,10 +164,17 @@
 
     /// Reads from the current target until it has completed an event or counts as silent.
     async fn read(&mut self) -> Read {
-        let idle_at = self.idle_at();
+        let began = Instant::now();
+        let left = self.delivery.call.time_left();
         let Some(source) = self.source.as_mut() else {
             return Read::End;
         };
+        let idle_time = if source.is_silent {
+            REPLACE_INTERVAL
+        } else {
+            self.idle_timeout
+        };
+        let idle_at = began + idle_time.min(left);
         let mut has_bytes = false;
         let read = read_events(&mut source.body, &mut self.splitter, &mut has_bytes);
         let read = timeout_at(idle_at, read);
@@ -180,11 +186,12 @@
             },
             None => read.await,
         };
-        self.unfinished_times = match read {
-            Err(_) if has_bytes => self.unfinished_times + 1,
-            _ => 0,
-        };
-        if self.unfinished_times >= MAX_UNFINISHED_TIMES {
+        if read.is_ok() {
+            self.unfinished = Duration::ZERO;
+        } else if has_bytes {
+            self.unfinished += began.elapsed();
+        }
+        if self.unfinished >= self.idle_timeout * MAX_UNFINISHED_FACTOR {
             return Read::Broken("its event doesn't end".to_owned());
         }
         read.unwrap_or(Read::Silent)
@@ -204,11 +211,6 @@
         has_written && !quarantine::has_ended(&self.delivery.shared, &target).await
     }
 
-    /// When the stream counts as idle unless the caller gets another event before.
-    fn idle_at(&self) -> Instant {
-        Instant::now() + self.idle_timeout.min(self.delivery.call.time_left())
-    }
-
     fn forward(&mut self, events: &[StreamEvent]) -> Bytes {
         if let Some(source) = self.source.as_mut() {
             source.reservation.record_first_byte();
