--- a/crates/azurestand_gateway/src/entry/connections.rs
+++ b/crates/azurestand_gateway/src/entry/connections.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves the requests on them.
 
-mod head_timer;
+mod open_request;
+mod timer;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -10,18 +11,19 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use super::filter;
+use super::filter::{self, ReceivedRequest};
 use super::response::Body;
 use super::shared::Shared;
 use crate::log::LogEvent;
 use crate::platform::Platform;
-use head_timer::{HeadTimer, TimedStream};
+use open_request::OpenRequest;
+use timer::{ConnectionTimer, Exceeded, TimeLimits, TimedStream};
 
 /// How long a connection may stay idle while no configuration is known.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(20);
@@ -69,38 +71,49 @@
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
     let limits = shared.state().rules.as_ref().map(|rules| rules.limits());
-    let idle = limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time + IDLE_MARGIN);
     let head = limits.map_or(DEFAULT_HEAD, |limits| limits.head_bytes.max(MIN_HEAD));
     let mut builder = Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head);
-    let head_time = limits.map_or(DEFAULT_HEAD_TIME, |limits| limits.head_time);
+    builder.header_read_timeout(None).max_buf_size(head);
     let shared = shared.clone();
-    let timer = HeadTimer::default();
+    let timer = ConnectionTimer::default();
     let io = TokioIo::new(TimedStream::new(stream, timer.clone()));
     let request_timer = timer.clone();
+    let limited = shared.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (shared, request_timer) = (shared.clone(), request_timer.clone());
+        let shared = shared.clone();
+        let request = ReceivedRequest::read(shared.platform.as_ref(), request);
+        let open = OpenRequest::begin(request_timer.clone(), request.request.id.clone());
         async move {
-            request_timer.begin_request();
-            let response = respond(shared, request).await;
-            request_timer.end_request();
+            let method = request.head.method.clone();
+            let response = open.answer(&method, respond(shared, request)).await;
             Ok::<_, Infallible>(response)
         }
     });
     let connection = graceful.watch(builder.serve_connection(io, service));
     tokio::spawn(async move {
-        tokio::select! {
+        let exceeded = tokio::select! {
+            // What has arrived is read before a limit may close the connection.
+            biased;
             // A caller that closes its connection isn't logged.
-            _ = connection => {}
-            () = timer.head_late(head_time) => LogEvent::HeadLate.log(&[]),
+            _ = connection => return,
+            exceeded = timer.exceeded(|| time_limits(&limited)) => exceeded,
+        };
+        if exceeded == Exceeded::Head {
+            LogEvent::HeadLate.log(&[]);
         }
     });
 }
 
-async fn respond<P>(shared: Arc<Shared<P>>, request: Request<Incoming>) -> Response<Body>
+/// The limits in force, which a new configuration may change for open connections too.
+fn time_limits<P>(shared: &Shared<P>) -> TimeLimits {
+    let limits = shared.state().rules.as_ref().map(|rules| rules.limits());
+    TimeLimits {
+        head: limits.map_or(DEFAULT_HEAD_TIME, |limits| limits.head_time),
+        idle: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time + IDLE_MARGIN),
+    }
+}
+
+async fn respond<P>(shared: Arc<Shared<P>>, request: ReceivedRequest) -> Response<Body>
 where
     P: Platform,
 {
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -118,17 +118,12 @@
     P: Platform,
 {
     let now = BootClock.now();
-    let rank = Rank {
-        priority: call.priority(),
-        new_caller: true,
-        arrived_at: Reverse(call.arrived),
-    };
+    let rank = rank(call);
     let mut soonest = None;
     let (waker, waiter, ahead) = {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
-        let queue = state.queues.get(&call.service.name);
-        let ahead = queue.map_or(0, |queue| queue.waiters.ahead(rank));
+        let ahead = ahead(&state, call);
         if ahead == 0 {
             match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
@@ -180,6 +175,39 @@
     }))
 }
 
+/// Reserves capacity at a target for `call` if one is free at once and no more urgent request
+/// waits.
+pub(crate) fn try_place<P>(
+    shared: &Arc<Shared<P>>,
+    call: &Call,
+    constraints: &Constraints,
+) -> Option<Reservation<P>>
+where
+    P: Platform,
+{
+    let now = BootClock.now();
+    let mut state = shared.state();
+    let trial = quarantine::admit(&state, call, constraints.crashed).ok()?;
+    if ahead(&state, call) > 0 {
+        return None;
+    }
+    choose(shared, &mut state, now, call, constraints, trial).ok()
+}
+
+/// The number of queued requests that precede this one.
+fn ahead(state: &State, call: &Call) -> usize {
+    let queue = state.queues.get(&call.service.name);
+    queue.map_or(0, |queue| queue.waiters.ahead(rank(call)))
+}
+
+fn rank(call: &Call) -> Rank {
+    Rank {
+        priority: call.priority(),
+        new_caller: true,
+        arrived_at: Reverse(call.arrived),
+    }
+}
+
 /// How long a request may wait in the queue.
 fn queue_timeout(call: &Call) -> Duration {
     max_wait(call.route.latency_target)
