Let requests that a target failed go before newer ones

With the newest request first, a stream that broke would wait behind all newer requests, since it arrived long before; in the order of arrival it had gone first. The rank had a field for callers that return after a refusal, which was never set. It now tells whether a target has had the request. Found by reading, when the newest-first order met the search for another target of a silent stream; no play showed it. The test states the order that the queue keeps; it passes with the field set, and the field was constant before.

--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -135,7 +135,7 @@
         let until = ask.arrived + max_wait(aim).as_secs_f64() * 1_000.0;
         let rank = Rank {
             priority: PRIORITY,
-            new_caller: true,
+            untried: true,
             arrived_at: Reverse(moment(ask.arrived)),
         };
         if !ask.waits && self.queue.ahead(rank) > 0 {
--- a/crates/azurestand_direct/src/queue.rs
+++ b/crates/azurestand_direct/src/queue.rs
@@ -26,9 +26,9 @@
 pub struct Rank {
     /// The priority that the operators set; 0 goes first.
     pub priority: u8,
-    /// Whether the caller was not refused before; callers that return after a refusal go
-    /// first.
-    pub new_caller: bool,
+    /// Whether no target has had the request yet; those that a target failed go first, since
+    /// their callers have waited and part of their answers may be there.
+    pub untried: bool,
     /// When the request arrived; the latest goes first.
     pub arrived_at: Reverse<Moment>,
 }
--- a/crates/azurestand_direct/tests/direct/queue.rs
+++ b/crates/azurestand_direct/tests/direct/queue.rs
@@ -8,25 +8,25 @@
 
 const TARGET: Duration = Duration::from_millis(400);
 
-fn rank(priority: u8, new_caller: bool, millis: u64) -> Rank {
+fn rank(priority: u8, untried: bool, millis: u64) -> Rank {
     Rank {
         priority,
-        new_caller,
+        untried,
         arrived_at: Reverse(Moment::from_millis(millis)),
     }
 }
 
 #[test]
-fn order_is_by_priority_then_earlier_refusal_then_latest_arrival() {
+fn order_is_by_priority_then_earlier_attempts_then_latest_arrival() {
     let mut queue = RequestQueue::default();
     let late = queue.push(rank(1, true, 20), TARGET);
     let early = queue.push(rank(1, true, 10), TARGET);
-    let returned = queue.push(rank(1, false, 30), TARGET);
+    let tried = queue.push(rank(1, false, 30), TARGET);
     let urgent = queue.push(rank(0, true, 40), TARGET);
     let mut order = Vec::new();
     for (rank, waiter) in [
         (rank(0, true, 40), urgent),
-        (rank(1, false, 30), returned),
+        (rank(1, false, 30), tried),
         (rank(1, true, 20), late),
         (rank(1, true, 10), early),
     ] {
@@ -67,3 +67,15 @@
     assert_eq!(queue.shortest_target(1), Some(TARGET / 2));
     assert_eq!(queue.shortest_target(2), Some(TARGET / 4));
 }
+
+/// A broken stream waited behind all newer requests, until its caller gave up.
+#[test]
+fn a_request_that_a_target_failed_goes_before_newer_ones() {
+    let mut queue = RequestQueue::default();
+    let tried = rank(1, false, 5);
+    assert_eq!(queue.ahead(tried), 0);
+    queue.push(rank(1, true, 20), TARGET);
+    assert_eq!(queue.ahead(tried), 0);
+    let waiter = queue.push(tried, TARGET);
+    assert_eq!(queue.first(), Some(waiter));
+}
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -118,12 +118,12 @@
     P: Platform,
 {
     let now = BootClock.now();
-    let rank = rank(call);
+    let rank = rank(call, constraints);
     let mut soonest = None;
     let (waker, waiter, ahead) = {
         let mut state = shared.state();
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
-        let ahead = ahead(&state, call);
+        let ahead = ahead(&state, &call.service.name, rank);
         if ahead == 0 {
             match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
@@ -188,22 +188,22 @@
     let now = BootClock.now();
     let mut state = shared.state();
     let trial = quarantine::admit(&state, call, constraints.crashed).ok()?;
-    if ahead(&state, call) > 0 {
+    if ahead(&state, &call.service.name, rank(call, constraints)) > 0 {
         return None;
     }
     choose(shared, &mut state, now, call, constraints, trial).ok()
 }
 
-/// The number of queued requests that precede this one.
-fn ahead(state: &State, call: &Call) -> usize {
-    let queue = state.queues.get(&call.service.name);
-    queue.map_or(0, |queue| queue.waiters.ahead(rank(call)))
+/// The number of requests queued for the service that precede one of this rank.
+fn ahead(state: &State, service: &str, rank: Rank) -> usize {
+    let queue = state.queues.get(service);
+    queue.map_or(0, |queue| queue.waiters.ahead(rank))
 }
 
-fn rank(call: &Call) -> Rank {
+fn rank(call: &Call, constraints: &Constraints) -> Rank {
     Rank {
         priority: call.priority(),
-        new_caller: true,
+        untried: constraints.avoid.is_empty(),
         arrived_at: Reverse(call.arrived),
     }
 }
