Take only a refusal with the request's own id for one

Callers were told "not run, try again" for bookings that a target had run or was running, if the target answered with the refusal of an earlier request.

Cause: `X-Not-Executed` and status 421 were looked at before the id of the answer was compared with the request's. Any refusal that arrived on the connection counted, and so did the load and the rate limit that it named.

Before: a booking whose target answers 503 for another id got 503 with `Retry-After`, where 502 is the truth (the test stops there; it also has 429, 421 and refusals without an id). The second request on a kept connection that gets the refusal of the first: 503. Now a refusal counts only with the id of the request, which targets echo; any other leaves open whether the request ran (502, or another target where it may be repeated). Load and limit count only in answers to the request itself.

Passed before, and stay: bytes left over after an answer, and an answer that nobody asked for, close the kept connection and prove nothing about the next request (hyper refuses such bytes while no request is open; the id guards the moment between); refusals with the own id count whatever their body.

Class: an answer trusted before it is known whose it is.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -63,6 +63,11 @@
         let headers = &self.head.headers;
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
+
+    /// Whether it states that the target has not run the request to which it responds.
+    fn is_refusal(&self) -> bool {
+        self.response.not_run || self.head.status == StatusCode::MISDIRECTED_REQUEST
+    }
 }
 
 /// What a target has written of the answer to one attempt.
@@ -237,8 +242,11 @@
         let (head, body) = response.into_parts();
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
-        self.record_limit(target, &response);
-        if let Some(load) = response.load {
+        let is_own = response.id == self.call.request.id;
+        if is_own {
+            self.record_limit(target, &response);
+        }
+        if let Some(load) = response.load.filter(|_| is_own) {
             let now = BootClock.now();
             let mut state = self.shared.state();
             state.placement.record_load(now, target, load);
@@ -281,7 +289,15 @@
     ) -> Result<Option<OpenResponse<P>>, RequestError> {
         let target = opened.reservation.target.clone();
         let status = opened.head.status;
-        if opened.response.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        if opened.is_refusal() {
+            if !self.is_refused_by(&opened.response) {
+                self.failed(
+                    &target,
+                    Fault::Failed,
+                    "the target's refusal is for another request",
+                )?;
+                return Ok(None);
+            }
             let fault = if status == StatusCode::MISDIRECTED_REQUEST {
                 Fault::Changed
             } else {
@@ -313,6 +329,13 @@
         Ok(Some(opened))
     }
 
+    /// Whether a refusal is one of this request: it names its id. A target may write the
+    /// refusal of an earlier request once more while it runs this one.
+    fn is_refused_by(&self, response: &ResponseHead) -> bool {
+        let id = self.call.request.id.as_ref();
+        id.is_some() && response.id.as_ref() == id
+    }
+
     /// Whether the response belongs to this request, carries a valid seal and is unencoded.
     fn is_genuine(&self, opened: &OpenResponse<P>) -> bool {
         let encoded = opened
