Resume a stream only with an answer that continues it

A stream had begun and broke off, and the next target answered 200 with the text of an error: the caller found that text in the middle of its stream, and the stream ended as complete.

Cause: any success of the next target was taken for the rest of the stream, and any block of text for an event.

Now an answer goes on with a stream only if its status and media type are those that the caller was told, and after a break each event needs an id unless it is a comment; otherwise the stream ends as broken.

Class: the part of an answer trusted for the whole. Sought elsewhere: first answers of streams have no caller's head to differ from. An empty answer with a length still ends a stream as complete, since its target may have had no event left.

--- a/crates/azurestand_direct/src/events.rs
+++ b/crates/azurestand_direct/src/events.rs
@@ -16,6 +16,9 @@
     /// The id of an event doesn't follow the last one: at least one event is missing.
     #[display("the stream skips an event")]
     Gap,
+    /// An event has no id although the stream is resumed after one with an id.
+    #[display("an event of a resumed stream has no id")]
+    NoId,
     /// An event exceeds the maximum size without an end.
     #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
@@ -37,6 +40,8 @@
     /// The length of the beginning of `pending` that is known to end no event.
     searched: usize,
     last: Option<u64>,
+    /// Whether events need ids, without which a resumed stream can't be told from other text.
+    needs_ids: bool,
 }
 
 impl EventSplitter {
@@ -58,8 +63,10 @@
         self.pending.iter().all(u8::is_ascii_whitespace)
     }
 
-    /// Drops an incomplete event, whose target failed before its end.
+    /// Drops an incomplete event, whose target failed before its end. Another target then
+    /// continues after the last complete one.
     pub fn discard_partial(&mut self) {
+        self.needs_ids = self.last.is_some();
         self.pending.clear();
         self.searched = 0;
     }
@@ -100,7 +107,11 @@
     /// Whether the caller doesn't have the event yet; records its id.
     fn is_new(&mut self, event: &StreamEvent) -> Result<bool, EventError> {
         let Some(id) = event.id else {
-            return Ok(true);
+            return if self.needs_ids && !is_comment(&event.bytes) {
+                Err(EventError::NoId)
+            } else {
+                Ok(true)
+            };
         };
         if self.last.is_some_and(|last| id <= last) {
             return Ok(false);
@@ -123,6 +134,12 @@
     (searched + 1..=bytes.len()).find(ends_event)
 }
 
+/// Whether an event has only comment lines, which readers of a stream skip.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n' || *byte == b'\r');
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/azurestand_direct/tests/direct/events.rs
+++ b/crates/azurestand_direct/tests/direct/events.rs
@@ -91,3 +91,24 @@
     let bytes = vec![b'x'; 300 * 1024];
     assert_eq!(splitter.push(&bytes), Err(EventError::TooLong));
 }
+
+/// Callers found the text of an error in the middle of their stream.
+#[test]
+fn text_that_is_no_event_with_an_id_does_not_continue_a_stream() {
+    let mut splitter = EventSplitter::after(None);
+    assert_eq!(ids(&mut splitter, &event(1)), [1]);
+    splitter.discard_partial();
+    assert_eq!(
+        splitter.push(b"error: overloaded\n\n"),
+        Err(EventError::NoId)
+    );
+}
+
+#[test]
+fn comments_and_events_with_ids_continue_a_stream() {
+    let mut splitter = EventSplitter::after(None);
+    assert_eq!(ids(&mut splitter, &event(1)), [1]);
+    splitter.discard_partial();
+    assert_eq!(splitter.push(b": wait\n\n").unwrap().len(), 1);
+    assert_eq!(ids(&mut splitter, &event(2)), [2]);
+}
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -11,7 +11,8 @@
 use azurestand_direct::{EventSplitter, Fault};
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::Response;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
@@ -34,6 +35,9 @@
 /// The state of a stream that is being forwarded.
 struct Forwarder<P> {
     delivery: Delivery<P>,
+    /// The status and media type that the caller was told.
+    status: StatusCode,
+    media_type: Option<String>,
     source: Option<Source<P>>,
     splitter: EventSplitter,
     events: u64,
@@ -79,6 +83,8 @@
     let mut forwarder = Forwarder {
         splitter: EventSplitter::after(delivery.last_event),
         delivery,
+        status,
+        media_type: media_type(&opened.head.headers),
         source: None,
         events: 0,
         last_forward: None,
@@ -298,7 +304,7 @@
             .or(self.delivery.call.request.last_event);
         self.delivery.constraints.allow_late = true;
         match self.delivery.open().await {
-            Ok(opened) if opened.head.status.is_success() => {
+            Ok(opened) if self.is_continued_by(&opened) => {
                 LogEvent::Resumed.log(&[
                     ("request", self.delivery.call.id().into()),
                     ("target", opened.reservation.target.id.as_ref().into()),
@@ -307,11 +313,22 @@
                 self.set_source(opened);
                 Ok(())
             }
-            Ok(opened) => Err(self.abort(opened.head.status.as_str())),
+            Ok(opened) => {
+                let status = opened.head.status;
+                Err(self.abort(&format!(
+                    "an answer with status {status} continues no stream"
+                )))
+            }
             Err(error) => Err(self.abort(&error.to_string())),
         }
     }
 
+    /// Whether a response goes on with the stream that the caller was told of.
+    fn is_continued_by(&self, opened: &OpenResponse<P>) -> bool {
+        let head = &opened.head;
+        head.status == self.status && media_type(&head.headers) == self.media_type
+    }
+
     /// Cancels the request at its target, which would crash.
     fn withdraw(&mut self) -> BodyError {
         if let Some(source) = self.source.take() {
@@ -332,6 +349,13 @@
     }
 }
 
+/// The media type without its parameters, in lower case.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let name = value.split(';').next().unwrap_or(value);
+    Some(name.trim().to_ascii_lowercase())
+}
+
 /// Reads until `idle_at`, also if bytes that complete no new event keep arriving.
 async fn read_chunk_until(body: &mut ResponseBody, idle_at: Instant) -> Chunk {
     let silent = || Chunk::Broken("silent".to_owned());
