Give streams a length for callers of HTTP/1.0

A stream that broke off looked complete to a caller of HTTP/1.0: such an answer has neither length nor chunks and ends with its connection, which was closed like that of a whole answer.

Now such callers get a stream when it is whole, with its length, and 502 if it breaks off. They wait for the whole stream, within the bounds on bytes and memory for answers that aren't streams.

Class: the end of a connection taken for the end of an answer.

--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -18,6 +18,7 @@
 mod store_updates;
 mod stream;
 mod weights;
+mod whole;
 mod withdrawal;
 
 use std::net::SocketAddr;
--- a/crates/azurestand_gateway/src/entry/connections.rs
+++ b/crates/azurestand_gateway/src/entry/connections.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -19,6 +19,7 @@
 use super::filter;
 use super::response::Body;
 use super::shared::Shared;
+use super::whole;
 use crate::log::LogEvent;
 use crate::platform::Platform;
 use head_timer::{HeadTimer, TimedStream};
@@ -104,7 +105,11 @@
 where
     P: Platform,
 {
+    let version = request.version();
     let mut response = filter::run(&shared, request).await;
+    if version < Version::HTTP_11 {
+        response = whole::collect(response).await;
+    }
     if shared.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
