Let no number of a target or an agent overflow the placement

The sums of running and waiting requests, of slots, and of the sends of other entries overflowed: in builds with checks the task of the request panicked and its caller got neither an answer nor a refusal; in others the sum wrapped, so that a full target had room. A prediction or a wait that no `Duration` holds panicked in every build.

Numbers come from entries of the list (slots), headers and agents (load, number of entries) and the configuration (rates, sizes). Now loads add and multiply with saturation in one place (`TargetLoad`), and times that are too long count as the longest.

Class: arithmetic on values of others without bounds.

--- a/crates/azurestand_direct/src/engine.rs
+++ b/crates/azurestand_direct/src/engine.rs
@@ -45,7 +45,7 @@
 impl CostModel {
     /// The duration of one step with `sequences` running requests, in milliseconds.
     pub fn step(&self, sequences: u32) -> f64 {
-        let context = f64::from(self.mean_prompt + self.mean_answer / 2) / 1_000.0;
+        let context = (f64::from(self.mean_prompt) + f64::from(self.mean_answer / 2)) / 1_000.0;
         let sequence_ms = self.request_ms + self.context_ms * context;
         self.step_ms + sequence_ms * f64::from(sequences)
     }
@@ -86,7 +86,8 @@
         let reads = self.read(self.mean_prompt) * f64::from(waiting) + self.read(size.prompt);
         let current_pass = stride / 2.0;
         let start = current_pass + reads + passes * stride;
-        let excess = (running + waiting + 1).saturating_sub(slots);
+        let requests = running.saturating_add(waiting).saturating_add(1);
+        let excess = requests.saturating_sub(slots);
         let slot_wait = self.mean_slot_time(slots) / f64::from(slots.max(1));
         start + slot_wait * f64::from(excess)
     }
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -45,6 +45,22 @@
     pub waiting: u32,
 }
 
+impl TargetLoad {
+    /// The number of requests, running and waiting together.
+    pub fn requests(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
+    /// The load of both together.
+    #[must_use]
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_add(other.running),
+            waiting: self.waiting.saturating_add(other.waiting),
+        }
+    }
+}
+
 /// How a request failed at a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -460,6 +476,7 @@
     targets.truncate(count);
 }
 
+/// A time in milliseconds; one that is too long for its type counts as the longest.
 fn millis(value: f64) -> Duration {
-    Duration::from_secs_f64(value.max(0.0) / 1_000.0)
+    Duration::try_from_secs_f64(value.max(0.0) / 1_000.0).unwrap_or(Duration::MAX)
 }
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -228,10 +228,7 @@
         if !self.has_recent_report(now) {
             return self.own;
         }
-        TargetLoad {
-            running: self.own.running + self.others.running,
-            waiting: self.own.waiting + self.others.waiting,
-        }
+        self.own.plus(self.others)
     }
 
     /// The estimated load from all entries. The others get the same reports, so for each
@@ -244,7 +241,7 @@
         let unreported = f64::from(recent) * peer_sends;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let unreported = unreported.round() as u32;
-        load.waiting += unreported;
+        load.waiting = load.waiting.saturating_add(unreported);
         load
     }
 
@@ -288,7 +285,7 @@
         let work = if let Some(engine) = &requirements.service.engine {
             engine.first_token(requirements.size, load.running, load.waiting, slots)
         } else {
-            let excess = (load.running + load.waiting + 1).saturating_sub(slots);
+            let excess = load.requests().saturating_add(1).saturating_sub(slots);
             PLAIN_MS * (1.0 + f64::from(excess) / f64::from(slots))
         };
         let pause = self.paused_until.since(now).as_secs_f64() * 1_000.0;
@@ -312,9 +309,9 @@
     ) -> bool {
         let wait = self.shares.wait(now, requirements.service.cold_rate);
         let within_rate = wait.is_some_and(|wait| wait.is_zero());
-        let max_load = self.target.slots * LOAD_FACTOR;
+        let max_load = self.target.slots.saturating_mul(LOAD_FACTOR);
         let load = self.likely_load(now, peer_sends);
-        let has_slots = load.running + load.waiting < max_load;
+        let has_slots = load.requests() < max_load;
         let is_open = self
             .closes_at(now)
             .is_none_or(|closes_at| now + CLOSING_MARGIN < closes_at)
--- a/crates/azurestand_direct/src/share.rs
+++ b/crates/azurestand_direct/src/share.rs
@@ -147,7 +147,7 @@
     /// How long until `limit` allows a send.
     pub fn wait(&self, now: Moment, limit: SendLimit) -> Duration {
         let missing = (1.0 - self.tokens_at(now, limit)).max(0.0);
-        Duration::from_secs_f64(missing / limit.rate)
+        Duration::try_from_secs_f64(missing / limit.rate).unwrap_or(Duration::MAX)
     }
 
     /// Takes the token of one send.
