Count the pieces of a host that is listed in two data centres once

Two entries of the list that give one host two data centres made the counts of a piece's holders fall below zero: "attempt to subtract with overflow" in the new test, which ends the fetch of a version in builds with checks; elsewhere the count wraps, and the agent waits for holders that don't exist instead of asking the origin.

Cause: a host's earlier report was subtracted from the count of the data centre that the host has now. The report keeps where the host counted.

Class: two entries of the list with one address.

--- a/crates/azurestand_direct/src/pieces.rs
+++ b/crates/azurestand_direct/src/pieces.rs
@@ -65,12 +65,25 @@
     }
 }
 
+/// The pieces that another host reported last, and where it counted as being then.
+#[derive(Debug, Clone)]
+struct Holdings {
+    distance: Distance,
+    have: Vec<bool>,
+}
+
+impl Holdings {
+    fn has(&self, number: usize) -> bool {
+        self.have.get(number).copied().unwrap_or_default()
+    }
+}
+
 /// The pieces of one version at one host.
 #[derive(Debug, Clone)]
 pub struct PieceSelector {
     pieces: Vec<Piece>,
     /// The pieces of each other host, as last reported.
-    reported: BTreeMap<Arc<str>, Vec<bool>>,
+    reported: BTreeMap<Arc<str>, Holdings>,
     /// The start of the period in which the origin has not failed.
     origin_since: Moment,
     rng: fastrand::Rng,
@@ -139,14 +152,17 @@
     /// Records which pieces another host has now; none if it doesn't answer. A host that
     /// restarts has lost its pieces.
     pub fn record_holdings(&mut self, host: &Arc<str>, distance: Distance, have: &[bool]) {
-        let previous = self.reported.insert(host.clone(), have.to_vec());
-        let previous = previous.unwrap_or_default();
-        let holds =
-            |pieces: &[bool], number: usize| pieces.get(number).copied().unwrap_or_default();
+        let current = Holdings {
+            distance,
+            have: have.to_vec(),
+        };
+        let previous = self.reported.insert(host.clone(), current.clone());
         for (number, piece) in self.pieces.iter_mut().enumerate() {
-            let holders = piece.holders(distance);
-            *holders += u32::from(holds(have, number));
-            *holders -= u32::from(holds(&previous, number));
+            *piece.holders(distance) += u32::from(current.has(number));
+            // The list may name the host in two data centres.
+            if let Some(previous) = &previous {
+                *piece.holders(previous.distance) -= u32::from(previous.has(number));
+            }
         }
     }
 
--- a/crates/azurestand_direct/tests/direct/pieces.rs
+++ b/crates/azurestand_direct/tests/direct/pieces.rs
@@ -178,3 +178,23 @@
     selector.record_holdings(&hosts[1].name, Distance::Near, &[]);
     assert_eq!(selector.next_from_origin(later), Some(0));
 }
+
+/// Two entries of the list gave one host two data centres; the count of holders fell below zero,
+/// and the piece was fetched from the origin no more.
+#[test]
+fn a_host_that_is_listed_in_two_data_centres_is_counted_once() {
+    let host = |name: &str, centre: &str| PieceHost {
+        name: name.into(),
+        centre: centre.into(),
+    };
+    let hosts = [host("a", "north"), host("b", "north"), host("b", "south")];
+    let rng = fastrand::Rng::with_seed(1);
+    let mut selector = PieceSelector::new(Moment::START, "m/2", 1, &hosts[0], &hosts, rng);
+    let later = Moment::START + Duration::from_secs(10);
+    selector.record_holdings(&hosts[1].name, Distance::Near, &[true]);
+    selector.record_holdings(&hosts[1].name, Distance::Far, &[true]);
+    assert_eq!(selector.next_from_origin(later), None);
+    selector.record_holdings(&hosts[1].name, Distance::Near, &[true]);
+    selector.record_holdings(&hosts[1].name, Distance::Far, &[]);
+    assert_eq!(selector.next_from_origin(later), Some(0));
+}
