Count an agent's report for the incarnation that it names

Where the list named a second target at the address of a sound engine, the agent's reports counted for whichever came first: if that was the other one, it was paused as restarted, and the sound engine counted as one whose reports had stopped, which gets no requests while there are others.

Now the report counts for the listed target of the reported incarnation, and for the first one only if there is none. By test of the choice alone; not seen in a play.

Class: two entries of the list with one address.

--- a/crates/azurestand_direct/src/directory.rs
+++ b/crates/azurestand_direct/src/directory.rs
@@ -135,7 +135,7 @@
     }
 
     /// All targets, including those that may still reappear.
-    pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> + Clone {
         self.targets.values().chain(self.lapsed.values())
     }
 
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Naming, TargetLoad};
+use azurestand_direct::{Naming, Target, TargetLoad};
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -167,11 +167,7 @@
     entry_counts.retain(|_, (_, at)| now.duration_since(*at) < SUBSCRIPTION_INTERVAL * 3);
     let entries = entry_counts.values().map(|(entries, _)| *entries).max();
     state.placement.set_entries(entries.unwrap_or(1));
-    let target = state
-        .engine_targets()
-        .find(|target| target.address.ip() == host)
-        .cloned();
-    let Some(target) = target else {
+    let Some(target) = reporting_target(state.engine_targets(), host, report).cloned() else {
         return;
     };
     let boot_now = BootClock.now();
@@ -197,6 +193,22 @@
     }
 }
 
+/// The target on which the agent at `host` reports: of several that the list names there, the
+/// one of the reported incarnation.
+fn reporting_target<'a, I>(
+    mut targets: I,
+    host: IpAddr,
+    report: &EngineReport,
+) -> Option<&'a Arc<Target>>
+where
+    I: Iterator<Item = &'a Arc<Target>> + Clone,
+{
+    let listed = targets.clone().filter(|target| target.address.ip() == host);
+    let mut reported = listed.filter(|target| report.started_at == Some(target.started_at));
+    let is_there = |target: &&Arc<Target>| target.address.ip() == host;
+    reported.next().or_else(|| targets.find(is_there))
+}
+
 /// Applies the reported naming times of versions, which this process may not know or have
 /// learned late.
 fn record_versions(state: &mut State, host: IpAddr, report: &EngineReport, now: Moment) {
--- a/crates/azurestand_gateway/src/entry/reports/tests.rs
+++ b/crates/azurestand_gateway/src/entry/reports/tests.rs
@@ -1,11 +1,13 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use azurestand_direct::{Target, TargetState};
 use tokio::time::Instant;
 
-use super::{DISCOVERY_DELAY, ENTRIES_TTL, KnownEntries, query_order};
-use crate::presence::KnownEntry;
+use super::{DISCOVERY_DELAY, ENTRIES_TTL, KnownEntries, query_order, reporting_target};
+use crate::presence::{EngineReport, KnownEntry};
 
 fn ip(last: u8) -> IpAddr {
     IpAddr::from([10, 0, 0, last])
@@ -88,3 +90,33 @@
         Some(1)
     );
 }
+
+/// An entry of the list with the address of a sound target got the reports on that target,
+/// which then counted as one that its agent had stopped reporting on.
+#[test]
+fn a_report_counts_for_the_listed_target_of_its_incarnation() {
+    let target = |id: &str, started_at| Target {
+        id: id.into(),
+        started_at,
+        service: "llm".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        centre: "north".into(),
+        state: TargetState::Ready,
+        slots: 16,
+        cold: Duration::ZERO,
+        held: Vec::new(),
+    };
+    let targets = [target("a", 1).into(), target("b", 2).into()];
+    let reported = |started_at| {
+        let report = EngineReport {
+            started_at,
+            ..EngineReport::default()
+        };
+        let target = reporting_target(targets.iter(), ip(1), &report);
+        target.map(|target| target.id.to_string())
+    };
+    assert_eq!(reported(Some(1)).as_deref(), Some("a"));
+    assert_eq!(reported(Some(2)).as_deref(), Some("b"));
+    assert_eq!(reported(Some(3)).as_deref(), Some("a"));
+    assert_eq!(reported(None).as_deref(), Some("a"));
+}
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -78,7 +78,7 @@
     }
 
     /// The targets that are engines.
-    pub(crate) fn engine_targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+    pub(crate) fn engine_targets(&self) -> impl Iterator<Item = &Arc<Target>> + Clone {
         let rules = self.rules.as_ref();
         self.directory.targets().filter(move |target| {
             let service = rules.and_then(|rules| rules.service(&target.service));
