Add the weights of a route without overflow

Two services with weights of 2^32 - 1 made the sum overflow: the new test panicked; without checks the sum wraps, and the second service gets no request. Weights are added as the numbers that they are drawn with.

Class: arithmetic on values of others without bounds.

--- a/crates/azurestand_direct/src/rules.rs
+++ b/crates/azurestand_direct/src/rules.rs
@@ -235,8 +235,8 @@
 impl Route {
     /// The service for a request by weight, where `draw` is a random number from 0 to 1.
     pub fn choose_service(&self, draw: f64) -> Option<&Arc<str>> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.shares.iter().map(|share| f64::from(share.weight));
+        let mut remaining = draw * weights.sum::<f64>();
         for share in &self.shares {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
--- a/crates/azurestand_direct/tests/direct/rules.rs
+++ b/crates/azurestand_direct/tests/direct/rules.rs
@@ -87,3 +87,16 @@
         prop_assert_eq!(picked.as_ref(), wanted);
     }
 }
+
+/// The sum of the weights overflowed.
+#[test]
+fn the_largest_weights_are_drawn_evenly() {
+    let mut split = route("split", "a.example", "/");
+    let share = |service: &str| Share {
+        service: service.into(),
+        weight: u32::MAX,
+    };
+    split.shares = vec![share("old"), share("new")];
+    assert_eq!(split.choose_service(0.4).unwrap().as_ref(), "old");
+    assert_eq!(split.choose_service(0.6).unwrap().as_ref(), "new");
+}
