Refuse records of shards whose numbers leave none to count on

On loopback, a record of a shard by another writer with the largest generation number or write number was decoded, and the next home of the shard counts on from it: an overflow, which ends its task in builds with checks and gives it number 0 in others. Before: the new test decoded both. Now such a record can't be read, and the shard refuses keyed requests, as for any other value that can't be read.

Class: arithmetic on values of others without bounds.

--- a/crates/azurestand_target/src/claim/codec.rs
+++ b/crates/azurestand_target/src/claim/codec.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// No record counts so far; a higher number comes from another writer.
+const MAX_COUNTER: u64 = 1 << 62;
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct RecordValue {
     #[prost(uint64, tag = "1")]
@@ -104,9 +107,9 @@
             Some(Holder { host, incarnation })
         };
         Ok(Self {
-            epoch: Epoch(value.epoch),
+            epoch: Epoch(counter(value.epoch, "epoch")?),
             holder,
-            write_number: value.beat,
+            write_number: counter(value.beat, "beat")?,
             proved: value.proved,
             lease: Duration::from_micros(value.lease_micros),
         })
@@ -167,6 +170,14 @@
     }
 }
 
+/// A number that later writers count on from.
+fn counter(value: u64, field: &'static str) -> Result<u64, CodecError> {
+    if value > MAX_COUNTER {
+        return Err(CodecError::Field(field));
+    }
+    Ok(value)
+}
+
 fn decode_u128(bytes: &[u8]) -> Option<u128> {
     bytes.try_into().ok().map(u128::from_be_bytes)
 }
--- a/crates/azurestand_target/tests/claims/cases.rs
+++ b/crates/azurestand_target/tests/claims/cases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use azurestand_target::{Claim, HomeSettings, Outage, Record};
-use azurestand_types::{Outcome, Refusal, RequestId, Uncertainty};
+use azurestand_types::{Epoch, Outcome, Refusal, RequestId, Uncertainty};
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -506,3 +506,20 @@
         let _ = Claim::decode(Bytes::from(bytes));
     }
 }
+
+/// The home of a shard counted on from the record of another writer, past the largest number.
+#[test]
+fn a_record_whose_numbers_leave_none_to_count_on_is_refused() {
+    let record = |epoch, write_number| Record {
+        epoch: Epoch(epoch),
+        holder: None,
+        write_number,
+        proved: true,
+        lease: seconds(6),
+    };
+    let sound = record(1 << 40, 1 << 40);
+    assert_eq!(Record::decode(&sound.encode()), Ok(sound));
+    for odd in [record(u64::MAX, 1), record(1, u64::MAX)] {
+        assert!(Record::decode(&odd.encode()).is_err(), "{odd:?}");
+    }
+}
