Start the exchange of notices again when it panics

Without it an entry neither tells the others of rate limits and parts of prompts that crash engines nor hears of them. It now runs under the supervisor, which it left out since it owns its socket and its queue; the task holds both and takes them up again. No test of its own.

--- a/crates/azurestand_gateway/src/entry/exchange.rs
+++ b/crates/azurestand_gateway/src/entry/exchange.rs
@@ -7,6 +7,7 @@
 use azurestand_direct::{LimitNotice, PartChange, PartId, PartNotice, RateLimit};
 use prost::Message;
 use tokio::net::UdpSocket;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -17,6 +18,7 @@
 use crate::log::LogEvent;
 use crate::notice::{LimitState, MAX_BYTES, MAX_LIMITS, MAX_PARTS, Notices, PartState};
 use crate::platform::Platform;
+use crate::supervise::restart_on_panic;
 
 /// The interval at which everything known is sent to some entries.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -125,24 +127,28 @@
     let address = SocketAddr::new(settings.ip, settings.notice_port());
     let bound = UdpSocket::bind(address).await;
     let socket = bound.map_err(|error| GatewayError::Bind(address, error))?;
-    let task = Task {
+    let task = Arc::new(Task {
         shared: shared.clone(),
         socket,
-    };
-    tokio::spawn(task.run(queue));
+        queue: Mutex::new(queue),
+    });
+    tokio::spawn(restart_on_panic("exchange", move || task.clone().run()));
     Ok(())
 }
 
 struct Task<P> {
     shared: Arc<Shared<P>>,
     socket: UdpSocket,
+    /// Held by the task while it runs.
+    queue: Mutex<Receiver<Topic>>,
 }
 
 impl<P> Task<P>
 where
     P: Platform,
 {
-    async fn run(self, mut queue: Receiver<Topic>) {
+    async fn run(self: Arc<Self>) {
+        let mut queue = self.queue.lock().await;
         let mut buffer = [0; MAX_BYTES];
         let started = Instant::now();
         let mut last_tick = BootClock.now();
