Send nothing more to a target that says in an answer that it leaves

Callers' requests reached targets that had said `Server-Leaving: 1` for as long as the store was away or the list late: nothing read the header, and the list alone told which targets leave.

`barred` of azurestand_direct holds the incarnations that leave, apart from the list: neither the list nor an outage lifts it, and another incarnation isn't barred. Placement leaves them out; a request that was placed is checked again before it takes a kept connection and once a new one is open; kept connections are closed; waiting requests look elsewhere at once. Entries tell each other by the notices that carry limits and parts; agents by their reports. At most 4,096 incarnations are kept, the latest.

A probe whether a target has ended still opens a connection without a request: an answer that ends with its connection counts only after it.

Class: the belief that decides depends on one source, although the target itself has said better. Also sought: quarantines and limits, which entries already learn from answers; the agents' orders to engines, which callers' requests don't pass; the pieces of weights, which no target serves.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`Rules`] holds the operators' routes, services, accounts and limits.
 //! - [`Directory`] tracks which targets exist and which of them are leaving.
 //! - [`Freshness`] tells whether what this process last read is recent enough to rely on.
+//! - [`Incarnation`] names one run of a target; one that says that it leaves gets nothing more.
 //! - [`Placement`] chooses the target of a request.
 //! - [`RequestQueue`] queues the requests that wait for capacity.
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
@@ -18,6 +19,7 @@
 //! [`Moment`](azurestand_types::Moment) and get decisions back.
 //! [docs/PLATFORM.md](../../../docs/PLATFORM.md) gives the reasons for the design.
 
+mod barred;
 mod correction;
 mod directory;
 mod engine;
@@ -34,6 +36,7 @@
 mod turn;
 mod versions;
 
+pub use barred::Incarnation;
 pub use correction::Correction;
 pub use directory::{Directory, LoadedWeights, Target, TargetState};
 pub use engine::{CostModel, RequestSize};
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -13,6 +13,7 @@
 
 use azurestand_types::Moment;
 
+use crate::barred::{Barred, Incarnation};
 use crate::correction::Correction;
 use crate::directory::{Directory, Target, TargetState};
 use crate::engine::RequestSize;
@@ -109,6 +110,8 @@
 pub struct Placement {
     centre: Arc<str>,
     records: BTreeMap<Arc<str>, TargetRecord>,
+    /// Kept for targets that aren't listed at present too.
+    barred: Barred,
     regions: BTreeMap<Arc<str>, Arc<str>>,
     excluded: BTreeSet<Arc<str>>,
     entry_count: u32,
@@ -130,6 +133,7 @@
         Self {
             centre,
             records: BTreeMap::new(),
+            barred: Barred::default(),
             regions,
             excluded: BTreeSet::new(),
             entry_count,
@@ -229,6 +233,34 @@
         records.filter(|record| record.shares().has_limit()).count()
     }
 
+    /// Records that an incarnation leaves, listed or not; returns whether that was unknown.
+    pub fn record_leaving(&mut self, now: Moment, incarnation: Incarnation) -> bool {
+        self.barred.record_leaving(now, incarnation)
+    }
+
+    /// Whether a request that was placed on a target may still be sent there.
+    pub fn may_send(&self, target: &Target) -> bool {
+        !self.barred.is_leaving(target)
+    }
+
+    /// What to tell other entries again: the incarnations that this entry learned within the
+    /// last `age` to be leaving.
+    pub fn recently_leaving(&self, now: Moment, age: Duration) -> Vec<Incarnation> {
+        self.barred.recently_leaving(now, age)
+    }
+
+    /// What to tell an entry that asks: the incarnations that are known to leave, the latest
+    /// ones if there are too many.
+    pub fn latest_leaving(&self) -> Vec<Incarnation> {
+        self.barred.latest_leaving()
+    }
+
+    /// The listed targets that have said that they leave.
+    pub fn leaving_targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let listed = self.records.values().map(|record| &record.target);
+        listed.filter(|target| self.barred.is_leaving(target))
+    }
+
     /// Records that an agent reported on a target. When such reports stop, the target is
     /// suspect; when they stop for all targets of a data centre, all of it is suspect.
     pub fn record_agent_report(&mut self, now: Moment, target: &Target) {
@@ -431,6 +463,7 @@
         };
         target.service == requirements.service.name
             && target.state == TargetState::Ready
+            && !self.barred.is_leaving(target)
             && !self.excluded.contains(&target.centre)
             && !requirements.avoid.contains(&target.id)
             && requirements.regions.iter().all(is_allowed)
--- a/crates/azurestand_gateway/src/agent/report.rs
+++ b/crates/azurestand_gateway/src/agent/report.rs
@@ -176,6 +176,7 @@
             entries: u32::try_from(inner.subscribers.len()).unwrap_or(u32::MAX),
             known_entries: Vec::new(),
             named_versions: Vec::new(),
+            is_leaving: state.is_leaving,
         })
     }
 }
--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -53,6 +53,10 @@
         NotSent(reason: String) {
             display("no connection could be opened ({reason}); check that the peer runs")
         }
+        /// Nothing was sent, since the peer wants no requests any more.
+        Withheld {
+            display("the peer has said that it wants no requests")
+        }
         /// The connection broke; the call may have run.
         Broken(reason: String) {
             display("the connection broke ({reason}); check the peer")
@@ -223,11 +227,32 @@
         request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<(Response<ResponseBody>, ActiveConnection), CallError> {
+        self.send_if(key, request, reuse, || true).await
+    }
+
+    /// Like [`Client::send`], if `may_send` still returns true when a connection is open.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Withheld`] if it returns false; nothing was sent then.
+    pub(crate) async fn send_if<F>(
+        &self,
+        key: &PeerKey,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        may_send: F,
+    ) -> Result<(Response<ResponseBody>, ActiveConnection), CallError>
+    where
+        F: Fn() -> bool + Send,
+    {
         let pooled = match reuse {
             Reuse::Pooled => self.take_idle(key),
             Reuse::Never => None,
         };
         let mut request = request;
+        if !may_send() {
+            return Err(CallError::Withheld);
+        }
         if let Some(idle) = pooled {
             let connection = ActiveConnection {
                 client: self.clone(),
@@ -245,6 +270,9 @@
             }
         }
         let connection = self.connect(key).await?;
+        if !may_send() {
+            return Err(CallError::Withheld);
+        }
         attempt(connection, request)
             .await
             .map_err(|(error, _)| error)
--- a/crates/azurestand_gateway/src/client/tests.rs
+++ b/crates/azurestand_gateway/src/client/tests.rs
@@ -1,5 +1,7 @@
 //! Peers whose responses never end, before each kind of call.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -55,3 +57,22 @@
         }
     }
 }
+
+/// A target said that it leaves while a connection to it was being opened.
+#[tokio::test]
+async fn nothing_is_sent_on_a_connection_whose_peer_wants_nothing_by_then() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let client = Client::default();
+    let request = plain_request(Method::POST, peer, "/", Bytes::new());
+    let checks = AtomicUsize::new(0);
+    let may_send = || checks.fetch_add(1, Ordering::Relaxed) == 0;
+    let key = (peer, Arc::from("i-1@1"));
+    let sent = client.send_if(&key, request, Reuse::Never, may_send);
+    let (sent, accepted) = tokio::join!(sent, listener.accept());
+    assert!(matches!(sent, Err(CallError::Withheld)), "{:?}", sent.err());
+    let (mut stream, _) = accepted.unwrap();
+    let mut bytes = Vec::new();
+    let read = timeout(LIMIT, stream.read_to_end(&mut bytes)).await;
+    assert!(read.is_ok() && bytes.is_empty(), "{bytes:?}");
+}
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -12,13 +12,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Fault, LimitNotice, RouteKind, Target};
+use azurestand_direct::{Fault, Incarnation, LimitNotice, RouteKind, Target};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
 use tokio::time::timeout;
 
+use super::barred;
 use super::call::Call;
 use super::exchange::{Topic, log_limit};
 use super::memory;
@@ -161,6 +162,7 @@
                         return Ok(opened);
                     }
                 }
+                Ok(Err(CallError::Withheld)) => self.withheld(&target),
                 Ok(Err(CallError::NotSent(reason))) => self.unsent(&target, &reason)?,
                 Ok(Err(error)) => {
                     self.broke(&target, Fault::Unreachable, &error.to_string())
@@ -233,11 +235,14 @@
             RouteKind::Idempotent | RouteKind::Streaming { .. } => Reuse::Pooled,
         };
         let key = (target.address, incarnation(target));
-        let (response, connection) = self.shared.client.send(&key, request, reuse).await?;
+        let may_send = || barred::may_send(&self.shared, target);
+        let sent = self.shared.client.send_if(&key, request, reuse, may_send);
+        let (response, connection) = sent.await?;
         let (head, body) = response.into_parts();
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
         self.record_limit(target, &response);
+        barred::record_answer(&self.shared, target, &response);
         if let Some(load) = response.load {
             let now = BootClock.now();
             let mut state = self.shared.state();
@@ -372,7 +377,7 @@
 
 /// Identifies the incarnation of a target; a connection is reused for one incarnation only.
 fn incarnation(target: &Target) -> Arc<str> {
-    format!("{}@{}", target.id, target.started_at).into()
+    Incarnation::from(target).to_string().into()
 }
 
 fn origin_form(uri: &http::Uri) -> http::Uri {
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -75,6 +75,13 @@
         ]);
     }
 
+    /// Handles a request whose target said, before anything was sent, that it wants none.
+    pub(super) fn withheld(&mut self, target: &Target) {
+        self.log_withdrawn(target, "the target has said that it wants no requests");
+        self.sends -= 1;
+        self.constraints.avoid.push(target.id.clone());
+    }
+
     /// Handles a failed connection: nothing was sent, so the attempt isn't counted.
     pub(super) fn unsent(
         &mut self,
--- a/crates/azurestand_gateway/src/entry/exchange.rs
+++ b/crates/azurestand_gateway/src/entry/exchange.rs
@@ -4,26 +4,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{LimitNotice, PartChange, PartId, PartNotice, RateLimit};
+use azurestand_direct::{Incarnation, LimitNotice, PartChange, PartId, PartNotice, RateLimit};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use super::barred;
 use super::quarantine::log_change;
 use super::shared::Shared;
 use crate::clock::BootClock;
 use crate::error::GatewayError;
 use crate::log::LogEvent;
-use crate::notice::{LimitState, MAX_BYTES, MAX_LIMITS, MAX_PARTS, Notices, PartState};
+use crate::notice::{
+    LeavingState, LimitState, MAX_BYTES, MAX_LEAVING, MAX_LIMITS, MAX_PARTS, Notices, PartState,
+};
 use crate::platform::Platform;
 
 /// The interval at which everything known is sent to some entries.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// The entries that get everything each time.
 const REPEAT_PEERS: usize = 3;
-/// How long a change of a limit is repeated; later, answers of the target tell it.
-const LIMIT_REPEAT_TIME: Duration = Duration::from_secs(2);
+/// How long what a target said is repeated; later, its answers tell it.
+const TARGET_REPEAT_TIME: Duration = Duration::from_secs(2);
 /// How long an entry that has started waits for another's reply before it is ready.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 /// An interval between two repetitions from which on notices may have been lost.
@@ -38,6 +41,8 @@
     Part(PartId),
     /// The rate limit of a target.
     Limit(LimitNotice),
+    /// A target that leaves.
+    Leaving(Incarnation),
 }
 
 /// The sending side of the exchange.
@@ -76,11 +81,12 @@
 struct Known {
     parts: Vec<PartNotice>,
     limits: Vec<LimitNotice>,
+    leaving: Vec<Incarnation>,
 }
 
 impl Known {
     fn is_empty(&self) -> bool {
-        self.parts.is_empty() && self.limits.is_empty()
+        self.parts.is_empty() && self.limits.is_empty() && self.leaving.is_empty()
     }
 
     /// The messages that hold all of it; one at least.
@@ -105,7 +111,11 @@
                 .collect(),
             ..message()
         });
-        let mut messages: Vec<Notices> = parts.chain(limits).collect();
+        let leaving = self.leaving.chunks(MAX_LEAVING).map(|chunk| Notices {
+            leaving: chunk.iter().map(LeavingState::from).collect(),
+            ..message()
+        });
+        let mut messages: Vec<Notices> = parts.chain(limits).chain(leaving).collect();
         if messages.is_empty() {
             messages.push(message());
         }
@@ -179,7 +189,7 @@
             .collect()
     }
 
-    /// Sends to some entries all that is known of parts, and the latest changes of limits;
+    /// Sends to some entries all that is known of parts, and what targets said last;
     /// asks them for everything until one has replied, or if this process was suspended.
     fn repeat(&self, was_suspended: bool) {
         let now = BootClock.now();
@@ -187,7 +197,8 @@
         state.quarantine.expire(now);
         let known = Known {
             parts: state.quarantine.notices(now),
-            limits: state.placement.changed_limits(now, LIMIT_REPEAT_TIME),
+            limits: state.placement.changed_limits(now, TARGET_REPEAT_TIME),
+            leaving: state.placement.recently_leaving(now, TARGET_REPEAT_TIME),
         };
         drop(state);
         let purpose = if was_suspended || !self.shared.is_informed() {
@@ -214,6 +225,10 @@
                 limits: vec![limit],
                 ..Known::default()
             },
+            Topic::Leaving(incarnation) => Known {
+                leaving: vec![incarnation],
+                ..Known::default()
+            },
         };
         self.send(&self.peers(), &known, Purpose::Tell);
     }
@@ -235,12 +250,14 @@
         }
         self.receive_parts(from, notices.parts);
         self.receive_limits(from, notices.limits);
+        self.receive_leaving(from, notices.leaving);
         if notices.wants_all {
             let now = BootClock.now();
             let mut state = self.shared.state();
             let known = Known {
                 parts: state.quarantine.notices(now),
                 limits: state.placement.limits_in_force(),
+                leaving: state.placement.latest_leaving(),
             };
             drop(state);
             self.send(&[from.ip()], &known, Purpose::Reply);
@@ -283,6 +300,17 @@
         }
     }
 
+    fn receive_leaving(&self, from: SocketAddr, leaving: Vec<LeavingState>) {
+        for state in leaving {
+            match state.decode() {
+                Some(incarnation) => {
+                    barred::record_leaving(&self.shared, &incarnation, &from.ip().to_string());
+                }
+                None => log_unreadable(from, "the name of a leaving target is too long"),
+            }
+        }
+    }
+
     /// Logs what another entry's notice changed. A clearance is passed on, since only the
     /// entry that had told of the crash gets it.
     fn apply_change(&self, from: SocketAddr, change: &PartChange) {
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -8,12 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Naming, TargetLoad};
+use azurestand_direct::{Incarnation, Naming, TargetLoad};
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use super::barred;
 use super::shared::{Shared, State};
 use crate::clock::BootClock;
 use crate::error::GatewayError;
@@ -195,6 +196,14 @@
     if let Some(line) = state.queues.get(&target.service) {
         line.wake_first();
     }
+    drop(state);
+    if report.is_leaving {
+        barred::record_leaving(
+            shared,
+            &Incarnation::from(target.as_ref()),
+            &host.to_string(),
+        );
+    }
 }
 
 /// Applies the reported naming times of versions, which this process may not know or have
--- a/crates/azurestand_gateway/src/entry/status.rs
+++ b/crates/azurestand_gateway/src/entry/status.rs
@@ -60,6 +60,8 @@
     let (suspected, quarantined) = state.quarantine.counts(now);
     let limited = state.placement.limited_targets();
     metrics::set(Level::LimitedTargets, to_f64(limited));
+    let leaving = state.placement.leaving_targets().count();
+    metrics::set(Level::LeavingTargets, to_f64(leaving));
     metrics::set(Level::SuspectedParts, to_f64(suspected));
     metrics::set(Level::QuarantinedParts, to_f64(quarantined));
     metrics::set(Level::Ready, f64::from(u8::from(is_ready)));
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -91,6 +91,7 @@
     PartCleared = "G0215", "part_cleared", "A target wrote an answer under a suspected part of a prompt.";
     NoticeUnreadable = "G0216", "notice_unreadable", "A datagram from another entry can't be read.";
     LimitNamed = "G0217", "limit_named", "A target named another rate limit than before, or none any more.";
+    TargetLeaving = "G0221", "target_leaving", "A target said that it leaves; this incarnation gets no more requests from here.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
--- a/crates/azurestand_gateway/src/metrics.rs
+++ b/crates/azurestand_gateway/src/metrics.rs
@@ -65,6 +65,7 @@
     SuspectedParts = "suspected_parts", "Parts of prompts that are suspected to crash targets.";
     QuarantinedParts = "quarantined_parts", "Parts of prompts whose requests are refused since they crash targets.";
     LimitedTargets = "limited_targets", "Targets that name a rate limit.";
+    LeavingTargets = "leaving_targets", "Listed targets that have said that they leave.";
     Missing = "missing", "Missing pieces of the version that is being fetched.";
 }
 
--- a/crates/azurestand_gateway/src/notice.rs
+++ b/crates/azurestand_gateway/src/notice.rs
@@ -1,5 +1,5 @@
-//! Datagrams between entries: what each knows of parts of prompts that crash targets, and of
-//! the rate limits that targets name.
+//! Datagrams between entries: what each knows of parts of prompts that crash targets, of the
+//! rate limits that targets name, and of targets that say that they leave.
 //!
 //! There is no session and no acknowledgement. What is new goes to all other entries at
 //! once, and everything to a few of them at intervals, so that a lost datagram only delays
@@ -7,7 +7,9 @@
 
 use std::time::Duration;
 
-use azurestand_direct::{Crash, LimitNotice, PartId, PartNotice, RateError, RateLimit};
+use azurestand_direct::{
+    Crash, Incarnation, LimitNotice, PartId, PartNotice, RateError, RateLimit,
+};
 use azurestand_types::Moment;
 use prost::Message;
 
@@ -17,6 +19,8 @@
 pub(crate) const MAX_PARTS: usize = 8;
 /// The most limits in one datagram.
 pub(crate) const MAX_LIMITS: usize = 64;
+/// The most leaving targets in one datagram.
+pub(crate) const MAX_LEAVING: usize = 64;
 /// The most crashes of one part that are read.
 const MAX_CRASHES: usize = 8;
 /// The longest name that is read, in bytes.
@@ -37,6 +41,38 @@
     /// What it knows of the rate limits of some targets.
     #[prost(message, repeated, tag = "4")]
     pub(crate) limits: Vec<LimitState>,
+    /// Incarnations of targets that have said that they leave.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) leaving: Vec<LeavingState>,
+}
+
+/// An incarnation of a target that has said that it leaves.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LeavingState {
+    #[prost(string, tag = "1")]
+    target: String,
+    #[prost(uint64, tag = "2")]
+    started_at: u64,
+}
+
+impl From<&Incarnation> for LeavingState {
+    fn from(incarnation: &Incarnation) -> Self {
+        Self {
+            target: incarnation.target.to_string(),
+            started_at: incarnation.started_at,
+        }
+    }
+}
+
+impl LeavingState {
+    /// The incarnation; none if its name is too long.
+    pub(crate) fn decode(self) -> Option<Incarnation> {
+        let is_valid = self.target.len() <= MAX_NAME_BYTES;
+        is_valid.then(|| Incarnation {
+            target: self.target.into(),
+            started_at: self.started_at,
+        })
+    }
 }
 
 /// The rate limit of one target.
--- a/crates/azurestand_gateway/src/platform.rs
+++ b/crates/azurestand_gateway/src/platform.rs
@@ -74,6 +74,8 @@
     pub version: Option<u64>,
     /// The most requests that the target takes at present; none if it names no limit.
     pub rate_limit: Option<RateLimit>,
+    /// Whether the target says that it leaves and wants no further requests.
+    pub is_leaving: bool,
 }
 
 /// The format of requests and responses.
--- a/crates/azurestand_gateway/src/platform/engine.rs
+++ b/crates/azurestand_gateway/src/platform/engine.rs
@@ -21,6 +21,8 @@
     pub accepted_orders: u64,
     /// Its load.
     pub load: TargetLoad,
+    /// Whether it says that it leaves and wants no further requests.
+    pub is_leaving: bool,
 }
 
 /// The list of pieces of one version of a model's weights.
--- a/crates/azurestand_gateway/src/presence.rs
+++ b/crates/azurestand_gateway/src/presence.rs
@@ -77,4 +77,7 @@
     /// The newest versions that it knows of; only in the reply to a subscription.
     #[prost(message, repeated, tag = "7")]
     pub(crate) named_versions: Vec<KnownVersion>,
+    /// Whether the engine says that it leaves.
+    #[prost(bool, tag = "8")]
+    pub(crate) is_leaving: bool,
 }
