Send nothing to a target for the time that its refusal names

A 503 with `Retry-After` counted as any refusal: the entry sent to the target again after 120 ms, callers waited in the queue while no target wanted anything, and were told to come back while all still refused.

Only an answer to the request's own name counts. `retry_after` and `barred` of azurestand_direct hold the time by incarnation, apart from the list, so that a target that vanishes and comes back is spared too. Placement counts it as predicted wait that other refusals neither lengthen nor shorten; a placed request is checked again before it is sent. If all eligible targets want nothing for longer than a request may wait, it is refused at once, with a Retry-After that doesn't end before the soonest time, within the usual bounds. Afterwards an entry begins at a moment of its own within 0.4 s, with one request, then two, four and eight each 0.25 s.

Class: a target's own word is read as less than it says, as with rate limits. Also sought: `Retry-After` of the store and of engines to their agents is not read (an agent's calls aren't callers' requests).

--- a/crates/azurestand_bench/src/load.rs
+++ b/crates/azurestand_bench/src/load.rs
@@ -4,6 +4,7 @@
 //! A pattern of load runs with the entries' own way of placing and with two plain ones
 //! beside it. [docs/OVERLOAD.md](../../../docs/OVERLOAD.md) reads the figures.
 
+mod barring;
 mod caller;
 mod engine;
 mod entry;
@@ -52,10 +53,13 @@
     Abuse,
     /// Two thirds of the targets name a rate limit for a third of the time.
     LimitsNamed,
+    /// A third of the targets turns requests away for a time, one after the other, and a fifth
+    /// leaves, which the list tells late.
+    TurnedAway,
 }
 
 /// All patterns.
-pub const PATTERNS: [Pattern; 8] = [
+pub const PATTERNS: [Pattern; 9] = [
     Pattern::Steady,
     Pattern::Burst,
     Pattern::TargetsLost,
@@ -64,6 +68,7 @@
     Pattern::NewVersion,
     Pattern::Abuse,
     Pattern::LimitsNamed,
+    Pattern::TurnedAway,
 ];
 
 /// One run.
@@ -108,4 +113,6 @@
     pub limited_peak: u32,
     /// Sends to targets in that time, as a part of what their limits allow.
     pub limited_use: f64,
+    /// Sends to targets that had told the same entry that they want nothing.
+    pub barred_sends: u32,
 }
--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -164,13 +164,18 @@
                 self.expected.insert(ask.caller, (now, choice.expected));
                 engine.map_or(Decision::Refuse(BLIND_RETURN_MS), Decision::Send)
             }
-            Err(NoTarget::Busy { .. }) if now < until => {
+            Err(NoTarget::TurnedAway { soonest }) if now + millis(soonest) > until => {
+                Decision::Refuse(self.spread(soonest))
+            }
+            Err(NoTarget::Busy { .. } | NoTarget::TurnedAway { .. }) if now < until => {
                 if !ask.waits {
                     self.join(ask.caller, rank);
                 }
                 Decision::Wait(until)
             }
-            Err(NoTarget::Busy { soonest }) => Decision::Refuse(self.spread(soonest)),
+            Err(NoTarget::Busy { soonest } | NoTarget::TurnedAway { soonest }) => {
+                Decision::Refuse(self.spread(soonest))
+            }
             Err(NoTarget::NoneEligible) => {
                 Decision::Refuse(self.spread(Duration::from_millis(400)))
             }
@@ -235,3 +240,8 @@
     let micros = (millis.max(0.0) * 1_000.0) as u64;
     Moment::from_micros(micros)
 }
+
+/// A time in virtual milliseconds.
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use azurestand_direct::{
-    CostModel, Fault, LimitNotice, LoadedWeights, Placement, RequestSize, SendShare, Service,
-    Target, TargetState,
+    CostModel, Fault, Incarnation, LimitNotice, LoadedWeights, Placement, RequestSize, RetryAfter,
+    SendShare, Service, Target, TargetState,
 };
 
+use super::barring::Barring;
 use super::caller::{CLASSES, Caller, PATIENCE_MS, State, gap, size};
 use super::engine::{Engine, Job, Word};
 use super::entry::{Ask, Decision, Entry, moment};
@@ -34,6 +35,8 @@
 const LOAD_MS: f64 = 300.0;
 /// The time over which loads are spread, in milliseconds.
 const LOAD_SPAN_MS: f64 = 3_000.0;
+/// How late the list tells that a target leaves, in milliseconds.
+const LATE_LIST_MS: f64 = 4_000.0;
 /// How long after a refusal a caller comes that doesn't wait, in milliseconds.
 const AT_ONCE_MS: f64 = 5.0;
 
@@ -71,6 +74,8 @@
     Report,
     /// Engines stop taking requests, and load as soon as they are idle.
     Close(usize),
+    /// The list tells that an engine has left.
+    Unlist(usize),
     /// An engine has loaded.
     Open(usize),
     /// The pattern's change, and its end.
@@ -96,6 +101,7 @@
     cold: BTreeMap<(usize, u32), u32>,
     born: Vec<f64>,
     limited: Vec<Limited>,
+    barring: Vec<Barring>,
     rng: fastrand::Rng,
 }
 
@@ -106,7 +112,9 @@
         fleet.now = at;
         fleet.take(event);
     }
-    tally(&fleet.callers, &fleet.cold, &fleet.limited)
+    let mut figures = tally(&fleet.callers, &fleet.cold, &fleet.limited);
+    figures.barred_sends = fleet.barring.iter().map(Barring::sends).sum();
+    figures
 }
 
 impl Fleet {
@@ -134,6 +142,7 @@
             cold: BTreeMap::new(),
             born: Vec::new(),
             limited: Vec::new(),
+            barring: Vec::new(),
             rng: rng.fork(),
         };
         (0..ENGINES).for_each(|_| fleet.add_engine(0.0));
@@ -185,6 +194,7 @@
         self.open.push(true);
         self.loading.push(false);
         self.limited.push(Limited::default());
+        self.barring.push(Barring::default());
         self.born.push(if cold > 0.0 { self.now } else { -COLD_MS });
     }
 
@@ -203,6 +213,10 @@
             Event::Pass { engine, life } => self.end_pass(engine, life),
             Event::Report => self.report(),
             Event::Close(engine) => self.close(engine),
+            Event::Unlist(engine) => {
+                self.open[engine] = false;
+                self.tell_targets();
+            }
             Event::Open(engine) => {
                 self.loading[engine] = false;
                 self.open[engine] = true;
@@ -283,6 +297,7 @@
     fn send(&mut self, caller: usize, entry: usize, engine: usize) {
         self.entries[entry].sent(self.now, engine);
         self.limited[engine].record_send(self.now);
+        self.barring[engine].record_send(self.now, entry);
         let age = self.now - self.born[engine];
         if age < COLD_MS {
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -292,8 +307,13 @@
         let asked = self.callers[caller];
         let job = Job::new(caller, asked.prompt, asked.answer);
         let is_lost = !self.open[engine] && !self.loading[engine];
-        if is_lost || self.loading[engine] || !self.engines[engine].offer(job) {
+        let barring = &self.barring[engine];
+        let turns_away = barring.pause(self.now).is_some() || barring.has_left(self.now);
+        let is_closed = is_lost || self.loading[engine] || turns_away;
+        if is_closed || !self.engines[engine].offer(job) {
             self.entries[entry].ended(engine, false);
+            let named = self.barring[engine].pause(self.now);
+            self.hear_bar(entry, engine, named);
             self.entries[entry].failed(self.now, engine, Fault::Refused);
             self.refuse(caller, 150.0);
             return;
@@ -373,6 +393,7 @@
         if let State::Sent { entry, engine } = self.callers[caller].state {
             self.entries[entry].began(self.now, caller, engine);
             self.hear_limit(entry, engine);
+            self.hear_bar(entry, engine, None);
             let after = self.now - self.callers[caller].arrived;
             self.callers[caller].state = State::Begun {
                 entry,
@@ -402,6 +423,26 @@
         }
     }
 
+    /// Lets an entry hear that a target wants nothing for a time, or leaves, and tell the others
+    /// of the latter.
+    fn hear_bar(&mut self, entry: usize, engine: usize, named: Option<RetryAfter>) {
+        let now = moment(self.now);
+        let target = self.targets[engine].clone();
+        let barring = &mut self.barring[engine];
+        barring.record_answer(self.now, entry, named);
+        if let Some(after) = named {
+            let placement = self.entries[entry].placement();
+            placement.record_retry_after(now, &target, after);
+        }
+        if barring.is_leaving() {
+            let incarnation = Incarnation::from(target.as_ref());
+            for entry in &mut self.entries {
+                let placement = entry.placement();
+                placement.record_leaving(now, incarnation.clone());
+            }
+        }
+    }
+
     fn served(&mut self, caller: usize) {
         if let State::Begun {
             entry,
@@ -468,6 +509,7 @@
                 let needy = self.limited.iter_mut();
                 needy.for_each(|limited| limited.end(self.now));
             }
+            (Pattern::TurnedAway, true) => self.bar_targets(third),
             (Pattern::ColdAdded, true) => (0..third).for_each(|_| self.add_engine(COLD_MS)),
             (Pattern::CentreOut, _) => {
                 let places = (0..ENGINES).filter(|engine| engine % CENTRES.len() == 0);
@@ -488,6 +530,19 @@
         self.tell_targets();
     }
 
+    /// Lets a third of the targets turn requests away, one after the other, and a fifth leave.
+    fn bar_targets(&mut self, third: usize) {
+        let mut from = self.now;
+        for barring in self.barring.iter_mut().take(third) {
+            barring.refuse(from);
+            from += self.end / 3.0 / 5.0;
+        }
+        for engine in ENGINES - ENGINES / 5..ENGINES {
+            self.barring[engine].leave(self.now);
+            self.at(self.now + LATE_LIST_MS, Event::Unlist(engine));
+        }
+    }
+
     fn lose(&mut self, caller: usize) {
         let (entry, engine, began) = match self.callers[caller].state {
             State::Sent { entry, engine } => (entry, engine, false),
--- a/crates/azurestand_bench/src/main.rs
+++ b/crates/azurestand_bench/src/main.rs
@@ -71,7 +71,7 @@
 fn print_load(options: &LoadOptions) {
     println!(
         "| pattern | policy | worth | in aim | late | refused | failed | first event p50, p99 ms | \
-         most to a cold target |\n|---|---|---|---|---|---|---|---|---|"
+         most to a cold target | against a target's word |\n|---|---|---|---|---|---|---|---|---|---|"
     );
     for pattern in PATTERNS {
         for policy in POLICIES {
@@ -83,7 +83,7 @@
                 seed: options.seed,
             });
             println!(
-                "| {pattern:?} | {policy:?} | {:.3} | {} | {} | {} | {} | {:.0}, {:.0} | {} |",
+                "| {pattern:?} | {policy:?} | {:.3} | {} | {} | {} | {} | {:.0}, {:.0} | {} | {} |",
                 figures.worth,
                 figures.in_aim,
                 figures.late,
@@ -92,6 +92,7 @@
                 figures.first_p50,
                 figures.first_p99,
                 figures.cold_peak,
+                figures.barred_sends,
             );
         }
     }
--- a/crates/azurestand_bench/tests/load.rs
+++ b/crates/azurestand_bench/tests/load.rs
@@ -117,6 +117,19 @@
     assert!(own.limited_use >= 0.8, "{own:?}");
 }
 
+#[test]
+fn targets_turn_requests_away_and_leave() {
+    assert_best(Pattern::TurnedAway);
+}
+
+#[test]
+fn targets_that_want_nothing_get_nothing() {
+    let blind = figures(Policy::LeastOwn, Pattern::TurnedAway, 1.5);
+    assert!(blind.barred_sends > 0, "none sent to be barred: {blind:?}");
+    let own = figures(Policy::Predicted, Pattern::TurnedAway, 1.5);
+    assert_eq!(own.barred_sends, 0, "{own:?}");
+}
+
 #[test]
 fn whoever_is_refused_is_refused_before_giving_up() {
     for pattern in PATTERNS
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -4,7 +4,8 @@
 //! - [`Rules`] holds the operators' routes, services, accounts and limits.
 //! - [`Directory`] tracks which targets exist and which of them are leaving.
 //! - [`Freshness`] tells whether what this process last read is recent enough to rely on.
-//! - [`Incarnation`] names one run of a target; one that says that it leaves gets nothing more.
+//! - [`Incarnation`] names one run of a target; one that says that it leaves gets
+//!   nothing more, and one that names a [`RetryAfter`] nothing for that time.
 //! - [`Placement`] chooses the target of a request.
 //! - [`RequestQueue`] queues the requests that wait for capacity.
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
@@ -31,12 +32,13 @@
 mod place;
 mod quarantine;
 mod queue;
+mod retry_after;
 mod rules;
 mod share;
 mod turn;
 mod versions;
 
-pub use barred::Incarnation;
+pub use barred::{Bar, BarredTarget, Incarnation};
 pub use correction::Correction;
 pub use directory::{Directory, LoadedWeights, Target, TargetState};
 pub use engine::{CostModel, RequestSize};
@@ -48,6 +50,7 @@
 pub use place::{Choice, Fault, NoTarget, Placement, TargetLoad, TargetRequirements};
 pub use quarantine::{Admission, Crash, Merged, PartChange, PartNotice, Quarantine, Standing};
 pub use queue::{Rank, RequestQueue, Waiter};
+pub use retry_after::{RetryAfter, RetryAfterError};
 pub use rules::{
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -13,11 +13,12 @@
 
 use azurestand_types::Moment;
 
-use crate::barred::{Barred, Incarnation};
+use crate::barred::{Barred, BarredTarget, Incarnation};
 use crate::correction::Correction;
 use crate::directory::{Directory, Target, TargetState};
 use crate::engine::RequestSize;
 use crate::limit::{LimitNotice, RateLimit};
+use crate::retry_after::RetryAfter;
 use crate::rules::Service;
 use crate::share::SendShare;
 use record::TargetRecord;
@@ -103,6 +104,11 @@
         /// The shortest predicted time to the first byte.
         soonest: Duration,
     },
+    /// All eligible targets have named a time for which they want nothing.
+    TurnedAway {
+        /// The time until the first of them gets requests again.
+        soonest: Duration,
+    },
 }
 
 /// The state of all targets, as one entry knows it.
@@ -238,9 +244,46 @@
         self.barred.record_leaving(now, incarnation)
     }
 
+    /// Records that a refusal of a target named a time for which it wants nothing. Returns the
+    /// moments from which more may be sent there, unless an earlier refusal keeps requests away
+    /// for longer.
+    pub fn record_retry_after(
+        &mut self,
+        now: Moment,
+        target: &Target,
+        after: RetryAfter,
+    ) -> Option<Vec<Moment>> {
+        let spread = self.rng.f64();
+        self.barred.record_retry_after(now, target, after, spread)
+    }
+
     /// Whether a request that was placed on a target may still be sent there.
-    pub fn may_send(&self, target: &Target) -> bool {
-        !self.barred.is_leaving(target)
+    pub fn may_send(&self, now: Moment, target: &Target) -> bool {
+        self.barred.bar(now, target).is_none()
+    }
+
+    /// The listed targets that get nothing by their own word, and why.
+    pub fn barred_targets(&self, now: Moment) -> Vec<BarredTarget> {
+        let listed = self.records.values().map(|record| &record.target);
+        let barred = listed.filter_map(|target| {
+            let bar = self.barred.bar(now, target)?;
+            let target = target.clone();
+            Some(BarredTarget { target, bar })
+        });
+        barred.collect()
+    }
+
+    /// How long until a ready target of `service` gets requests again, if all of them have named
+    /// a time for which they want nothing.
+    pub fn turned_away(&self, now: Moment, service: &str) -> Option<Duration> {
+        let listed = self.records.values().map(|record| &record.target);
+        let ready = listed.filter(|target| {
+            target.service.as_ref() == service
+                && target.state == TargetState::Ready
+                && !self.barred.is_leaving(target)
+        });
+        let soonest = ready.map(|target| self.barred.pause(now, target)).min()?;
+        (!soonest.is_zero()).then_some(soonest)
     }
 
     /// What to tell other entries again: the incarnations that this entry learned within the
@@ -255,12 +298,6 @@
         self.barred.latest_leaving()
     }
 
-    /// The listed targets that have said that they leave.
-    pub fn leaving_targets(&self) -> impl Iterator<Item = &Arc<Target>> {
-        let listed = self.records.values().map(|record| &record.target);
-        listed.filter(|target| self.barred.is_leaving(target))
-    }
-
     /// Records that an agent reported on a target. When such reports stop, the target is
     /// suspect; when they stop for all targets of a data centre, all of it is suspect.
     pub fn record_agent_report(&mut self, now: Moment, target: &Target) {
@@ -287,6 +324,7 @@
 
     /// Records that a request was sent.
     pub fn record_send(&mut self, now: Moment, target: &Target, cold_rate: Option<f64>) {
+        self.barred.record_send(target);
         if let Some(record) = self.record(target) {
             record.record_send(now, cold_rate);
         }
@@ -328,8 +366,11 @@
         }
     }
 
-    /// Records a fault of a target.
+    /// Records a fault of a target. A refusal adds nothing to a time that the target has named.
     pub fn record_fault(&mut self, now: Moment, target: &Target, fault: Fault) {
+        if fault == Fault::Refused && !self.barred.pause(now, target).is_zero() {
+            return;
+        }
         if let Some(record) = self.record(target) {
             record.record_fault(now, fault);
         }
@@ -362,11 +403,18 @@
         let eligible: Vec<&TargetRecord> = eligible.collect();
         let peer_sends = self.peer_sends(eligible.len());
         let mut soonest: Option<f64> = None;
+        let pauses = eligible.iter();
+        let pauses = pauses.map(|record| self.barred.pause(now, &record.target));
+        if let Some(soonest) = pauses.min().filter(|soonest| !soonest.is_zero()) {
+            return Err(NoTarget::TurnedAway { soonest });
+        }
         let mut candidates: Vec<(f64, &TargetRecord)> = Vec::new();
         for record in eligible {
-            let expected = record.predict(now, requirements, peer_sends);
+            let barred = self.barred.wait(now, &record.target);
+            let expected = record.predict(now, requirements, peer_sends, barred);
             soonest = Some(soonest.map_or(expected, |known| known.min(expected)));
-            if expected <= limit && record.has_room(now, requirements, peer_sends) {
+            let is_free = barred.is_zero() && expected <= limit;
+            if is_free && record.has_room(now, requirements, peer_sends) {
                 candidates.push((expected, record));
             }
         }
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -276,12 +276,14 @@
                 .is_none_or(|required| required == version)
     }
 
-    /// The predicted time to the first byte of a request that is sent now, in milliseconds.
+    /// The predicted time to the first byte of a request that is sent now, in milliseconds;
+    /// `barred` is how long the target wants nothing by its own word.
     pub(super) fn predict(
         &self,
         now: Moment,
         requirements: &TargetRequirements<'_>,
         peer_sends: f64,
+        barred: Duration,
     ) -> f64 {
         let load = self.likely_load(now, peer_sends);
         let slots = self.target.slots.max(1);
@@ -291,7 +293,8 @@
             let excess = (load.running + load.waiting + 1).saturating_sub(slots);
             PLAIN_MS * (1.0 + f64::from(excess) / f64::from(slots))
         };
-        let pause = self.paused_until.since(now).as_secs_f64() * 1_000.0;
+        let pause = self.paused_until.since(now).max(barred);
+        let pause = pause.as_secs_f64() * 1_000.0;
         let wait = self.shares.wait(now, requirements.service.cold_rate);
         let wait = wait.unwrap_or(NO_SHARE_WAIT).as_secs_f64() * 1_000.0;
         work + pause.max(wait)
--- a/crates/azurestand_gateway/src/entry/barred.rs
+++ b/crates/azurestand_gateway/src/entry/barred.rs
@@ -1,21 +1,39 @@
-//! Applies what targets say of themselves: that they leave.
+//! Applies what targets say of themselves: that they leave, or for how long they want nothing.
 
-use azurestand_direct::{Incarnation, Target};
+use std::sync::Arc;
+
+use azurestand_direct::{Incarnation, RetryAfter, Target};
+use azurestand_types::Moment;
+use tokio::time::sleep;
 
 use super::exchange::Topic;
 use super::shared::Shared;
 use crate::clock::BootClock;
-use crate::log::LogEvent;
-use crate::platform::ResponseHead;
+use crate::log::{LogEvent, millis};
+use crate::platform::{NamedPause, Platform, ResponseHead};
 
-/// Applies what an answer of `target` says, and tells other entries what is new.
-pub(super) fn record_answer<P>(shared: &Shared<P>, target: &Target, response: &ResponseHead) {
-    if !response.is_leaving {
-        return;
+/// Applies what an answer of `target` says, and tells other entries if it leaves. Only an answer
+/// to the request's own name (`is_own`) can refuse it.
+pub(super) fn record_answer<P>(
+    shared: &Arc<Shared<P>>,
+    target: &Arc<Target>,
+    response: &ResponseHead,
+    is_own: bool,
+) where
+    P: Platform,
+{
+    if response.is_leaving {
+        let incarnation = Incarnation::from(target.as_ref());
+        if record_leaving(shared, &incarnation, "own") {
+            shared.exchange.tell(Topic::Leaving(incarnation));
+        }
     }
-    let incarnation = Incarnation::from(target);
-    if record_leaving(shared, &incarnation, "own") {
-        shared.exchange.tell(Topic::Leaving(incarnation));
+    match response.pause {
+        NamedPause::For(after) if is_own => record_retry_after(shared, target, after),
+        NamedPause::Malformed => {
+            LogEvent::RetryAfterUnreadable.log(&[("target", target.id.as_ref().into())]);
+        }
+        NamedPause::For(_) | NamedPause::None => {}
     }
 }
 
@@ -39,7 +57,51 @@
     true
 }
 
+/// Records that a refusal of `target` named a time for which it wants nothing. Requests that
+/// wait look for another target at once, and for this one when it gets requests again.
+fn record_retry_after<P>(shared: &Arc<Shared<P>>, target: &Arc<Target>, after: RetryAfter)
+where
+    P: Platform,
+{
+    let now = BootClock.now();
+    let mut state = shared.state();
+    let was_free = state.placement.may_send(now, target);
+    let Some(steps) = state.placement.record_retry_after(now, target, after) else {
+        return;
+    };
+    state.wake_queues();
+    drop(state);
+    if was_free && !after.get().is_zero() {
+        LogEvent::TargetTurnedAway.log(&[
+            ("target", target.id.as_ref().into()),
+            ("started_at", target.started_at.into()),
+            ("after_ms", millis(after.get())),
+        ]);
+    }
+    tokio::spawn(wake_at(shared.clone(), target.clone(), steps));
+}
+
+/// Wakes the queue of the target's service at each of `steps`, at which more may be sent there.
+async fn wake_at<P>(shared: Arc<Shared<P>>, target: Arc<Target>, steps: Vec<Moment>) {
+    for (number, step) in steps.into_iter().enumerate() {
+        sleep(step.since(BootClock.now())).await;
+        let state = shared.state();
+        let is_back = state.placement.may_send(BootClock.now(), &target);
+        if let Some(queue) = state.queues.get(&target.service) {
+            queue.wake_first();
+        }
+        drop(state);
+        if number == 0 && is_back {
+            LogEvent::TargetBack.log(&[
+                ("target", target.id.as_ref().into()),
+                ("started_at", target.started_at.into()),
+            ]);
+        }
+    }
+}
+
 /// Whether a request that was placed on `target` may still be sent there.
 pub(super) fn may_send<P>(shared: &Shared<P>, target: &Target) -> bool {
-    shared.state().placement.may_send(target)
+    let now = BootClock.now();
+    shared.state().placement.may_send(now, target)
 }
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -33,7 +33,7 @@
 use crate::clock::BootClock;
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
-use crate::platform::{Platform, RequestContext, ResponseHead};
+use crate::platform::{NamedPause, Platform, RequestContext, ResponseHead};
 
 /// The largest response that isn't a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -242,7 +242,8 @@
         self.written.head = true;
         let response = self.shared.platform.read_response(&head);
         self.record_limit(target, &response);
-        barred::record_answer(&self.shared, target, &response);
+        let is_own = response.id == self.call.request.id;
+        barred::record_answer(&self.shared, target, &response, is_own);
         if let Some(load) = response.load {
             let now = BootClock.now();
             let mut state = self.shared.state();
@@ -297,7 +298,7 @@
             if self.has_attempts_left() && self.spend_retry() {
                 return Ok(None);
             }
-            return Err(RequestError::TargetRefused(REFUSED_RETRY_AFTER));
+            return Err(self.target_refused());
         }
         if !self.is_genuine(&opened) {
             self.failed(
@@ -308,7 +309,12 @@
             return Ok(None);
         }
         if status.is_server_error() {
-            self.record_fault(&target, Fault::Failed, status.as_str());
+            // A target that names a time has refused, even if it may have run the request.
+            let fault = match opened.response.pause {
+                NamedPause::For(_) => Fault::Refused,
+                NamedPause::None | NamedPause::Malformed => Fault::Failed,
+            };
+            self.record_fault(&target, fault, status.as_str());
             if self.may_repeat() && self.spend_retry() {
                 self.maybe_ran = true;
                 self.constraints.avoid.push(target.id.clone());
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -7,6 +7,7 @@
 use azurestand_direct::{Fault, Target};
 use http::Response;
 
+use super::super::place::turned_away;
 use super::super::quarantine;
 use super::super::response::{Body, RequestError};
 use super::{Delivery, MIN_HEAD_TIMEOUT, PROVEN_BATCHES, REFUSED_RETRY_AFTER};
@@ -82,6 +83,13 @@
         self.constraints.avoid.push(target.id.clone());
     }
 
+    /// The refusal of a request that no further target may be tried for.
+    pub(super) fn target_refused(&self) -> RequestError {
+        let state = self.shared.state();
+        let after = turned_away(&state, BootClock.now(), &self.call);
+        RequestError::TargetRefused(after.unwrap_or(REFUSED_RETRY_AFTER))
+    }
+
     /// Handles a failed connection: nothing was sent, so the attempt isn't counted.
     pub(super) fn unsent(
         &mut self,
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -27,6 +27,9 @@
 /// The longest `Retry-After` of a refused request, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
+/// When a caller may return whose request no target can serve, before jitter.
+const NO_TARGET_TIME: Duration = Duration::from_millis(400);
+
 /// Reserved capacity at a target for one request; released on drop.
 pub(crate) struct Reservation<P> {
     shared: Arc<Shared<P>>,
@@ -135,9 +138,13 @@
             match choose(shared, &mut state, now, call, constraints, trial) {
                 Ok(reservation) => return Ok(reservation),
                 Err(NoTarget::NoneEligible) => {
-                    return Err(RequestError::NoTarget(jittered(Duration::from_millis(400))));
+                    let after = turned_away(&state, now, call).unwrap_or(jittered(NO_TARGET_TIME));
+                    return Err(RequestError::NoTarget(after));
+                }
+                Err(NoTarget::TurnedAway { soonest }) if soonest > queue_timeout(call) => {
+                    return Err(refusal(&state, now, call));
                 }
-                Err(NoTarget::Busy { .. }) => {}
+                Err(NoTarget::Busy { .. } | NoTarget::TurnedAway { .. }) => {}
             }
         }
         let queue = state.queues.entry(call.service.name.clone()).or_default();
@@ -171,13 +178,32 @@
                 drop(guard);
                 return Ok(reservation);
             }
-            Err(NoTarget::Busy { soonest: time }) => soonest = time,
+            Err(NoTarget::TurnedAway { soonest: time }) if Instant::now() + time > wait_end => {
+                return Err(refusal(&state, BootClock.now(), call));
+            }
+            Err(NoTarget::Busy { soonest: time } | NoTarget::TurnedAway { soonest: time }) => {
+                soonest = time;
+            }
             Err(NoTarget::NoneEligible) => break,
         }
     }
     Err(RequestError::Busy(jittered(soonest)))
 }
 
+/// The refusal of a request whose targets all want nothing for longer than it may wait.
+fn refusal(state: &State, now: Moment, call: &Call) -> RequestError {
+    let after = turned_away(state, now, call).unwrap_or(jittered(MIN_RETRY_AFTER));
+    RequestError::TurnedAway(after)
+}
+
+/// When a caller may return, if all targets of its service have named a time for which they want
+/// nothing: not before it ends, as far as refusals name such times, nor all at one moment.
+pub(crate) fn turned_away(state: &State, now: Moment, call: &Call) -> Option<Duration> {
+    let soonest = state.placement.turned_away(now, &call.service.name)?;
+    let soonest = soonest.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    Some(soonest.mul_f64(1.0 + 0.3 * fastrand::f64()))
+}
+
 /// How long a request may wait in the queue.
 fn queue_timeout(call: &Call) -> Duration {
     let max_wait = call.route.latency_target.mul_f64(WAIT_SHARE);
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -41,6 +41,9 @@
     /// All targets are at capacity; the caller may retry after this time.
     #[display("all targets are busy")]
     Busy(Duration),
+    /// All targets have named a time for which they want nothing.
+    #[display("all targets have asked for a pause")]
+    TurnedAway(Duration),
     /// A target refused the request, and no other target may be tried.
     #[display("the target refused the request")]
     TargetRefused(Duration),
@@ -68,6 +71,7 @@
             | Self::Stale
             | Self::NoTarget(_)
             | Self::Busy(_)
+            | Self::TurnedAway(_)
             | Self::TargetRefused(_)
             | Self::Suspected(..)
             | Self::Quarantined(..)
@@ -87,6 +91,7 @@
             Self::NoRules | Self::Stale => Some(Duration::from_millis(50)),
             Self::NoTarget(after)
             | Self::Busy(after)
+            | Self::TurnedAway(after)
             | Self::TargetRefused(after)
             | Self::Suspected(_, after)
             | Self::Quarantined(_, after) => Some(after),
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -92,6 +92,9 @@
     NoticeUnreadable = "G0216", "notice_unreadable", "A datagram from another entry can't be read.";
     LimitNamed = "G0217", "limit_named", "A target named another rate limit than before, or none any more.";
     TargetLeaving = "G0221", "target_leaving", "A target said that it leaves; this incarnation gets no more requests from here.";
+    TargetTurnedAway = "G0222", "target_turned_away", "A target refused a request and named a time; it gets nothing from here until it ends.";
+    TargetBack = "G0223", "target_back", "The time that a target named has ended; it gets requests again, few at first.";
+    RetryAfterUnreadable = "G0224", "retry_after_unreadable", "A target's refusal bears a Retry-After that is no number of seconds; it is ignored.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     PieceFailed = "G0301", "piece_failed", "A piece of weights could not be fetched or staged.";
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
@@ -220,6 +223,7 @@
             | Self::PieceSpoilt
             | Self::PartNoted
             | Self::NoticeUnreadable
+            | Self::RetryAfterUnreadable
             | Self::TargetUnreadable => Class::Failure,
             _ => Class::State,
         }
--- a/crates/azurestand_gateway/src/metrics.rs
+++ b/crates/azurestand_gateway/src/metrics.rs
@@ -66,6 +66,7 @@
     QuarantinedParts = "quarantined_parts", "Parts of prompts whose requests are refused since they crash targets.";
     LimitedTargets = "limited_targets", "Targets that name a rate limit.";
     LeavingTargets = "leaving_targets", "Listed targets that have said that they leave.";
+    TurnedAwayTargets = "turned_away_targets", "Listed targets that want nothing for a time that they have named.";
     Missing = "missing", "Missing pieces of the version that is being fetched.";
 }
 
--- a/crates/azurestand_gateway/src/platform.rs
+++ b/crates/azurestand_gateway/src/platform.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{PartId, RateLimit, RequestSize, RulesParts, Target, TargetLoad};
+use azurestand_direct::{
+    PartId, RateLimit, RequestSize, RetryAfter, RulesParts, Target, TargetLoad,
+};
 use azurestand_store::{ChangeFeed, Key, Scope};
 use http::{HeaderMap, request, response};
 use quick_error::quick_error;
@@ -76,6 +78,20 @@
     pub rate_limit: Option<RateLimit>,
     /// Whether the target says that it leaves and wants no further requests.
     pub is_leaving: bool,
+    /// For how long a refusal says that the target wants no requests.
+    pub pause: NamedPause,
+}
+
+/// For how long a target wants no requests, as one answer says.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum NamedPause {
+    /// It names no time.
+    #[default]
+    None,
+    /// It names this time.
+    For(RetryAfter),
+    /// What it names is no time.
+    Malformed,
 }
 
 /// The format of requests and responses.
