--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -12,13 +12,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Fault, LimitNotice, RouteKind, Target};
+use azurestand_direct::{Fault, Incarnation, LimitNotice, RouteKind, Target};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
 use tokio::time::{sleep, timeout};
 
+use super::barred;
 use super::call::Call;
 use super::exchange::{Topic, log_limit};
 use super::memory;
@@ -32,7 +33,7 @@
 use crate::clock::BootClock;
 use crate::log::{LogEvent, millis};
 use crate::metrics::{self, Span};
-use crate::platform::{Platform, RequestContext, ResponseHead};
+use crate::platform::{NamedPause, Platform, RequestContext, ResponseHead};
 
 /// The largest response that isn't a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -168,9 +169,10 @@
                 request,
                 reuse,
             } = self.begin_attempt(&reservation);
+            let may_send = || barred::may_send(&shared, &target);
             let sent = tokio::select! {
                 biased;
-                sent = shared.client.send(&key, request, reuse) => sent,
+                sent = shared.client.send_if(&key, request, reuse, may_send) => sent,
                 () = expiry => {
                     self.log_withdrawn(&target, "it had not begun when its weights expired");
                     self.try_another(&target)?;
@@ -192,6 +194,10 @@
                         return Ok(opened);
                     }
                 }
+                Err(CallError::Withheld) => {
+                    drop(reservation);
+                    self.withheld(&target);
+                }
                 Err(CallError::NotSent(reason)) => {
                     drop(reservation);
                     self.unsent(&target, &reason)?;
@@ -313,6 +319,7 @@
         if is_own {
             self.record_limit(target, &response);
         }
+        barred::record_answer(&self.shared, target, &response, is_own);
         if let Some(load) = response.load.filter(|_| is_own) {
             let now = BootClock.now();
             let mut state = self.shared.state();
@@ -375,7 +382,7 @@
             if self.has_attempts_left() && self.spend_retry() {
                 return Ok(None);
             }
-            return Err(RequestError::TargetRefused(REFUSED_RETRY_AFTER));
+            return Err(self.target_refused());
         }
         if !self.is_genuine(&opened) {
             self.failed(
@@ -386,7 +393,12 @@
             return Ok(None);
         }
         if status.is_server_error() {
-            self.record_fault(&target, Fault::Failed, status.as_str());
+            // A target that names a time has refused, even if it may have run the request.
+            let fault = match opened.response.pause {
+                NamedPause::For(_) => Fault::Refused,
+                NamedPause::None | NamedPause::Malformed => Fault::Failed,
+            };
+            self.record_fault(&target, fault, status.as_str());
             if self.may_repeat() && self.spend_retry() {
                 self.maybe_ran = true;
                 self.constraints.avoid.push(target.id.clone());
@@ -467,7 +479,7 @@
 
 /// Identifies the incarnation of a target; a connection is reused for one incarnation only.
 fn incarnation(target: &Target) -> Arc<str> {
-    format!("{}@{}", target.id, target.started_at).into()
+    Incarnation::from(target).to_string().into()
 }
 
 fn origin_form(uri: &http::Uri) -> http::Uri {
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -7,6 +7,7 @@
 use azurestand_direct::{Fault, Target};
 use http::Response;
 
+use super::super::place::turned_away;
 use super::super::quarantine;
 use super::super::response::{Body, RequestError};
 use super::{Delivery, MIN_HEAD_TIMEOUT, PROVEN_BATCHES, REFUSED_RETRY_AFTER};
@@ -89,6 +90,20 @@
         ]);
     }
 
+    /// Handles a request whose target said, before anything was sent, that it wants none.
+    pub(super) fn withheld(&mut self, target: &Target) {
+        self.log_withdrawn(target, "the target has said that it wants no requests");
+        self.sends -= 1;
+        self.constraints.avoid.push(target.id.clone());
+    }
+
+    /// The refusal of a request that no further target may be tried for.
+    pub(super) fn target_refused(&self) -> RequestError {
+        let state = self.shared.state();
+        let after = turned_away(&state, BootClock.now(), &self.call);
+        RequestError::TargetRefused(after.unwrap_or(REFUSED_RETRY_AFTER))
+    }
+
     /// Handles a failed connection: nothing was sent, so the attempt isn't counted.
     pub(super) fn unsent(
         &mut self,
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -55,6 +55,9 @@
     /// All targets are at capacity.
     #[display("all targets are busy")]
     Busy(Shortage),
+    /// All targets have named a time for which they want nothing.
+    #[display("all targets have asked for a pause")]
+    TurnedAway(Duration),
     /// A target refused the request, and no other target may be tried.
     #[display("the target refused the request")]
     TargetRefused(Duration),
@@ -82,6 +85,7 @@
             | Self::Stale
             | Self::NoTarget(_)
             | Self::Busy(_)
+            | Self::TurnedAway(_)
             | Self::TargetRefused(_)
             | Self::Suspected(..)
             | Self::Quarantined(..)
@@ -100,6 +104,7 @@
         match self {
             Self::NoRules | Self::Stale => Some(Duration::from_millis(50)),
             Self::NoTarget(after)
+            | Self::TurnedAway(after)
             | Self::TargetRefused(after)
             | Self::Suspected(_, after)
             | Self::Quarantined(_, after) => Some(after),
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -93,6 +93,10 @@
     PartCleared = "G0215", "part_cleared", "A target wrote an answer under a suspected part of a prompt.";
     NoticeUnreadable = "G0216", "notice_unreadable", "A datagram from another entry can't be read.";
     LimitNamed = "G0217", "limit_named", "A target named another rate limit than before, or none any more.";
+    TargetLeaving = "G0221", "target_leaving", "A target said that it leaves; this incarnation gets no more requests from here.";
+    TargetTurnedAway = "G0222", "target_turned_away", "A target refused a request and named a time; it gets nothing from here until it ends.";
+    TargetBack = "G0223", "target_back", "The time that a target named has ended; it gets requests again, few at first.";
+    RetryAfterUnreadable = "G0224", "retry_after_unreadable", "A target's refusal bears a Retry-After that is no number of seconds; it is ignored.";
     HeadLate = "G0209", "head_late", "A caller's request head came too slowly; its connection was closed.";
     CutOff = "G0230", "cut_off", "A request ended before its response was complete: its caller closed the connection, or a planned stop ran out of time.";
     Panicked = "G0231", "panicked", "Handling a request panicked; its caller was told that it may have run, unless the response had begun.";
@@ -226,6 +230,7 @@
             | Self::PartNoted
             | Self::NoticeUnreadable
             | Self::KeyUnreadable
+            | Self::RetryAfterUnreadable
             | Self::TargetUnreadable => Class::Failure,
             _ => Class::State,
         }
