Say in the log when the store's history began anew from an earlier version

No decision changes. The era that the store names in its answers is decoded once, in the adapter, and travels with the version as one ordered position (era, version) through listings, changes, the messages between entries, and the feed. store_restarted (G0113) names the position before and after, and era_unreadable (G0114) an era that can't be decoded; both are counted.

Existing tests change only in the type of the position.

--- a/crates/azurestand_gateway/src/agent.rs
+++ b/crates/azurestand_gateway/src/agent.rs
@@ -69,15 +69,15 @@
     {
         let mut peers = self.peers();
         while let Some(peer) = peers.next(BootClock.now(), false) {
-            if let Ok(FeedUpdate::Snapshot { listing, .. }) = peers
+            if let Ok(FeedUpdate::Snapshot { snapshot, .. }) = peers
                 .request_updates(peer, scope, Progress::default())
                 .await
             {
-                return Ok(listing.entries);
+                return Ok(snapshot.entries);
             }
         }
-        let listing = self.platform.list_all(scope).await?;
-        Ok(listing.entries)
+        let snapshot = self.platform.list_all(scope).await?;
+        Ok(snapshot.entries)
     }
 
     /// The subscribed entries of the same data centre.
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -101,19 +101,19 @@
         let made_at;
         match update {
             FeedUpdate::Snapshot {
-                listing, changed, ..
+                snapshot, changed, ..
             } => {
-                store_version = listing.version;
+                store_version = snapshot.position.version;
                 made_at = changed;
-                entries = listing.entries;
+                entries = snapshot.entries;
             }
             FeedUpdate::Changed {
                 changes,
-                version,
+                position,
                 changed,
                 ..
             } => {
-                store_version = version;
+                store_version = position.version;
                 made_at = changed;
                 let puts = changes.into_iter().filter_map(|change| match change {
                     Change::Put(entry) => Some(entry),
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{Naming, Rules};
-use azurestand_store::{Change, Entry, Key, Scope};
+use azurestand_store::{Change, Entry, Key, Position, Scope};
 use azurestand_types::Moment;
 use tokio::time::{Instant, sleep};
 
@@ -35,6 +35,7 @@
     tokio::spawn(async move {
         let platform = follower.platform.clone();
         let mut store_lost = false;
+        let mut position = None;
         let known = follower.clone();
         let settings = &follower.settings;
         let peers = Peers::new(
@@ -46,6 +47,7 @@
         );
         follow(platform.as_ref(), peers, Scope::All, PACE, |update| {
             log_store_state(&update, &mut store_lost);
+            log_restart(&update, &mut position);
             follower.relay.record(&update);
             apply(&follower, update);
         })
@@ -68,6 +70,21 @@
     }
 }
 
+/// Logs if the store came back from an older copy since the last update, at `known`.
+fn log_restart(update: &FeedUpdate, known: &mut Option<Position>) {
+    let Some(found) = update.position() else {
+        return;
+    };
+    let previous = known.replace(found);
+    let Some(previous) = previous.filter(|previous| !previous.continues_to(found)) else {
+        return;
+    };
+    LogEvent::StoreRestarted.log(&[
+        ("previous", previous.to_string().into()),
+        ("found", found.to_string().into()),
+    ]);
+}
+
 fn apply<P>(shared: &Shared<P>, update: FeedUpdate)
 where
     P: Platform,
@@ -76,13 +93,13 @@
     let mut state = shared.state();
     match update {
         FeedUpdate::Snapshot {
-            listing,
+            snapshot,
             called_at,
             changed,
             ..
         } => {
             state.directory.record_read(now);
-            apply_listing(shared, &mut state, now, changed, &listing.entries);
+            apply_listing(shared, &mut state, now, changed, &snapshot.entries);
             state.freshness.record_proof(called_at);
         }
         FeedUpdate::Changed {
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -8,7 +8,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use azurestand_store::{Change, ChangeFeed, Changes, Listing, Scope, StoreError, Version};
+use azurestand_store::{Change, ChangeFeed, Changes, Position, Scope, Snapshot, StoreError};
 use azurestand_types::Moment;
 use tokio::time::sleep;
 
@@ -40,7 +40,7 @@
     /// All values of the scope.
     Snapshot {
         /// The values.
-        listing: Listing,
+        snapshot: Snapshot,
         /// A time no later than that at which the call to the store that returned them was sent.
         called_at: Moment,
         /// When the changes among them were made.
@@ -52,8 +52,8 @@
     Changed {
         /// The changes in order.
         changes: Vec<Change>,
-        /// The store's version after them.
-        version: Version,
+        /// The store's position after them.
+        position: Position,
         /// A time no later than that at which the call to the store that returned them was sent.
         called_at: Moment,
         /// When they were made.
@@ -76,6 +76,15 @@
         }
     }
 
+    /// The store's position after the update; none if the call failed.
+    pub(crate) fn position(&self) -> Option<Position> {
+        match self {
+            Self::Snapshot { snapshot, .. } => Some(snapshot.position),
+            Self::Changed { position, .. } => Some(*position),
+            Self::Failed(_) | Self::RelayTimedOut => None,
+        }
+    }
+
     /// Why the store could not be read, if the call failed.
     pub(crate) fn failure(&self) -> Option<String> {
         match self {
@@ -178,8 +187,8 @@
         let (listed, has_stalled) = detect_stall(store.list_all(scope)).await;
         let exchange = Exchange::ended(sent, Duration::ZERO, has_stalled);
         let update = match listed {
-            Ok(listing) => FeedUpdate::Snapshot {
-                listing,
+            Ok(snapshot) => FeedUpdate::Snapshot {
+                snapshot,
                 called_at: sent,
                 changed: progress.time_of(exchange, usize::MAX),
                 from_store: true,
@@ -191,10 +200,10 @@
     let (changes, has_stalled) = detect_stall(store.changes(scope, known, wait)).await;
     let exchange = Exchange::ended(sent, wait, has_stalled);
     let update = match changes {
-        Ok(Changes::Since { changes, version }) => FeedUpdate::Changed {
+        Ok(Changes::Since { changes, position }) => FeedUpdate::Changed {
             changed: progress.time_of(exchange, size(&changes)),
             changes,
-            version,
+            position,
             called_at: sent,
             from_store: true,
         },
--- a/crates/azurestand_gateway/src/feed/tests.rs
+++ b/crates/azurestand_gateway/src/feed/tests.rs
@@ -2,7 +2,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use azurestand_store::{Change, ChangeFeed, Changes, Key, Listing, Scope, StoreError, Version};
+use azurestand_store::{
+    Change, ChangeFeed, Changes, Era, Key, Position, Scope, Snapshot, StoreError, Version,
+};
 use azurestand_types::Moment;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -15,6 +17,10 @@
 
 const WAIT: Duration = Duration::from_secs(5);
 
+fn at(version: u64) -> Position {
+    Position::new(Era(1), Version(version))
+}
+
 /// A store in which the operators name a version after a while.
 #[derive(Debug, Default)]
 struct FakeStore {
@@ -32,24 +38,24 @@
 }
 
 impl ChangeFeed for FakeStore {
-    async fn list_all(&self, _scope: &Scope) -> Result<Listing, StoreError> {
-        Ok(Listing {
+    async fn list_all(&self, _scope: &Scope) -> Result<Snapshot, StoreError> {
+        Ok(Snapshot {
             entries: Vec::new(),
-            version: Version(1),
+            position: at(1),
         })
     }
 
     async fn changes(
         &self,
         _scope: &Scope,
-        _after: Version,
+        _after: Position,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
         if self.named_at().is_none() {
             sleep(wait).await;
             return Ok(Changes::Since {
                 changes: Vec::new(),
-                version: Version(1),
+                position: at(1),
             });
         }
         let named = Change::Deleted {
@@ -58,7 +64,7 @@
         };
         Ok(Changes::Since {
             changes: vec![named],
-            version: Version(2),
+            position: at(2),
         })
     }
 }
--- a/crates/azurestand_gateway/src/feed/timing.rs
+++ b/crates/azurestand_gateway/src/feed/timing.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use azurestand_store::Version;
+use azurestand_store::Position;
 use azurestand_types::Moment;
 use derive_more::Display;
 
@@ -112,8 +112,8 @@
 /// The updates received so far.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
-    /// The store's version after the last update; none if the next call is for all values.
-    known: Option<Version>,
+    /// The store's position after the last update; none if the next call is for all values.
+    known: Option<Position>,
     /// When the call that returned the last update was sent; nothing was missing up to then.
     proof: Option<Moment>,
     /// When the response with the last update left the store, as far as known; nothing was
@@ -124,8 +124,8 @@
 }
 
 impl Progress {
-    /// The store's version after the last update; none if the next call is for all values.
-    pub(crate) fn known(self) -> Option<Version> {
+    /// The store's position after the last update; none if the next call is for all values.
+    pub(crate) fn known(self) -> Option<Position> {
         self.known
     }
 
@@ -164,17 +164,11 @@
 
     /// Records an update up to which nothing is missing at `last`.
     pub(super) fn record(&mut self, update: &FeedUpdate, last: Moment) {
-        let (version, called_at) = match update {
-            FeedUpdate::Snapshot {
-                listing, called_at, ..
-            } => (listing.version, *called_at),
-            FeedUpdate::Changed {
-                version, called_at, ..
-            } => (*version, *called_at),
-            FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => return,
+        let Some((position, called_at)) = update.position().zip(update.called_at()) else {
+            return;
         };
         *self = Self {
-            known: Some(version),
+            known: Some(position),
             proof: Some(called_at),
             last: Some(last),
             failing_since: None,
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -74,6 +74,8 @@
     CentreIncluded = "G0109", "centre_included", "The operators took a data centre back.";
     WeightsNamed = "G0110", "weights_named", "The operators named a version of weights.";
     NamingCorrected = "G0112", "naming_corrected", "An agent's report changed the time since when a version of weights counts as named.";
+    StoreRestarted = "G0113", "store_restarted", "The store came back from an older copy: its history began anew from an earlier version.";
+    EraUnreadable = "G0114", "era_unreadable", "The era in an answer of the store can't be read; the known one counts.";
     ReadyChanged = "G0111", "ready_changed", "The readiness that the process reports changed.";
     Refused = "G0201", "refused", "A request was refused before it ran.";
     Waited = "G0202", "waited", "A request waited for capacity.";
@@ -219,6 +221,7 @@
             | Self::PieceSpoilt
             | Self::PartNoted
             | Self::NoticeUnreadable
+            | Self::EraUnreadable
             | Self::TargetUnreadable => Class::Failure,
             _ => Class::State,
         }
--- a/crates/azurestand_gateway/src/relay/log.rs
+++ b/crates/azurestand_gateway/src/relay/log.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use azurestand_store::{Change, Key, Listing, Scope, Version};
+use azurestand_store::{Change, Key, Position, Scope, Snapshot, Version};
 use azurestand_types::Moment;
 
 use super::message::KeyChange;
@@ -29,37 +29,38 @@
     changes: VecDeque<LogEntry>,
     /// Changes up to this version are not retained.
     compacted: Version,
-    version: Version,
+    position: Position,
 }
 
 impl ChangeLog {
-    /// The store's version after the last update.
-    pub(super) fn version(&self) -> Version {
-        self.version
+    /// The store's position after the last update.
+    pub(super) fn position(&self) -> Position {
+        self.position
     }
 
     /// Replaces all values and drops the earlier changes.
-    pub(super) fn replace(&mut self, listing: &Listing) {
-        let values = listing.entries.iter();
+    pub(super) fn replace(&mut self, snapshot: &Snapshot) {
+        let values = snapshot.entries.iter();
         self.values = values
             .map(|entry| (entry.key.clone(), KeyChange::from(entry)))
             .collect();
         self.changes.clear();
-        self.compacted = listing.version;
-        self.version = listing.version;
+        self.compacted = snapshot.position.version;
+        self.position = snapshot.position;
     }
 
-    /// Appends changes in order, and sets the store's version after them.
+    /// Appends changes in order, and sets the store's position after them.
     pub(super) fn extend(
         &mut self,
         changes: &[Change],
-        version: Version,
+        position: Position,
         changed_at: Option<Moment>,
     ) {
         for change in changes {
             self.push(change, changed_at);
         }
-        self.version = self.version.max(version);
+        let version = self.position.version.max(position.version);
+        self.position = Position::new(position.era, version);
     }
 
     fn push(&mut self, raw: &Change, changed_at: Option<Moment>) {
--- a/crates/azurestand_gateway/src/relay/log/tests.rs
+++ b/crates/azurestand_gateway/src/relay/log/tests.rs
@@ -1,4 +1,4 @@
-use azurestand_store::{Change, Entry, Key, Listing, Scope, Version};
+use azurestand_store::{Change, Entry, Era, Key, Position, Scope, Snapshot, Version};
 use bytes::Bytes;
 
 use super::{ChangeLog, MAX_CHANGES};
@@ -17,15 +17,19 @@
     }
 }
 
+fn at(version: u64) -> Position {
+    Position::new(Era(1), Version(version))
+}
+
 fn put(name: &str, version: u64, bytes: usize) -> Change {
     Change::Put(entry(name, version, bytes))
 }
 
 fn log() -> ChangeLog {
     let mut log = ChangeLog::default();
-    log.replace(&Listing {
+    log.replace(&Snapshot {
         entries: vec![entry("a/one", 3, 1), entry("b/one", 5, 1)],
-        version: Version(10),
+        position: at(10),
     });
     log
 }
@@ -38,15 +42,11 @@
 #[test]
 fn changes_after_the_caller_s_version_are_returned() {
     let mut log = log();
-    log.extend(
-        &[put("a/one", 11, 1), put("b/two", 12, 1)],
-        Version(14),
-        None,
-    );
+    log.extend(&[put("a/one", 11, 1), put("b/two", 12, 1)], at(14), None);
     assert_eq!(versions(&log, 10), Some(vec![11, 12]));
     assert_eq!(versions(&log, 11), Some(vec![12]));
     assert_eq!(versions(&log, 14), Some(vec![]));
-    assert_eq!(log.version(), Version(14));
+    assert_eq!(log.position(), at(14));
     let below = Scope::Below(key("b"));
     assert_eq!(log.since(&below, Version(10)).unwrap().len(), 1);
     assert_eq!(log.all(&below).len(), 2);
@@ -65,7 +65,7 @@
         key: key("a/one"),
         version: Version(11),
     };
-    log.extend(&[removal], Version(11), None);
+    log.extend(&[removal], at(11), None);
     assert_eq!(versions(&log, 10), Some(vec![11]));
     assert_eq!(log.all(&Scope::All).len(), 1);
 }
@@ -76,7 +76,7 @@
     let mut log = log();
     for version in 11..20 {
         let changes = [put("a/one", version, LARGE_BYTES + 1)];
-        log.extend(&changes, Version(version), None);
+        log.extend(&changes, at(version), None);
     }
     assert_eq!(versions(&log, 10), Some(vec![19]));
 }
@@ -84,11 +84,7 @@
 #[test]
 fn small_changes_of_one_key_are_all_passed_on() {
     let mut log = log();
-    log.extend(
-        &[put("a/one", 11, 9), put("a/one", 12, 9)],
-        Version(12),
-        None,
-    );
+    log.extend(&[put("a/one", 11, 9), put("a/one", 12, 9)], at(12), None);
     assert_eq!(versions(&log, 10), Some(vec![11, 12]));
 }
 
@@ -97,7 +93,7 @@
     let mut log = log();
     let most = u64::try_from(MAX_CHANGES).unwrap();
     for version in 11..=11 + most {
-        log.extend(&[put("a/one", version, 1)], Version(version), None);
+        log.extend(&[put("a/one", version, 1)], at(version), None);
     }
     assert_eq!(versions(&log, 10), None);
     let retained = versions(&log, 11).unwrap();
@@ -108,7 +104,7 @@
 fn large_values_are_compressed_and_decompressed_without_loss() {
     let entry = entry("a/one", 11, 100 * LARGE_BYTES);
     let mut log = log();
-    log.extend(&[Change::Put(entry.clone())], Version(11), None);
+    log.extend(&[Change::Put(entry.clone())], at(11), None);
     let mut changes = log.since(&Scope::All, Version(10)).unwrap();
     let sent = changes.remove(0).change;
     assert!(prost::Message::encoded_len(&sent) < 2 * LARGE_BYTES);
--- a/crates/azurestand_gateway/src/relay/message.rs
+++ b/crates/azurestand_gateway/src/relay/message.rs
@@ -65,6 +65,9 @@
     /// The number of the last response; updates are available once the number differs.
     #[prost(uint64, tag = "3")]
     pub(super) number: u64,
+    /// The era of the store's version.
+    #[prost(uint64, tag = "4")]
+    pub(super) era: u64,
 }
 
 /// The value of a key, or its removal.
@@ -182,4 +185,7 @@
     /// When the first of the changes was made, in the same form; none if unknown.
     #[prost(sint64, optional, tag = "6")]
     pub(super) changed_at: Option<i64>,
+    /// The era of the store's version.
+    #[prost(uint64, tag = "7")]
+    pub(super) era: u64,
 }
--- a/crates/azurestand_gateway/src/relay/peers.rs
+++ b/crates/azurestand_gateway/src/relay/peers.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_store::{Change, Listing, Scope, Version};
+use azurestand_store::{Change, Era, Position, Scope, Snapshot, Version};
 use azurestand_types::{Moment, rendezvous};
 use bytes::Bytes;
 use http::Method;
@@ -105,8 +105,9 @@
         let last = self.last.filter(|(ip, _)| *ip == peer);
         let request = UpdateRequest {
             scope: Some(KeyScope::from(scope)),
-            after: progress.known().map(|version| version.0),
+            after: progress.known().map(|known| known.version.0),
             number: last.map_or(0, |(_, number)| number),
+            era: progress.known().unwrap_or_default().era.0,
         };
         let sent = BootClock.now();
         let response = self.call(peer, &request).await;
@@ -175,14 +176,14 @@
     let changes = response.changes.into_iter().map(Change::try_from);
     let changes: Result<Vec<Change>, _> = changes.collect();
     let changes = changes.map_err(|error| CallError::Malformed(error.to_string()))?;
-    let version = Version(response.version);
+    let position = Position::new(Era(response.era), Version(response.version));
     let proof = moment(sent, response.proof);
     let changed_at = response.changed_at.map(|offset| moment(sent, offset));
     let changed = changed_at.map_or(fallback, ChangeTime::Known);
     if !response.whole {
         return Ok(FeedUpdate::Changed {
             changes,
-            version,
+            position,
             called_at: proof,
             changed,
             from_store: false,
@@ -193,9 +194,9 @@
         Change::Deleted { .. } => None,
     });
     Ok(FeedUpdate::Snapshot {
-        listing: Listing {
+        snapshot: Snapshot {
             entries: values.collect(),
-            version,
+            position,
         },
         called_at: proof,
         changed: fallback,
--- a/crates/azurestand_gateway/src/relay/server.rs
+++ b/crates/azurestand_gateway/src/relay/server.rs
@@ -51,19 +51,21 @@
         let mut inner = self.lock();
         inner.proof = match update {
             FeedUpdate::Snapshot {
-                listing, called_at, ..
+                snapshot,
+                called_at,
+                ..
             } => {
-                inner.log.replace(listing);
+                inner.log.replace(snapshot);
                 Some(*called_at)
             }
             FeedUpdate::Changed {
                 changes,
-                version,
+                position,
                 called_at,
                 changed,
                 ..
             } => {
-                inner.log.extend(changes, *version, changed.known());
+                inner.log.extend(changes, *position, changed.known());
                 Some(*called_at)
             }
             FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => None,
@@ -99,10 +101,12 @@
     /// The response to a request; none if the caller knows a later version than this entry.
     fn respond(&self, request: &Request, proof: Moment) -> Option<UpdateResponse> {
         let inner = self.lock();
-        let version = inner.log.version();
+        let position = inner.log.position();
+        let version = position.version;
         let from = |moment| offset(request.arrived, moment);
         let mut response = UpdateResponse {
             version: version.0,
+            era: position.era.0,
             number: inner.number,
             proof: from(proof),
             ..UpdateResponse::default()
