Read the store anew when its history is another one than that of the known version

What callers saw: a configuration that was lost with the store's last seconds and written again at a version that an entry knew never came in force there, so an added route was not served. It takes an entry that doesn't see the outage: suspended, cut off, between two calls, or following through another entry.

Cause: two histories were compared by version alone. Once the store had given out as many versions again, the changes in between were missed for good and without a sign.

Class: an order that holds within one history used across histories. Now positions are ordered by era first, and an answer continues a position only within its era and from no lower version; everything else is like compacted history. An entry turns callers of a later era away at once, gives callers of an earlier one all values, and a process takes no update through an entry that leads to an earlier position than it knew, also when it had to start over. Without eras a lower version shows the restart.

--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -47,6 +47,8 @@
         changed: ChangeTime,
         /// Whether it comes directly from the store rather than through an entry.
         from_store: bool,
+        /// Whether the store came back from an older copy since the last update.
+        restarted: bool,
     },
     /// Changes; empty if there were none within the wait.
     Changed {
@@ -188,6 +190,7 @@
         let exchange = Exchange::ended(sent, Duration::ZERO, has_stalled);
         let update = match listed {
             Ok(snapshot) => FeedUpdate::Snapshot {
+                restarted: progress.is_restart(snapshot.position),
                 snapshot,
                 called_at: sent,
                 changed: progress.time_of(exchange, usize::MAX),
--- a/crates/azurestand_gateway/src/feed/timing.rs
+++ b/crates/azurestand_gateway/src/feed/timing.rs
@@ -114,6 +114,8 @@
 pub(crate) struct Progress {
     /// The store's position after the last update; none if the next call is for all values.
     known: Option<Position>,
+    /// The store's position after the last update, also if the next call is for all values.
+    latest: Option<Position>,
     /// When the call that returned the last update was sent; nothing was missing up to then.
     proof: Option<Moment>,
     /// When the response with the last update left the store, as far as known; nothing was
@@ -129,9 +131,26 @@
         self.known
     }
 
+    /// The store's position after the last update; the default one before any.
+    pub(crate) fn latest(self) -> Position {
+        self.latest.unwrap_or_default()
+    }
+
+    /// Whether the store came back from an older copy if it is at `position` now.
+    pub(crate) fn is_restart(self, position: Position) -> bool {
+        self.latest
+            .is_some_and(|latest| !latest.continues_to(position))
+    }
+
+    /// Whether an update through an entry that leads to `position` may follow the last one. An
+    /// entry may lag behind; of the store's history it proves only that of a later era.
+    pub(crate) fn accepts(self, position: Position) -> bool {
+        position >= self.latest()
+    }
+
     /// Records that the changes since the last update are no longer available; the next call
     /// is for all values.
-    pub(super) fn record_compaction(&mut self) {
+    pub(crate) fn record_compaction(&mut self) {
         self.known = None;
     }
 
@@ -163,12 +182,13 @@
     }
 
     /// Records an update up to which nothing is missing at `last`.
-    pub(super) fn record(&mut self, update: &FeedUpdate, last: Moment) {
+    pub(crate) fn record(&mut self, update: &FeedUpdate, last: Moment) {
         let Some((position, called_at)) = update.position().zip(update.called_at()) else {
             return;
         };
         *self = Self {
             known: Some(position),
+            latest: Some(position),
             proof: Some(called_at),
             last: Some(last),
             failing_since: None,
@@ -176,7 +196,7 @@
     }
 
     /// Records that the store failed at `now`; the next call is for all values.
-    pub(super) fn record_store_failure(&mut self, now: Moment) {
+    pub(crate) fn record_store_failure(&mut self, now: Moment) {
         self.known = None;
         self.last = None;
         self.failing_since.get_or_insert(now);
--- a/crates/azurestand_gateway/src/relay/log.rs
+++ b/crates/azurestand_gateway/src/relay/log.rs
@@ -59,8 +59,7 @@
         for change in changes {
             self.push(change, changed_at);
         }
-        let version = self.position.version.max(position.version);
-        self.position = Position::new(position.era, version);
+        self.position = position;
     }
 
     fn push(&mut self, raw: &Change, changed_at: Option<Moment>) {
@@ -84,9 +83,11 @@
         }
     }
 
-    /// The changes of `scope` after `version`; none if some of them are no longer retained.
-    pub(super) fn since(&self, scope: &Scope, version: Version) -> Option<Vec<LogEntry>> {
-        if version < self.compacted {
+    /// The changes of `scope` after `known`; none if some of them are no longer retained or
+    /// `known` belongs to another era.
+    pub(super) fn since(&self, scope: &Scope, known: Position) -> Option<Vec<LogEntry>> {
+        let version = known.version;
+        if known.era != self.position.era || version < self.compacted {
             return None;
         }
         let later = self
--- a/crates/azurestand_gateway/src/relay/log/tests.rs
+++ b/crates/azurestand_gateway/src/relay/log/tests.rs
@@ -35,7 +35,7 @@
 }
 
 fn versions(log: &ChangeLog, after: u64) -> Option<Vec<u64>> {
-    let changes = log.since(&Scope::All, Version(after))?;
+    let changes = log.since(&Scope::All, at(after))?;
     Some(changes.iter().map(|entry| entry.change.version).collect())
 }
 
@@ -48,7 +48,7 @@
     assert_eq!(versions(&log, 14), Some(vec![]));
     assert_eq!(log.position(), at(14));
     let below = Scope::Below(key("b"));
-    assert_eq!(log.since(&below, Version(10)).unwrap().len(), 1);
+    assert_eq!(log.since(&below, at(10)).unwrap().len(), 1);
     assert_eq!(log.all(&below).len(), 2);
 }
 
@@ -105,7 +105,7 @@
     let entry = entry("a/one", 11, 100 * LARGE_BYTES);
     let mut log = log();
     log.extend(&[Change::Put(entry.clone())], at(11), None);
-    let mut changes = log.since(&Scope::All, Version(10)).unwrap();
+    let mut changes = log.since(&Scope::All, at(10)).unwrap();
     let sent = changes.remove(0).change;
     assert!(prost::Message::encoded_len(&sent) < 2 * LARGE_BYTES);
     assert_eq!(Change::try_from(sent).unwrap(), Change::Put(entry));
--- a/crates/azurestand_gateway/src/relay/message.rs
+++ b/crates/azurestand_gateway/src/relay/message.rs
@@ -65,9 +65,12 @@
     /// The number of the last response; updates are available once the number differs.
     #[prost(uint64, tag = "3")]
     pub(super) number: u64,
-    /// The era of the store's version.
+    /// The era of the store's versions in the request.
     #[prost(uint64, tag = "4")]
     pub(super) era: u64,
+    /// The store's latest version that the caller knows, also if it requests all values.
+    #[prost(uint64, tag = "5")]
+    pub(super) latest: u64,
 }
 
 /// The value of a key, or its removal.
--- a/crates/azurestand_gateway/src/relay/peers.rs
+++ b/crates/azurestand_gateway/src/relay/peers.rs
@@ -107,7 +107,8 @@
             scope: Some(KeyScope::from(scope)),
             after: progress.known().map(|known| known.version.0),
             number: last.map_or(0, |(_, number)| number),
-            era: progress.known().unwrap_or_default().era.0,
+            era: progress.latest().era.0,
+            latest: progress.latest().version.0,
         };
         let sent = BootClock.now();
         let response = self.call(peer, &request).await;
@@ -122,7 +123,11 @@
         }
         let response = response?;
         self.last = Some((peer, response.number));
-        decode(sent, response, progress.change_time(BootClock.now()))
+        let update = decode(sent, response, progress);
+        if update.is_err() {
+            self.back_off(BootClock.now(), peer);
+        }
+        update
     }
 
     async fn call(
@@ -166,17 +171,26 @@
 }
 
 /// Decodes the response to a request that was sent at `sent`. The peer's times count from
-/// the arrival of the request there, which was later. `fallback` is the time of the changes
-/// if the peer doesn't know it.
-fn decode(
+/// the arrival of the request there, which was later. An update that doesn't follow the last
+/// one of `progress` is an error: the peer lags behind.
+pub(super) fn decode(
     sent: Moment,
     response: UpdateResponse,
-    fallback: ChangeTime,
+    progress: Progress,
 ) -> Result<FeedUpdate, CallError> {
+    let fallback = progress.change_time(BootClock.now());
     let changes = response.changes.into_iter().map(Change::try_from);
     let changes: Result<Vec<Change>, _> = changes.collect();
     let changes = changes.map_err(|error| CallError::Malformed(error.to_string()))?;
     let position = Position::new(Era(response.era), Version(response.version));
+    let follows = progress
+        .known()
+        .is_some_and(|known| known.continues_to(position));
+    if !progress.accepts(position) || !response.whole && !follows {
+        let latest = progress.latest();
+        let text = format!("the updates lead to {position}, but {latest} is known");
+        return Err(CallError::Malformed(text));
+    }
     let proof = moment(sent, response.proof);
     let changed_at = response.changed_at.map(|offset| moment(sent, offset));
     let changed = changed_at.map_or(fallback, ChangeTime::Known);
@@ -201,6 +215,7 @@
         called_at: proof,
         changed: fallback,
         from_store: false,
+        restarted: progress.is_restart(position),
     })
 }
 
--- a/crates/azurestand_gateway/src/relay/server.rs
+++ b/crates/azurestand_gateway/src/relay/server.rs
@@ -1,13 +1,16 @@
 //! Passes the updates that this entry reads from the store on to the daemons of its data
 //! centre.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::body::Bytes;
 use axum::extract::State;
 use axum::http::StatusCode;
-use azurestand_store::{Scope, Version};
+use azurestand_store::{Era, KeyError, Position, Scope, Version};
 use azurestand_types::Moment;
 use prost::Message;
 use tokio::sync::Notify;
@@ -35,6 +38,9 @@
     log: ChangeLog,
     /// The number of updates recorded.
     number: u64,
+    /// The number of the update by which the store came back from an older copy; callers with
+    /// earlier responses get all values.
+    restart: u64,
     /// When the call to the store that returned the last update was sent; none if the last
     /// update came from elsewhere or there is none.
     proof: Option<Moment>,
@@ -78,10 +84,22 @@
         };
         inner.proof = inner.proof.filter(|_| is_from_store);
         inner.number += 1;
+        if let FeedUpdate::Snapshot {
+            restarted: true, ..
+        } = update
+        {
+            inner.restart = inner.number;
+        }
         drop(inner);
         self.updated.notify_waiters();
     }
 
+    /// Whether the caller knows a later era than this entry, which will learn of it from the
+    /// store within one call.
+    fn is_behind(&self, request: &Request) -> bool {
+        request.latest.era > self.lock().log.position().era
+    }
+
     /// Waits for an update after response `number`. Returns when the call that returned it was
     /// sent, or none if this entry doesn't read the store at the moment.
     async fn wait_for_update(&self, number: u64) -> Option<Moment> {
@@ -98,24 +116,23 @@
         }
     }
 
-    /// The response to a request; none if the caller knows a later version than this entry.
+    /// The response to a request; none if the caller knows a later position than this entry.
     fn respond(&self, request: &Request, proof: Moment) -> Option<UpdateResponse> {
         let inner = self.lock();
         let position = inner.log.position();
-        let version = position.version;
+        if request.latest > position {
+            return None;
+        }
         let from = |moment| offset(request.arrived, moment);
         let mut response = UpdateResponse {
-            version: version.0,
+            version: position.version.0,
             era: position.era.0,
             number: inner.number,
             proof: from(proof),
             ..UpdateResponse::default()
         };
-        let changes = match request.after {
-            Some(after) if after > version => return None,
-            Some(after) => inner.log.since(&request.scope, after),
-            None => None,
-        };
+        let after = request.after.filter(|_| request.number >= inner.restart);
+        let changes = after.and_then(|after| inner.log.since(&request.scope, after));
         if let Some(changes) = changes {
             response.changed_at = first_change_time(&changes).map(from);
             response.changes = changes.into_iter().map(|entry| entry.change).collect();
@@ -131,7 +148,28 @@
 struct Request {
     arrived: Moment,
     scope: Scope,
-    after: Option<Version>,
+    /// The number of the caller's last response from this entry.
+    number: u64,
+    /// The position after which changes are requested; all values if none.
+    after: Option<Position>,
+    /// The latest position that the caller knows.
+    latest: Position,
+}
+
+impl TryFrom<UpdateRequest> for Request {
+    type Error = KeyError;
+
+    fn try_from(raw: UpdateRequest) -> Result<Self, KeyError> {
+        let at = |version| Position::new(Era(raw.era), Version(version));
+        let after = raw.after.map(at);
+        Ok(Self {
+            arrived: BootClock.now(),
+            scope: Scope::try_from(raw.scope.unwrap_or_default())?,
+            number: raw.number,
+            after,
+            latest: at(raw.latest).max(after.unwrap_or_default()),
+        })
+    }
 }
 
 /// When the first of the changes was made; none if that is unknown for one of them.
@@ -155,15 +193,12 @@
     State(relay): State<Arc<Relay>>,
     body: Bytes,
 ) -> Result<Bytes, StatusCode> {
-    let arrived = BootClock.now();
     let raw = UpdateRequest::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
-    let scope = Scope::try_from(raw.scope.unwrap_or_default());
-    let request = Request {
-        arrived,
-        scope: scope.map_err(|_| StatusCode::BAD_REQUEST)?,
-        after: raw.after.map(Version),
-    };
-    let waited = timeout(UPDATE_WAIT, relay.wait_for_update(raw.number)).await;
+    let request = Request::try_from(raw).map_err(|_| StatusCode::BAD_REQUEST)?;
+    if relay.is_behind(&request) {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let waited = timeout(UPDATE_WAIT, relay.wait_for_update(request.number)).await;
     let proof = waited.ok().flatten();
     let proof = proof.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let response = relay.respond(&request, proof);
