Let an agent's fencing number grow when the store's versions go back

What could be seen: after the store came back from an older copy, an agent that restarted ordered its engine with a lower fencing number than the engine had seen, and its orders were refused (412) until the store had given out as many versions again.

Cause: the number was the store's version, and the agent took the larger of two versions of two histories. It is now that of the position, with the era in the upper bits. Below era 8192 it is exact in decoders that read numbers as floating point.

Class: an order that holds within one history used across histories.

--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{NamedVersion, Origin, Rules, next_version};
-use azurestand_store::{Change, Entry, Version};
+use azurestand_store::{Change, Entry, Position};
 use azurestand_types::Moment;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -42,8 +42,8 @@
     pub(super) layers: u32,
     /// The origin of the weights.
     pub(super) origin: Option<Origin>,
-    /// The store's version, which never decreases.
-    pub(super) store_version: u64,
+    /// A number that grows with the store's history, also when its versions go back.
+    pub(super) fence: u64,
 }
 
 /// The current goal and the notification of its changes.
@@ -83,8 +83,8 @@
 pub(super) struct OperatorValues {
     rules: Option<Rules>,
     versions: BTreeMap<Arc<str>, Vec<NamedVersion>>,
-    /// The store's version up to which updates were applied.
-    version: Version,
+    /// The store's position up to which updates were applied.
+    position: Position,
 }
 
 /// Follows the versions of weights that the operators name. Never returns.
@@ -97,13 +97,13 @@
     let platform = shared.platform.clone();
     follow(platform.as_ref(), shared.peers(), scope, PACE, |update| {
         let entries: Vec<Entry>;
-        let store_version;
+        let store_position;
         let made_at;
         match update {
             FeedUpdate::Snapshot {
                 snapshot, changed, ..
             } => {
-                store_version = snapshot.position.version;
+                store_position = snapshot.position;
                 made_at = changed;
                 entries = snapshot.entries;
             }
@@ -113,7 +113,7 @@
                 changed,
                 ..
             } => {
-                store_version = position.version;
+                store_position = position;
                 made_at = changed;
                 let puts = changes.into_iter().filter_map(|change| match change {
                     Change::Put(entry) => Some(entry),
@@ -137,7 +137,7 @@
         for entry in &entries {
             apply(&shared, &mut values, entry, made_at);
         }
-        values.version = values.version.max(store_version);
+        values.position = values.position.max(store_position);
         publish(&shared, &values);
     })
     .await;
@@ -229,7 +229,7 @@
         named: named.cloned().unwrap_or_default(),
         origin: origin.cloned(),
         layers: engine.map_or(0, |engine| engine.layers),
-        store_version: values.version.0,
+        fence: values.position.fencing_number(),
         model,
     };
     shared.goals.0.send_if_modified(|old| {
--- a/crates/azurestand_gateway/src/agent/load.rs
+++ b/crates/azurestand_gateway/src/agent/load.rs
@@ -105,7 +105,7 @@
     if held_version > 0 && !is_turn(shared, turn, wanted, until).await {
         return;
     }
-    order(shared, &version, state, goal.store_version).await;
+    order(shared, &version, state, goal.fence).await;
 }
 
 /// Whether it is this engine's turn to load version `wanted`. Its current weights are usable
--- a/crates/azurestand_store/tests/store/main.rs
+++ b/crates/azurestand_store/tests/store/main.rs
@@ -6,4 +6,5 @@
 mod http;
 mod lease;
 mod permit;
+mod position;
 mod settle;
