Keep in force what a process acted on when the store comes back from an older copy

Cause: a full listing was taken as the latest state, although it may be older than what the process knew.

Class: an older state that replaces a newer one. Now, in azurestand_direct: of one incarnation of a target the entry written last counts (its own count of writes); a target seen leaving stays so for its incarnation; one seen gone isn't used by an older entry for 10 s, longer than the entry of a dead target lives (three writes, 3.6 s here); a target that the copy lacks has 1.9 s to write again; a data centre stays out for 5 s without its mark; a read proves nothing about keys and routes until operators had 1.9 s to write again, while readiness follows contact as before. A configuration that comes again under the same version in a later era is taken, since it may differ.

The tests of the directory, exclusions and freshness name each decision.

Not found elsewhere: configurations and named weights never went back within a process.

Existing tests: Directory::put has the time as an argument, and the target of the tests its count of writes. The log field store_version of config_adopted and centre_excluded is now position (era.version).

--- a/crates/azurestand_direct/src/freshness.rs
+++ b/crates/azurestand_direct/src/freshness.rs
@@ -4,19 +4,40 @@
 
 use azurestand_types::Moment;
 
+/// How long after the store came back from an older copy its writers may take to write again
+/// what the copy lacks.
+pub(crate) const REWRITE_TIME: Duration = Duration::from_millis(1_900);
+
 /// How up to date this process is with the operators' changes.
 ///
 /// A proof counts from the moment at which the read or watch that returned it was *sent*:
 /// every change that was acknowledged before that moment has been seen. The clock behind
 /// the moments has to count the time for which the machine is suspended.
+///
+/// A store that has just come back from an older copy proves nothing: an acknowledged change
+/// may be missing until it is written again.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
     proved_at: Option<Moment>,
+    /// When the latest read that returned was sent, whether it is a proof or not.
+    contact: Option<Moment>,
+    /// Reads that were sent before it prove nothing.
+    doubted_until: Moment,
 }
 
 impl Freshness {
-    /// Records that every change acknowledged before `sent` has been seen.
+    /// Records that the store came back from an older copy, as a read sent at `sent` showed.
+    pub fn record_restart(&mut self, sent: Moment) {
+        self.doubted_until = sent + REWRITE_TIME;
+    }
+
+    /// Records a read sent at `sent` that returned: every change acknowledged before has been
+    /// seen, unless the store has just come back from an older copy.
     pub fn record_proof(&mut self, sent: Moment) {
+        self.contact = self.contact.max(Some(sent));
+        if sent < self.doubted_until {
+            return;
+        }
         if self.proved_at.is_none_or(|known| known < sent) {
             self.proved_at = Some(sent);
         }
@@ -32,6 +53,11 @@
         self.proved_at.map(|proved_at| now.since(proved_at))
     }
 
+    /// Whether the last read that returned was sent less than `bound` ago.
+    pub fn is_in_touch(&self, now: Moment, bound: Duration) -> bool {
+        self.contact.is_some_and(|sent| now.since(sent) < bound)
+    }
+
     /// Whether the last proof is younger than `bound`.
     pub fn is_within(&self, now: Moment, bound: Duration) -> bool {
         self.age(now).is_some_and(|age| age < bound)
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`Rules`] holds the operators' routes, services, accounts and limits.
 //! - [`Directory`] tracks which targets exist and which of them are leaving.
+//! - [`Exclusions`] holds the data centres that operators took out of service.
 //! - [`Freshness`] tells whether what this process last read is recent enough to rely on.
 //! - [`Placement`] chooses the target of a request.
 //! - [`RequestQueue`] queues the requests that wait for capacity.
@@ -22,6 +23,7 @@
 mod directory;
 mod engine;
 mod events;
+mod exclusions;
 mod freshness;
 mod limit;
 mod part;
@@ -38,6 +40,7 @@
 pub use directory::{Directory, LoadedWeights, Target, TargetState};
 pub use engine::{CostModel, RequestSize};
 pub use events::{EventError, EventSplitter, StreamEvent};
+pub use exclusions::Exclusions;
 pub use freshness::Freshness;
 pub use limit::{LimitNotice, RateError, RateLimit};
 pub use part::PartId;
--- a/crates/azurestand_direct/tests/direct/common.rs
+++ b/crates/azurestand_direct/tests/direct/common.rs
@@ -10,6 +10,7 @@
     Target {
         id: id.into(),
         started_at: 1,
+        writes: 1,
         service: service.into(),
         address: "10.0.0.1:80".parse().unwrap(),
         centre: "north".into(),
--- a/crates/azurestand_direct/tests/direct/freshness.rs
+++ b/crates/azurestand_direct/tests/direct/freshness.rs
@@ -39,3 +39,20 @@
     fresh.record_proof(at(1_000));
     assert!(!fresh.is_within(at(9_000), Duration::from_millis(4_500)));
 }
+
+/// A key was taken away right before the store came back from an older copy, which proves
+/// nothing about it until the operators have written it again.
+#[test]
+fn an_older_copy_of_the_store_is_no_proof_until_its_writers_had_time() {
+    let mut freshness = Freshness::default();
+    let at = Moment::from_millis;
+    freshness.record_proof(at(1_000));
+    freshness.record_restart(at(4_000));
+    for sent in [4_000, 5_000, 5_899] {
+        freshness.record_proof(at(sent));
+        assert_eq!(freshness.proved_at(), Some(at(1_000)));
+        assert!(freshness.is_in_touch(at(sent + 500), Duration::from_secs(1)));
+    }
+    freshness.record_proof(at(5_900));
+    assert_eq!(freshness.proved_at(), Some(at(5_900)));
+}
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod correction;
 mod directory;
 mod events;
+mod exclusions;
 mod freshness;
 mod pieces;
 mod place;
--- a/crates/azurestand_direct/tests/direct/place.rs
+++ b/crates/azurestand_direct/tests/direct/place.rs
@@ -25,7 +25,7 @@
 fn placement_in(centre: &str, now: Moment, targets: Vec<Target>) -> Placement {
     let mut directory = Directory::default();
     for target in targets {
-        directory.put(target);
+        directory.put(Moment::START, target);
     }
     let regions: BTreeMap<Arc<str>, Arc<str>> = BTreeMap::from([
         ("north".into(), "one".into()),
@@ -329,7 +329,7 @@
     let mut again = old.clone();
     again.started_at = 2;
     let mut directory = Directory::default();
-    directory.put(again);
+    directory.put(Moment::START, again);
     placement.set_targets(at(10), &directory);
     assert!(
         placement
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -3,17 +3,18 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use azurestand_direct::{
-    Directory, Freshness, NamedVersions, Placement, Quarantine, RequestQueue, Rules, SendShare,
-    Target, VERSION_MARGIN, Waiter,
+    Directory, Exclusions, Freshness, NamedVersions, Placement, Quarantine, RequestQueue, Rules,
+    SendShare, Target, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
+use azurestand_store::Position;
 use azurestand_types::Moment;
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::{Notify, watch};
@@ -56,6 +57,8 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) rules: Option<Arc<Rules>>,
+    /// The position of the store's value that holds the rules.
+    pub(crate) rules_position: Position,
     pub(crate) directory: Directory,
     /// Whether the list of targets has been read at least once.
     pub(crate) targets_read: bool,
@@ -64,7 +67,7 @@
     pub(crate) versions: BTreeMap<Arc<str>, NamedVersions>,
     /// The assumed naming time of versions that were named before this process started.
     pub(crate) named_before: Option<Moment>,
-    pub(crate) excluded: BTreeSet<Arc<str>>,
+    pub(crate) exclusions: Exclusions,
     pub(crate) queues: BTreeMap<Arc<str>, ServiceQueue>,
     pub(crate) retries: RetryBudget,
     pub(crate) quarantine: Quarantine,
@@ -127,6 +130,7 @@
         let rng = fastrand::Rng::new();
         let state = State {
             rules: None,
+            rules_position: Position::default(),
             directory: Directory::default(),
             targets_read: false,
             freshness: Freshness::default(),
@@ -138,7 +142,7 @@
             ),
             versions: BTreeMap::new(),
             named_before: None,
-            excluded: BTreeSet::new(),
+            exclusions: Exclusions::default(),
             queues: BTreeMap::new(),
             retries: RetryBudget::new(settings.bounds.now().retry_share),
             quarantine: Quarantine::default(),
@@ -258,7 +262,7 @@
     /// Whether the balancer should send callers to this entry.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state();
-        let fresh = state.freshness.is_within(
+        let fresh = state.freshness.is_in_touch(
             BootClock.now(),
             self.settings.bounds.now().revoke.mul_f64(0.7),
         );
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{Naming, Rules};
-use azurestand_store::{Change, Entry, Key, Position, Scope};
+use azurestand_store::{Change, Entry, Era, Key, Position, Scope, Snapshot};
 use azurestand_types::Moment;
 use tokio::time::{Instant, sleep};
 
@@ -96,20 +96,36 @@
             snapshot,
             called_at,
             changed,
+            restarted,
             ..
         } => {
             state.directory.record_read(now);
-            apply_listing(shared, &mut state, now, changed, &snapshot.entries);
+            if restarted {
+                state.directory.record_restart(now);
+                state.freshness.record_restart(called_at);
+            }
+            let listing = UpdateListing {
+                snapshot: &snapshot,
+                changed,
+                restarted,
+            };
+            apply_listing(shared, &mut state, now, &listing);
             state.freshness.record_proof(called_at);
         }
         FeedUpdate::Changed {
             changes,
+            position,
             called_at,
             changed,
             ..
         } => {
             state.directory.record_read(now);
-            apply_changes(shared, &mut state, now, changed, &changes);
+            let read = Read {
+                now,
+                changed,
+                era: position.era,
+            };
+            apply_changes(shared, &mut state, read, &changes);
             state.freshness.record_proof(called_at);
         }
         FeedUpdate::Failed(_) => state.directory.record_read_failure(),
@@ -118,30 +134,58 @@
     }
 }
 
-fn apply_listing<P>(
-    shared: &Shared<P>,
-    state: &mut State,
+/// All values of the store, as an update returned them.
+struct UpdateListing<'a> {
+    snapshot: &'a Snapshot,
+    /// When the changes among them were made.
+    changed: ChangeTime,
+    /// Whether they come from an older copy of the store.
+    restarted: bool,
+}
+
+/// When and where values were read.
+#[derive(Debug, Clone, Copy)]
+struct Read {
     now: Moment,
+    /// When the values were written.
     changed: ChangeTime,
-    entries: &[Entry],
-) where
+    /// The store's era.
+    era: Era,
+}
+
+fn apply_listing<P>(shared: &Shared<P>, state: &mut State, now: Moment, listing: &UpdateListing<'_>)
+where
     P: Platform,
 {
     let changed = if state.rules.is_none() {
-        let before = shared.named_before_start(now, changed);
+        let before = shared.named_before_start(now, listing.changed);
         state.named_before = Some(before);
         ChangeTime::NotBefore(before)
     } else {
-        changed
+        listing.changed
+    };
+    let entries = &listing.snapshot.entries;
+    let read = Read {
+        now,
+        changed,
+        era: listing.snapshot.position.era,
     };
     let operator_scope = shared.platform.operator_scope();
     let target_scope = shared.platform.target_scope();
-    state.excluded.clear();
+    let excluded = entries
+        .iter()
+        .filter_map(|entry| shared.platform.excluded_centre(&entry.key));
+    let excluded = excluded.collect();
+    if listing.restarted {
+        state.exclusions.replace_restarted(now, excluded);
+    } else {
+        state.exclusions.replace(excluded);
+    }
     for entry in entries
         .iter()
         .filter(|entry| operator_scope.covers(&entry.key))
     {
-        apply_item(shared, state, now, entry, changed);
+        apply_item(shared, state, read, entry);
     }
     let targets = entries
         .iter()
@@ -153,29 +197,26 @@
     refresh(shared, state, now);
 }
 
-fn apply_changes<P>(
-    shared: &Shared<P>,
-    state: &mut State,
-    now: Moment,
-    changed: ChangeTime,
-    changes: &[Change],
-) where
+fn apply_changes<P>(shared: &Shared<P>, state: &mut State, read: Read, changes: &[Change])
+where
     P: Platform,
 {
     let operator_scope = shared.platform.operator_scope();
     let target_scope = shared.platform.target_scope();
     for change in changes {
         match change {
-            change if target_scope.covers(change.key()) => apply_target(shared, state, now, change),
+            change if target_scope.covers(change.key()) => {
+                apply_target(shared, state, read.now, change);
+            }
             Change::Put(entry) if operator_scope.covers(&entry.key) => {
-                apply_item(shared, state, now, entry, changed);
+                apply_item(shared, state, read, entry);
             }
             Change::Deleted { key, .. } => include_centre(shared, state, key),
             Change::Put(_) => {}
         }
     }
     if !changes.is_empty() {
-        refresh(shared, state, now);
+        refresh(shared, state, read.now);
     }
 }
 
@@ -185,30 +226,26 @@
 {
     if let Some(centre) = shared.platform.excluded_centre(key) {
         LogEvent::CentreIncluded.log(&[("centre", centre.as_ref().into())]);
-        state.excluded.remove(&centre);
+        state.exclusions.include(&centre);
     }
 }
 
-fn apply_item<P>(
-    shared: &Shared<P>,
-    state: &mut State,
-    now: Moment,
-    entry: &Entry,
-    changed: ChangeTime,
-) where
+fn apply_item<P>(shared: &Shared<P>, state: &mut State, read: Read, entry: &Entry)
+where
     P: Platform,
 {
-    let version = entry.version.0;
+    let Read { now, changed, era } = read;
+    let position = Position::new(era, entry.version);
     let proof = state.freshness.proved_at();
     let proof_age = proof.map(|proof| now.since(proof));
     match shared.platform.read_operator(&entry.key, &entry.value) {
-        Ok(OperatorItem::Rules(parts)) => adopt_rules(state, Rules::from(*parts), version),
+        Ok(OperatorItem::Rules(parts)) => adopt_rules(state, Rules::from(*parts), position),
         Ok(OperatorItem::Excluded(centre)) => {
             LogEvent::CentreExcluded.log(&[
                 ("centre", centre.as_ref().into()),
-                ("store_version", version.into()),
+                ("position", position.to_string().into()),
             ]);
-            state.excluded.insert(centre);
+            state.exclusions.exclude(centre);
         }
         Ok(OperatorItem::Weights { model, version }) => {
             let versions = state.versions.entry(model.clone()).or_default();
@@ -247,16 +284,20 @@
 }
 
 /// Puts a configuration in force unless its version is not newer; versions only increase
-/// within a process.
-fn adopt_rules(state: &mut State, rules: Rules, store_version: u64) {
+/// within a process. One that the operators wrote again after the store had lost it may
+/// differ under the same version.
+fn adopt_rules(state: &mut State, rules: Rules, position: Position) {
     let known = state.rules.as_ref().map(|rules| rules.version());
-    if known.is_some_and(|known| known >= rules.version()) {
+    let is_rewritten = position.era > state.rules_position.era;
+    let is_older = |known| known > rules.version() || known == rules.version() && !is_rewritten;
+    if known.is_some_and(is_older) {
         return;
     }
     LogEvent::ConfigAdopted.log(&[
         ("version", rules.version().into()),
-        ("store_version", store_version.into()),
+        ("position", position.to_string().into()),
     ]);
+    state.rules_position = position;
     state.rules = Some(Arc::new(rules));
 }
 
@@ -272,7 +313,7 @@
                     ("state", format!("{:?}", target.state).into()),
                     ("cold_ms", millis(target.cold)),
                 ]);
-                state.directory.put(target);
+                state.directory.put(now, target);
             } else {
                 let name = shared.platform.target_name(&entry.key);
                 state.directory.remove(now, &name);
@@ -307,10 +348,10 @@
     let State {
         placement,
         directory,
-        excluded,
+        exclusions,
         ..
     } = state;
-    placement.set_excluded(excluded.clone());
+    placement.set_excluded(exclusions.centres());
     placement.set_targets(now, directory);
     state.wake_queues();
     let known: Vec<_> = state
@@ -335,8 +376,15 @@
         }
         let now = BootClock.now();
         let mut state = shared.state();
-        let gone = state.directory.expire(now);
-        if !gone.is_empty() {
+        let changed = state.directory.expire(now);
+        let included = state.exclusions.expire(now);
+        for centre in &included {
+            LogEvent::CentreIncluded.log(&[
+                ("centre", centre.as_ref().into()),
+                ("why", "the store came back without its mark".into()),
+            ]);
+        }
+        if !changed.is_empty() || !included.is_empty() {
             refresh(&shared, &mut state, now);
         }
     }
