Call the store often after a return, and prove freshness up to the end of a wait

Cause: a call for changes that ended without one counted from its sending, though the store had no change until its wait ended, so the last proof before the outage was up to two waits old; and the first call after the doubt could begin a wait later.

Why it is sound: the store responds at once if there is a change, and the wait begins no sooner than the call. A response that was read late, or sooner than the wait, still counts from the sending; 50 ms are left for clocks.

--- a/crates/azurestand_direct/src/freshness.rs
+++ b/crates/azurestand_direct/src/freshness.rs
@@ -10,8 +10,9 @@
 
 /// How up to date this process is with the operators' changes.
 ///
-/// A proof counts from the moment at which the read or watch that returned it was *sent*:
-/// every change that was acknowledged before that moment has been seen. The clock behind
+/// A proof counts from the moment at which the read or watch that returned it was *sent*, or
+/// from the end of a wait in which the store had no change: every change that was
+/// acknowledged before that moment has been seen. The clock behind
 /// the moments has to count the time for which the machine is suspended.
 ///
 /// A store that has just come back from an older copy proves nothing: an acknowledged change
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -56,7 +56,7 @@
         changes: Vec<Change>,
         /// The store's position after them.
         position: Position,
-        /// A time no later than that at which the call to the store that returned them was sent.
+        /// A time up to which the store had no later change.
         called_at: Moment,
         /// When they were made.
         changed: ChangeTime,
@@ -110,6 +110,10 @@
 /// that passes updates on responds to them in time.
 const RELAY_WAIT: Duration = Duration::from_secs(1);
 
+/// The wait of a call while the store has just come back from an older copy, so that a proof
+/// follows soon after its writers had time to write again.
+const DOUBT_WAIT: Duration = Duration::from_millis(300);
+
 /// Follows `scope`, through an entry that reads the store for others if there is one, and
 /// calls `handle` with each update. Never returns.
 pub(crate) async fn follow<S, K, F>(
@@ -143,7 +147,9 @@
             }
             continue;
         }
-        let wait = if peers.has_any() {
+        let wait = if progress.is_in_doubt(BootClock.now()) {
+            DOUBT_WAIT
+        } else if peers.has_any() {
             pace.wait.min(RELAY_WAIT)
         } else {
             pace.wait
@@ -205,9 +211,9 @@
     let update = match changes {
         Ok(Changes::Since { changes, position }) => FeedUpdate::Changed {
             changed: progress.time_of(exchange, size(&changes)),
+            called_at: exchange.proved_at(changes.is_empty()),
             changes,
             position,
-            called_at: sent,
             from_store: true,
         },
         Ok(Changes::Compacted) => return None,
--- a/crates/azurestand_gateway/src/feed/timing.rs
+++ b/crates/azurestand_gateway/src/feed/timing.rs
@@ -28,6 +28,11 @@
 /// A response that takes longer than the wait by more than this was held up.
 const MAX_DELAY: Duration = Duration::from_millis(300);
 
+/// How much earlier than by this process's clock the store may end a wait.
+const WAIT_MARGIN: Duration = Duration::from_millis(50);
+/// How long calls are short after the store came back from an older copy.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
+
 /// When the changes of an update were made, as far as this process can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum ChangeTime {
@@ -99,6 +104,18 @@
         !self.has_stalled && self.received.since(self.sent) <= self.wait + MAX_DELAY
     }
 
+    /// The time up to which the store certainly had no later change than those in the
+    /// response. An empty response that took the whole wait shows that there was none during
+    /// the wait, which began no sooner than the call.
+    pub(super) fn proved_at(self, is_empty: bool) -> Moment {
+        let has_waited = self.received.since(self.sent) >= self.wait;
+        if is_empty && has_waited && self.is_prompt() {
+            self.sent + self.wait.saturating_sub(WAIT_MARGIN)
+        } else {
+            self.sent
+        }
+    }
+
     /// The time up to which nothing is missing after the response.
     pub(super) fn complete_at(self) -> Moment {
         if self.is_prompt() {
@@ -116,6 +133,8 @@
     known: Option<Position>,
     /// The store's position after the last update, also if the next call is for all values.
     latest: Option<Position>,
+    /// Until when calls are short, since the store came back from an older copy.
+    doubt_end: Moment,
     /// When the call that returned the last update was sent; nothing was missing up to then.
     proof: Option<Moment>,
     /// When the response with the last update left the store, as far as known; nothing was
@@ -136,6 +155,11 @@
         self.latest.unwrap_or_default()
     }
 
+    /// Whether the store has just come back from an older copy.
+    pub(super) fn is_in_doubt(self, now: Moment) -> bool {
+        now < self.doubt_end
+    }
+
     /// Whether the store came back from an older copy if it is at `position` now.
     pub(crate) fn is_restart(self, position: Position) -> bool {
         self.latest
@@ -186,7 +210,13 @@
         let Some((position, called_at)) = update.position().zip(update.called_at()) else {
             return;
         };
+        let doubt_end = if self.is_restart(position) {
+            called_at + DOUBT_TIME
+        } else {
+            self.doubt_end
+        };
         *self = Self {
+            doubt_end,
             known: Some(position),
             latest: Some(position),
             proof: Some(called_at),
--- a/crates/azurestand_gateway/src/feed/timing/tests.rs
+++ b/crates/azurestand_gateway/src/feed/timing/tests.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
+use azurestand_store::{Era, Position, Snapshot, Version};
 use azurestand_types::Moment;
 
-use super::{ChangeTime, Exchange, LARGE_BYTES, Progress};
+use super::{ChangeTime, Exchange, LARGE_BYTES, Progress, WAIT_MARGIN};
+use crate::feed::FeedUpdate;
 
 const WAIT: Duration = Duration::from_secs(5);
 
@@ -134,3 +136,37 @@
     assert_eq!(call.change_time(Some(at(1_000)), 0), None);
     assert_eq!(call.complete_at(), at(1_020));
 }
+
+/// Nothing changed while the call waited, so keys were current until the wait ended.
+#[test]
+fn an_empty_response_after_the_whole_wait_proves_that_nothing_changed_during_it() {
+    let waited = exchange(1_000, 6_000);
+    assert_eq!(waited.proved_at(true), at(6_000) - WAIT_MARGIN);
+    assert_eq!(waited.proved_at(false), at(1_000));
+    let early = exchange(1_000, 5_999);
+    assert_eq!(early.proved_at(true), at(1_000));
+    // It is unknown when the store sent a response that was read late.
+    let late = exchange(1_000, 8_000);
+    assert_eq!(late.proved_at(true), at(1_000));
+}
+
+#[test]
+fn calls_are_short_while_writers_of_a_restored_store_may_write_again() {
+    let mut progress = progress(0, false);
+    let listing = |version, called_at| FeedUpdate::Snapshot {
+        snapshot: Snapshot {
+            entries: Vec::new(),
+            position: Position::new(Era(0), Version(version)),
+        },
+        called_at: at(called_at),
+        changed: ChangeTime::AtStart,
+        from_store: true,
+        restarted: false,
+    };
+    progress.record(&listing(9, 1_000), at(1_000));
+    assert!(!progress.is_in_doubt(at(1_500)));
+    progress.record(&listing(7, 2_000), at(2_000));
+    progress.record(&listing(8, 2_500), at(2_500));
+    assert!(progress.is_in_doubt(at(4_900)));
+    assert!(!progress.is_in_doubt(at(5_000)));
+}
