Show what a store that came back from an older copy does to followers and permits

Followers miss nothing: the property test now also restores the store without ending the watch, with values written at once, and each follower has the store's values after its next listing (600 histories).

Permits: a holder whose lease the copy lacks goes on for good if the store gives the lease's id out again, since the renewal of the id succeeds; docs/STORE.md said until the lease would have ended. On the users' platform no permits are taken.

Class: a number given out again taken for the one before.

--- a/crates/azurestand_store/tests/store/follow.rs
+++ b/crates/azurestand_store/tests/store/follow.rs
@@ -27,6 +27,9 @@
     Compact,
     Save,
     Restore,
+    /// The store is restored and the watch goes on, as to a process that sees no outage. The
+    /// given number of values is written at once.
+    RestoreUnseen(u8),
     Outage(bool),
     /// The call in flight is answered, or lost.
     Answer(bool),
@@ -43,6 +46,7 @@
         1 => Just(Step::Compact),
         1 => Just(Step::Save),
         1 => Just(Step::Restore),
+        1 => (0_u8..6).prop_map(Step::RestoreUnseen),
         1 => any::<bool>().prop_map(Step::Outage),
         10 => any::<bool>().prop_map(Step::Answer),
         5 => (0_u64..2_000).prop_map(Step::Pass),
@@ -111,6 +115,12 @@
                 self.fake = self.saved.clone();
                 self.end();
             }
+            Step::RestoreUnseen(count) => {
+                self.fake = self.saved.clone();
+                for n in 0..count {
+                    self.take(Step::Put(n % 4));
+                }
+            }
             Step::Outage(down) => {
                 self.down = down;
                 if down {
--- a/crates/azurestand_store/tests/store/permit.rs
+++ b/crates/azurestand_store/tests/store/permit.rs
@@ -467,3 +467,24 @@
     let fenced_lease = simulation.holders[0].fenced_lease(simulation.now).unwrap();
     assert_eq!(fenced_lease.until, until);
 }
+
+/// The store came back from an older copy and gave a lease's id out again: its first holder
+/// renewed the lease of the second one, and both held the only permit.
+#[test]
+fn a_holder_does_not_live_on_a_lease_that_the_store_gave_out_again() {
+    let mut simulation = Simulation::new(2, 1);
+    let copy = simulation.fake.clone();
+    simulation.send(0, PermitEvent::Requested);
+    simulation.answers_and_calls();
+    simulation.fake = copy;
+    simulation.send(1, PermitEvent::FenceSeen(Fence(9)));
+    simulation.send(1, PermitEvent::Requested);
+    simulation.answers_and_calls();
+    // Far longer than a lease lasts.
+    for _ in 0..40 {
+        simulation.now = simulation.now + TTL / 10;
+        simulation.tick();
+        simulation.answers_and_calls();
+    }
+    simulation.check();
+}
