Extend a permit's lease only once the holder's key is found under it

What could be seen: after the store came back from an older copy and gave a lease's id to another holder, the first holder's renewals succeeded, and both held the only permit for as long as they renewed ([Fence(1), Fence(10)] hold at once).

Cause: the renewal of an id was taken for the renewal of one's own lease. Class: a number given out again taken for the one before. Now a renewal is followed by a listing, and counts, from when it was asked, once the holder's key is under the lease; otherwise the permit is lost and the lease isn't released, since it may be the other's. The listing is one more read for each renewal.

Open: a holder whose lease ends while the store is away still releases the id, which may be another's by then.

--- a/crates/azurestand_store/src/semaphore.rs
+++ b/crates/azurestand_store/src/semaphore.rs
@@ -34,8 +34,13 @@
     Granting { asked: Moment, finding: Finding },
     /// Acquiring the permit.
     Committing { lease: Lease, fence: Fence },
-    /// Holding the permit.
-    Held { lease: Lease, fence: Fence },
+    /// Holding the permit, possibly with a renewal that counts once the holder's key is found
+    /// under the lease: a restored store may have given the lease's id to another holder.
+    Held {
+        lease: Lease,
+        fence: Fence,
+        renewal: Option<Renewal>,
+    },
 }
 
 /// One holder's side of the semaphore.
@@ -70,7 +75,7 @@
     /// The current fenced lease; `None` when no permit is held or its lease has expired.
     pub fn fenced_lease(&self, now: Moment) -> Option<FencedLease> {
         match &self.state {
-            State::Held { lease, fence } if lease.is_held(now) => Some(FencedLease {
+            State::Held { lease, fence, .. } if lease.is_held(now) => Some(FencedLease {
                 fence: *fence,
                 until: lease.until(),
             }),
@@ -140,6 +145,9 @@
         listed: Result<Listing, StoreError>,
         actions: &mut Vec<PermitAction>,
     ) {
+        if matches!(self.state, State::Held { .. }) {
+            return self.extend(now, listed, actions);
+        }
         let State::Listing { lease } = &self.state else {
             return;
         };
@@ -221,7 +229,11 @@
             return self.abandon(now, Some(lease), actions);
         }
         self.backoff.reset();
-        self.state = State::Held { lease, fence };
+        self.state = State::Held {
+            lease,
+            fence,
+            renewal: None,
+        };
         let until = lease.until();
         let fenced_lease = FencedLease { fence, until };
         actions.push(PermitAction::Report(PermitUpdate::Held(fenced_lease)));
@@ -234,16 +246,55 @@
         renewal: Option<Renewal>,
         actions: &mut Vec<PermitAction>,
     ) {
-        let State::Held { lease, fence } = &mut self.state else {
+        let State::Held {
+            lease,
+            renewal: unproved,
+            ..
+        } = &mut self.state
+        else {
             return;
         };
         if lease.id() != id {
             return;
         }
-        let Some(renewal) = renewal else {
+        match renewal {
+            None => lease.renewal_failed(now, self.backoff.delay()),
+            Some(Renewal::Expired) => lease.handle_renewal(Renewal::Expired),
+            Some(renewed) => {
+                *unproved = Some(renewed);
+                actions.push(PermitAction::List(self.keys.scope()));
+            }
+        }
+    }
+
+    /// Extends the lease by a renewal if the listing has the holder's key under it.
+    fn extend(
+        &mut self,
+        now: Moment,
+        listed: Result<Listing, StoreError>,
+        actions: &mut Vec<PermitAction>,
+    ) {
+        let State::Held {
+            lease,
+            fence,
+            renewal,
+        } = &mut self.state
+        else {
+            return;
+        };
+        let Some(renewal) = renewal.take() else {
+            return;
+        };
+        let Ok(listing) = listed else {
             lease.renewal_failed(now, self.backoff.delay());
             return;
         };
+        if self.keys.inspect(&listing, Some(lease.id())) != (Finding::Own { fence: *fence }) {
+            // The lease isn't released, since it may be another holder's by now.
+            actions.push(PermitAction::Report(PermitUpdate::Lost));
+            self.wait(now);
+            return;
+        }
         self.backoff.reset();
         let before = lease.until();
         lease.handle_renewal(renewal);
