--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -91,7 +91,7 @@
     pub(super) fn set_targets(&mut self, now: f64, targets: &[Arc<Target>], open: &[bool]) {
         let mut directory = Directory::default();
         for (target, _) in targets.iter().zip(open).filter(|(_, open)| **open) {
-            directory.put(Target::clone(target));
+            directory.put(Moment::START, Target::clone(target));
         }
         self.targets = targets.to_vec();
         self.own.resize(targets.len(), 0);
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -172,6 +172,7 @@
         self.targets.push(Arc::new(Target {
             id: format!("t{number}").into(),
             started_at: 1,
+            writes: 1,
             service: "llm".into(),
             address: ([10, 0, 0, 1], 80).into(),
             centre: CENTRES[number % CENTRES.len()].into(),
