--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`Rules`] holds the operators' routes, services, accounts and limits.
 //! - [`Directory`] tracks which targets exist and which of them are leaving.
+//! - [`Exclusions`] holds the data centres that operators took out of service.
 //! - [`Freshness`] tells whether what this process last read is recent enough to rely on.
 //! - [`Incarnation`] names one run of a target; one that says that it leaves gets
 //!   nothing more, and one that names a [`RetryAfter`] nothing for that time.
@@ -26,6 +27,7 @@
 mod directory;
 mod engine;
 mod events;
+mod exclusions;
 mod freshness;
 mod lateness;
 mod limit;
@@ -45,6 +47,7 @@
 pub use directory::{Directory, LoadedWeights, Target, TargetState};
 pub use engine::{CostModel, RequestSize};
 pub use events::{EventError, EventSplitter, StreamEvent};
+pub use exclusions::Exclusions;
 pub use freshness::Freshness;
 pub use lateness::{first_byte_limit, max_wait};
 pub use limit::{LimitNotice, RateError, RateLimit};
--- a/crates/azurestand_direct/tests/direct/barred.rs
+++ b/crates/azurestand_direct/tests/direct/barred.rs
@@ -99,10 +99,13 @@
             } else {
                 TargetState::Leaving
             };
-            directory.put(Target {
-                state,
-                ..run(*number, *started_at)
-            });
+            directory.put(
+                now,
+                Target {
+                    state,
+                    ..run(*number, *started_at)
+                },
+            );
         }
         Event::Removed(number) => directory.remove(now, &format!("i-{number}")),
         Event::ReadFailed => directory.record_read_failure(),
@@ -236,7 +239,7 @@
 
 fn placement_of(target: &Target) -> Placement {
     let mut directory = Directory::default();
-    directory.put(target.clone());
+    directory.put(at(0), target.clone());
     let mut placement = placement();
     placement.set_targets(at(0), &directory);
     placement
@@ -278,8 +281,8 @@
     let (one, other) = (run(0, 1), run(1, 1));
     let service = plain();
     let mut directory = Directory::default();
-    directory.put(one.clone());
-    directory.put(other.clone());
+    directory.put(at(0), one.clone());
+    directory.put(at(0), other.clone());
     let mut placement = placement();
     placement.set_targets(at(0), &directory);
     placement.record_retry_after(at(0), &one, seconds(2_000));
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod correction;
 mod directory;
 mod events;
+mod exclusions;
 mod freshness;
 mod lateness;
 mod pieces;
--- a/crates/azurestand_gateway/src/entry/reports/tests.rs
+++ b/crates/azurestand_gateway/src/entry/reports/tests.rs
@@ -105,6 +105,7 @@
         slots: 16,
         cold: Duration::ZERO,
         held: Vec::new(),
+        writes: 1,
     };
     let targets = [target("a", 1).into(), target("b", 2).into()];
     let reported = |started_at| {
--- a/crates/azurestand_gateway/src/feed.rs
+++ b/crates/azurestand_gateway/src/feed.rs
@@ -8,7 +8,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use azurestand_store::{Change, ChangeFeed, Changes, Listing, Scope, StoreError, Version};
+use azurestand_store::{Change, ChangeFeed, Changes, Position, Scope, Snapshot, StoreError};
 use azurestand_types::Moment;
 use tokio::time::sleep;
 
@@ -40,21 +40,23 @@
     /// All values of the scope.
     Snapshot {
         /// The values.
-        listing: Listing,
+        snapshot: Snapshot,
         /// A time no later than that at which the call to the store that returned them was sent.
         called_at: Moment,
         /// When the changes among them were made.
         changed: ChangeTime,
         /// Whether it comes directly from the store rather than through an entry.
         from_store: bool,
+        /// Whether the store came back from an older copy since the last update.
+        restarted: bool,
     },
     /// Changes; empty if there were none within the wait.
     Changed {
         /// The changes in order.
         changes: Vec<Change>,
-        /// The store's version after them.
-        version: Version,
-        /// A time no later than that at which the call to the store that returned them was sent.
+        /// The store's position after them.
+        position: Position,
+        /// A time up to which the store had no later change.
         called_at: Moment,
         /// When they were made.
         changed: ChangeTime,
@@ -76,6 +78,15 @@
         }
     }
 
+    /// The store's position after the update; none if the call failed.
+    pub(crate) fn position(&self) -> Option<Position> {
+        match self {
+            Self::Snapshot { snapshot, .. } => Some(snapshot.position),
+            Self::Changed { position, .. } => Some(*position),
+            Self::Failed(_) | Self::RelayTimedOut => None,
+        }
+    }
+
     /// Why the store could not be read, if the call failed.
     pub(crate) fn failure(&self) -> Option<String> {
         match self {
@@ -99,6 +110,10 @@
 /// that passes updates on responds to them in time.
 const RELAY_WAIT: Duration = Duration::from_secs(1);
 
+/// The wait of a call while the store has just come back from an older copy, so that a proof
+/// follows soon after its writers had time to write again.
+const DOUBT_WAIT: Duration = Duration::from_millis(300);
+
 /// Follows `scope`, through an entry that reads the store for others if there is one, and
 /// calls `handle` with each update. Never returns.
 pub(crate) async fn follow<S, K, F>(
@@ -132,7 +147,9 @@
             }
             continue;
         }
-        let wait = if peers.has_any() {
+        let wait = if progress.is_in_doubt(BootClock.now()) {
+            DOUBT_WAIT
+        } else if peers.has_any() {
             pace.wait.min(RELAY_WAIT)
         } else {
             pace.wait
@@ -178,8 +195,9 @@
         let (listed, has_stalled) = detect_stall(store.list_all(scope)).await;
         let exchange = Exchange::ended(sent, Duration::ZERO, has_stalled);
         let update = match listed {
-            Ok(listing) => FeedUpdate::Snapshot {
-                listing,
+            Ok(snapshot) => FeedUpdate::Snapshot {
+                restarted: progress.is_restart(snapshot.position),
+                snapshot,
                 called_at: sent,
                 changed: progress.time_of(exchange, usize::MAX),
                 from_store: true,
@@ -191,11 +209,11 @@
     let (changes, has_stalled) = detect_stall(store.changes(scope, known, wait)).await;
     let exchange = Exchange::ended(sent, wait, has_stalled);
     let update = match changes {
-        Ok(Changes::Since { changes, version }) => FeedUpdate::Changed {
+        Ok(Changes::Since { changes, position }) => FeedUpdate::Changed {
             changed: progress.time_of(exchange, size(&changes)),
+            called_at: exchange.proved_at(changes.is_empty()),
             changes,
-            version,
-            called_at: sent,
+            position,
             from_store: true,
         },
         Ok(Changes::Compacted) => return None,
--- a/crates/azurestand_gateway/src/feed/timing.rs
+++ b/crates/azurestand_gateway/src/feed/timing.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use azurestand_store::Version;
+use azurestand_store::Position;
 use azurestand_types::Moment;
 use derive_more::Display;
 
@@ -28,6 +28,11 @@
 /// A response that takes longer than the wait by more than this was held up.
 const MAX_DELAY: Duration = Duration::from_millis(300);
 
+/// How much earlier than by this process's clock the store may end a wait.
+const WAIT_MARGIN: Duration = Duration::from_millis(50);
+/// How long calls are short after the store came back from an older copy.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
+
 /// When the changes of an update were made, as far as this process can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum ChangeTime {
@@ -99,6 +104,18 @@
         !self.has_stalled && self.received.since(self.sent) <= self.wait + MAX_DELAY
     }
 
+    /// The time up to which the store certainly had no later change than those in the
+    /// response. An empty response that took the whole wait shows that there was none during
+    /// the wait, which began no sooner than the call.
+    pub(super) fn proved_at(self, is_empty: bool) -> Moment {
+        let has_waited = self.received.since(self.sent) >= self.wait;
+        if is_empty && has_waited && self.is_prompt() {
+            self.sent + self.wait.saturating_sub(WAIT_MARGIN)
+        } else {
+            self.sent
+        }
+    }
+
     /// The time up to which nothing is missing after the response.
     pub(super) fn complete_at(self) -> Moment {
         if self.is_prompt() {
@@ -112,8 +129,12 @@
 /// The updates received so far.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
-    /// The store's version after the last update; none if the next call is for all values.
-    known: Option<Version>,
+    /// The store's position after the last update; none if the next call is for all values.
+    known: Option<Position>,
+    /// The store's position after the last update, also if the next call is for all values.
+    latest: Option<Position>,
+    /// Until when calls are short, since the store came back from an older copy.
+    doubt_end: Moment,
     /// When the call that returned the last update was sent; nothing was missing up to then.
     proof: Option<Moment>,
     /// When the response with the last update left the store, as far as known; nothing was
@@ -124,14 +145,36 @@
 }
 
 impl Progress {
-    /// The store's version after the last update; none if the next call is for all values.
-    pub(crate) fn known(self) -> Option<Version> {
+    /// The store's position after the last update; none if the next call is for all values.
+    pub(crate) fn known(self) -> Option<Position> {
         self.known
     }
 
+    /// The store's position after the last update; the default one before any.
+    pub(crate) fn latest(self) -> Position {
+        self.latest.unwrap_or_default()
+    }
+
+    /// Whether the store has just come back from an older copy.
+    pub(super) fn is_in_doubt(self, now: Moment) -> bool {
+        now < self.doubt_end
+    }
+
+    /// Whether the store came back from an older copy if it is at `position` now.
+    pub(crate) fn is_restart(self, position: Position) -> bool {
+        self.latest
+            .is_some_and(|latest| !latest.continues_to(position))
+    }
+
+    /// Whether an update through an entry that leads to `position` may follow the last one. An
+    /// entry may lag behind; of the store's history it proves only that of a later era.
+    pub(crate) fn accepts(self, position: Position) -> bool {
+        position >= self.latest()
+    }
+
     /// Records that the changes since the last update are no longer available; the next call
     /// is for all values.
-    pub(super) fn record_compaction(&mut self) {
+    pub(crate) fn record_compaction(&mut self) {
         self.known = None;
     }
 
@@ -163,18 +206,19 @@
     }
 
     /// Records an update up to which nothing is missing at `last`.
-    pub(super) fn record(&mut self, update: &FeedUpdate, last: Moment) {
-        let (version, called_at) = match update {
-            FeedUpdate::Snapshot {
-                listing, called_at, ..
-            } => (listing.version, *called_at),
-            FeedUpdate::Changed {
-                version, called_at, ..
-            } => (*version, *called_at),
-            FeedUpdate::Failed(_) | FeedUpdate::RelayTimedOut => return,
+    pub(crate) fn record(&mut self, update: &FeedUpdate, last: Moment) {
+        let Some((position, called_at)) = update.position().zip(update.called_at()) else {
+            return;
+        };
+        let doubt_end = if self.is_restart(position) {
+            called_at + DOUBT_TIME
+        } else {
+            self.doubt_end
         };
         *self = Self {
-            known: Some(version),
+            doubt_end,
+            known: Some(position),
+            latest: Some(position),
             proof: Some(called_at),
             last: Some(last),
             failing_since: None,
@@ -182,7 +226,7 @@
     }
 
     /// Records that the store failed at `now`; the next call is for all values.
-    pub(super) fn record_store_failure(&mut self, now: Moment) {
+    pub(crate) fn record_store_failure(&mut self, now: Moment) {
         self.known = None;
         self.last = None;
         self.failing_since.get_or_insert(now);
