Reserve no other target for a silent one without a retry left

A request at a silent target sought another one every 100 ms: it reserved the target, found no retry in the budget, and dropped the reservation. Each such try counted as a recent send to a sound target, used up its share of a limited rate and the trial of a suspected part. Class: a side effect before the check that decides. The budget now tells whether it has a retry, and is asked first; the test states that asking takes none.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -252,7 +252,8 @@
     /// Reserves another target for the next attempt, if one is free and the request may go
     /// there; returns whether it is reserved.
     pub(crate) fn reserve_other(&mut self, target: &Target) -> bool {
-        if !self.may_try_another() {
+        // A reservation counts as a send, so none is made that can't be used.
+        if !self.may_try_another() || !self.shared.state().retries.has_one() {
             return false;
         }
         let mut constraints = self.constraints.clone();
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -181,10 +181,11 @@
             Err(NoTarget::NoneEligible) => break,
         }
     }
+    let limit = latest(&shared.state(), call, constraints);
     Err(RequestError::Busy(Shortage {
         retry_after: jittered(soonest.unwrap_or(DEFAULT_RETRY_AFTER)),
         soonest,
-        limit: latest(&shared.state(), call, constraints),
+        limit,
         ahead,
     }))
 }
--- a/crates/azurestand_route/src/retry.rs
+++ b/crates/azurestand_route/src/retry.rs
@@ -42,9 +42,14 @@
         self.balance = (self.balance + self.share).min(MAX_BALANCE);
     }
 
+    /// Whether there is a retry in the budget.
+    pub fn has_one(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Takes one retry out of the budget, if there is one.
     pub fn spend(&mut self) -> bool {
-        if self.balance < 1.0 {
+        if !self.has_one() {
             return false;
         }
         self.balance -= 1.0;
--- a/crates/azurestand_route/tests/retry.rs
+++ b/crates/azurestand_route/tests/retry.rs
@@ -61,3 +61,15 @@
     budget.earn();
     assert!(!budget.spend());
 }
+
+/// Requests at a silent target reserved other targets in vain, ten times a second each.
+#[test]
+fn whether_there_is_a_retry_is_told_without_taking_it() {
+    let mut budget = RetryBudget::new(0.1);
+    assert!(budget.has_one());
+    assert!(budget.has_one());
+    assert!(budget.spend());
+    assert!(!budget.has_one());
+    assert!(!budget.spend());
+    assert!(!RetryBudget::new(0.0).has_one());
+}
