Give long prompts their own reading time beside the shared limit

While requests are queued, all kinds have one limit for the time to the first byte. A prompt that an idle engine reads longer than that could not be placed at all until the queue was empty. Now a prompt gets the time in addition by which an idle engine takes longer for it than for a mean one, up to its own limit, and the test passes. Class of fault: a bound on a sum that means one of its parts.

--- a/crates/azurestand_bench/src/load.rs
+++ b/crates/azurestand_bench/src/load.rs
@@ -106,6 +106,8 @@
     pub worth: f64,
     /// The part of the callers that were served, by class.
     pub served: Vec<f64>,
+    /// The same of the tenth of the callers with the longest prompts.
+    pub served_longest: Vec<f64>,
     /// The part of the callers that were served, by data centre.
     pub served_centres: Vec<f64>,
     /// Half of the answers began within this time, in milliseconds.
--- a/crates/azurestand_bench/src/load/tally.rs
+++ b/crates/azurestand_bench/src/load/tally.rs
@@ -6,6 +6,22 @@
 use super::caller::{CLASSES, Caller, State};
 use super::limited::Limited;
 
+/// Of the tenth of each class's callers with the longest prompts, how many asked and were
+/// served.
+fn longest(callers: &[Caller]) -> Vec<(u32, u32)> {
+    let of_class = |class| {
+        let all = callers.iter().filter(|caller| caller.class == class);
+        let mut all: Vec<&Caller> = all.collect();
+        all.sort_by_key(|caller| std::cmp::Reverse(caller.prompt));
+        all.truncate(all.len().div_ceil(10));
+        let is_served = |caller: &&&Caller| matches!(caller.state, State::Served(_));
+        let served = all.iter().filter(is_served).count();
+        let count = |number| u32::try_from(number).unwrap_or(u32::MAX);
+        (count(all.len()), count(served))
+    };
+    (0..CLASSES.len()).map(of_class).collect()
+}
+
 /// The part of those who asked that was served, of each of several kinds.
 fn shares(counts: &[(u32, u32)]) -> Vec<f64> {
     let share = |(asked, served): &(u32, u32)| f64::from(*served) / f64::from((*asked).max(1));
@@ -51,6 +67,7 @@
     let at = |part: usize| firsts.get(firsts.len() * part / 100).copied();
     figures.worth = earned / f64::max(owed, 1.0);
     figures.served = shares(&by_class);
+    figures.served_longest = shares(&longest(callers));
     figures.served_centres = shares(&by_centre);
     figures.first_p50 = at(50).unwrap_or_default();
     figures.first_p99 = at(99).unwrap_or_default();
--- a/crates/azurestand_bench/tests/load.rs
+++ b/crates/azurestand_bench/tests/load.rs
@@ -157,3 +157,15 @@
         assert!(least >= most / 2.0, "seed {seed}: {own:?}");
     }
 }
+
+/// A kind's longest prompts are served at least half as often as all of the kind.
+#[test]
+fn the_longest_prompts_are_served_at_least_half_as_often_as_others() {
+    for load in [1.5, 2.0] {
+        let own = figures(Policy::Predicted, Pattern::Steady, load);
+        let kinds = own.served.iter().zip(&own.served_longest);
+        for (served, longest) in kinds {
+            assert!(*longest >= served / 2.0, "{load}: {own:?}");
+        }
+    }
+}
--- a/crates/azurestand_direct/src/engine.rs
+++ b/crates/azurestand_direct/src/engine.rs
@@ -71,6 +71,18 @@
         f64::from(self.mean_answer) * self.step(sequences) + reads * f64::from(sequences.max(1))
     }
 
+    /// How much longer an idle engine takes to the first token of a request of `size` than of a
+    /// mean one; zero for shorter ones.
+    pub fn excess_time(&self, size: RequestSize) -> Duration {
+        let mean = RequestSize {
+            prompt: self.mean_prompt,
+            answer: self.mean_answer,
+        };
+        let idle = |size| self.first_token(size, 0, 0, 1);
+        let excess = idle(size) - idle(mean);
+        Duration::try_from_secs_f64(excess / 1_000.0).unwrap_or_default()
+    }
+
     /// The time to the first token of a request of `size`, in milliseconds, at an engine
     /// with `slots` slots, `running` requests and `waiting` prompts to read.
     ///
--- a/crates/azurestand_direct/src/lateness.rs
+++ b/crates/azurestand_direct/src/lateness.rs
@@ -4,7 +4,8 @@
 //! Where requests are queued, there are more than targets can take. Kinds of requests with a
 //! long latency target would then fill the targets up to it, and leave nothing to kinds with
 //! a short one. So all kinds get the same limit, by the shortest latency target among them,
-//! and a lower one, since each further request delays those that were sent before.
+//! and a lower one, since each further request delays those that were sent before. A long
+//! prompt gets its own reading time in addition, which no other target would spare it.
 
 use std::time::Duration;
 
@@ -18,17 +19,30 @@
 /// The lower bound for the limit of the expected time to the first byte.
 const MIN_LIMIT: Duration = Duration::from_millis(60);
 
-/// The longest predicted time to the first byte with which a request may be sent that has
-/// `waited` so far, where `shortest` is the shortest latency target of the queued requests.
-pub fn first_byte_limit(
-    latency_target: Duration,
-    waited: Duration,
-    shortest: Option<Duration>,
-) -> Duration {
-    let own = latency_target.mul_f64(FIRST_BYTE_SHARE);
-    let shared = shortest.map(|shortest| shortest.min(latency_target).mul_f64(SHARED_SHARE));
-    let limit = shared.map_or(own, |shared| shared.min(own));
-    limit.saturating_sub(waited).max(MIN_LIMIT)
+/// What decides how late the first byte of a request may be expected.
+#[derive(Debug, Clone, Copy)]
+pub struct Lateness {
+    /// The latency target of its route.
+    pub latency_target: Duration,
+    /// How long it has waited so far.
+    pub waited: Duration,
+    /// How much longer an idle target takes for it than for a mean request.
+    pub excess: Duration,
+    /// The shortest latency target of the queued requests; none if none is queued.
+    pub shortest: Option<Duration>,
+}
+
+impl Lateness {
+    /// The longest predicted time to the first byte with which the request may be sent now.
+    pub fn limit(self) -> Duration {
+        let own = self.latency_target.mul_f64(FIRST_BYTE_SHARE);
+        let shared = self.shortest.map(|shortest| {
+            let shortest = shortest.min(self.latency_target);
+            shortest.mul_f64(SHARED_SHARE) + self.excess
+        });
+        let limit = shared.map_or(own, |shared| shared.min(own));
+        limit.saturating_sub(self.waited).max(MIN_LIMIT)
+    }
 }
 
 /// How long a request may wait for a target in all.
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`Incarnation`] names one run of a target; one that says that it leaves gets
 //!   nothing more, and one that names a [`RetryAfter`] nothing for that time.
 //! - [`Placement`] chooses the target of a request.
-//! - [`RequestQueue`] queues the requests that wait for capacity; [`first_byte_limit`] and
+//! - [`RequestQueue`] queues the requests that wait for capacity; [`Lateness`] and
 //!   [`max_wait`] tell when an answer would come too late to be sent for.
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
 //! - [`SendShare`] and [`SendBucket`] limit the rate at which one entry sends to a target that
@@ -49,7 +49,7 @@
 pub use events::{EventError, EventSplitter, StreamEvent};
 pub use exclusions::Exclusions;
 pub use freshness::Freshness;
-pub use lateness::{first_byte_limit, max_wait};
+pub use lateness::{Lateness, max_wait};
 pub use limit::{LimitNotice, RateError, RateLimit};
 pub use part::PartId;
 pub use pieces::{Distance, PieceHost, PieceSelector};
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Choice, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter, first_byte_limit, max_wait,
+    Choice, Lateness, NoTarget, PartId, Rank, Target, TargetRequirements, Waiter, max_wait,
 };
 use azurestand_types::Moment;
 use tokio::sync::Notify;
@@ -252,7 +252,16 @@
     }
     let queue = state.queues.get(&call.service.name);
     let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.priority()));
-    first_byte_limit(call.route.latency_target, call.waited(), shortest).min(left)
+    let engine = call.service.engine.as_ref();
+    let lateness = Lateness {
+        latency_target: call.route.latency_target,
+        waited: call.waited(),
+        excess: engine.map_or(Duration::ZERO, |engine| {
+            engine.excess_time(call.request.work)
+        }),
+        shortest,
+    };
+    lateness.limit().min(left)
 }
 
 /// Adds jitter of ±30 % to `time`, so that refused callers don't retry simultaneously.
