Count the doubt after a return of the store from when it was seen

A listing may be sent while the store is away and be answered after its return, or its host may stand still between two pages. The time in which reads prove nothing was counted from the sending, and could be over at once, so a key taken away in the lost seconds would pass. Found by review, by reading; no play or test showed it. Class: the start of a call taken for the time of what its answer tells.

--- a/crates/azurestand_direct/src/freshness.rs
+++ b/crates/azurestand_direct/src/freshness.rs
@@ -27,9 +27,10 @@
 }
 
 impl Freshness {
-    /// Records that the store came back from an older copy, as a read sent at `sent` showed.
-    pub fn record_restart(&mut self, sent: Moment) {
-        self.doubted_until = sent + REWRITE_TIME;
+    /// Records that a read that returned at `now` showed that the store came back from an older
+    /// copy. It may have come back at any time until then.
+    pub fn record_restart(&mut self, now: Moment) {
+        self.doubted_until = now + REWRITE_TIME;
     }
 
     /// Records a read sent at `sent` that returned: every change acknowledged before has been
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -114,7 +114,7 @@
             state.directory.record_read(now);
             if restarted {
                 state.directory.record_restart(now);
-                state.freshness.record_restart(called_at);
+                state.freshness.record_restart(now);
             }
             let listing = UpdateListing {
                 snapshot: &snapshot,
