End the trial of a suspected part when its target has not run the request

A request with a suspected part was placed as the part's trial. If its target refused it, could not be reached or had just said that it leaves, the trial stayed open: the request met it at its next attempt and was refused, and so was every other one with the part at this entry, for up to 2 s. Found by review, by reading; the test states that a cancelled trial keeps nobody back, by a new method. Class: a mark that is set at the decision and not taken back when the decision isn't carried out.

--- a/crates/azurestand_direct/src/quarantine.rs
+++ b/crates/azurestand_direct/src/quarantine.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// Records that the trial of a part has ended before a target had the request.
+    pub fn cancel_trial(&mut self, part: PartId) {
+        if let Some(record) = self.records.get_mut(&part) {
+            record.trial = None;
+        }
+    }
+
     /// Records that a target has gone on writing an answer under these parts; returns those
     /// that had been suspected.
     pub fn record_written(&mut self, now: Moment, parts: &[PartId]) -> Vec<PartChange> {
--- a/crates/azurestand_direct/tests/direct/quarantine.rs
+++ b/crates/azurestand_direct/tests/direct/quarantine.rs
@@ -415,3 +415,16 @@
     assert_eq!(quarantine.merge(Moment::START, notice).change, None);
     assert!(quarantine.notices(Moment::START).is_empty());
 }
+
+/// A sound request whose target refused it met its own trial and was refused, as were all
+/// others with the part for two seconds.
+#[test]
+fn a_trial_that_no_target_has_had_keeps_nobody_back() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(Moment::START, &crash(1, 0), &[DEADLY]);
+    let now = Moment::from_millis(10);
+    quarantine.record_trial(now, DEADLY);
+    quarantine.cancel_trial(DEADLY);
+    let admission = quarantine.admit(now, &[DEADLY], false);
+    assert_eq!(admission, Admission::Trial(DEADLY));
+}
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -195,11 +195,11 @@
                     }
                 }
                 Err(CallError::Withheld) => {
-                    drop(reservation);
+                    reservation.cancel();
                     self.withheld(&target);
                 }
                 Err(CallError::NotSent(reason)) => {
-                    drop(reservation);
+                    reservation.cancel();
                     self.unsent(&target, &reason)?;
                 }
                 Err(error) => {
@@ -380,6 +380,7 @@
             };
             self.record_fault(&target, fault, status.as_str());
             self.constraints.avoid.push(target.id.clone());
+            opened.reservation.cancel();
             if self.has_attempts_left() && self.spend_retry() {
                 return Ok(None);
             }
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -40,9 +40,18 @@
     /// hold, or the one that began the response.
     pub(crate) required_version: Option<u64>,
     has_begun: bool,
+    /// The suspected part that the request tries.
+    trial: Option<PartId>,
 }
 
 impl<P> Reservation<P> {
+    /// Releases the capacity of a request that the target has not had, or not run.
+    pub(crate) fn cancel(self) {
+        if let Some(part) = self.trial {
+            self.shared.state().quarantine.cancel_trial(part);
+        }
+    }
+
     /// The time since the target was chosen.
     pub(crate) fn age(&self) -> Duration {
         BootClock.now().since(self.sent)
@@ -321,5 +330,6 @@
         version,
         required_version: constraints.required_version.or(version),
         has_begun: false,
+        trial,
     })
 }
