End a silent stream before its caller leaves

Engines stood still for 4.2 s; since a silent target is kept until another one takes over, entries waited there up to the deadline, and callers left after 2.4 s without an event. Callers leave a stream after the longest of 2 s, four latency targets and eight pauses, so a silent target is kept until 0.25 s before that. Class: a wait bounded by the caller's deadline and not by the caller.

--- a/crates/azurestand_direct/src/lateness.rs
+++ b/crates/azurestand_direct/src/lateness.rs
@@ -19,6 +19,23 @@
 /// The lower bound for the limit of the expected time to the first byte.
 const MIN_LIMIT: Duration = Duration::from_millis(60);
 
+/// Callers leave a stream that sends nothing for this long, if its targets are short.
+const MIN_GAP: Duration = Duration::from_secs(2);
+/// They stay for this many times the latency target.
+const LATENCY_FACTOR: u32 = 4;
+/// They stay for this many times the longest pause between events.
+const PAUSE_FACTOR: u32 = 8;
+/// How long before that a silent stream is ended, so that its target isn't left at work for a
+/// caller that is gone.
+const GAP_MARGIN: Duration = Duration::from_millis(250);
+
+/// How long a stream may send nothing before it is of no use to wait any longer, since its
+/// caller is about to leave.
+pub fn longest_gap(latency_target: Duration, gap_target: Duration) -> Duration {
+    let gap = (latency_target * LATENCY_FACTOR).max(gap_target * PAUSE_FACTOR);
+    gap.max(MIN_GAP) - GAP_MARGIN
+}
+
 /// What decides how late the first byte of a request may be expected.
 #[derive(Debug, Clone, Copy)]
 pub struct Lateness {
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -9,7 +9,8 @@
 //!   nothing more, and one that names a [`RetryAfter`] nothing for that time.
 //! - [`Placement`] chooses the target of a request.
 //! - [`RequestQueue`] queues the requests that wait for capacity; [`Lateness`] and
-//!   [`max_wait`] tell when an answer would come too late to be sent for.
+//!   [`max_wait`] tell when an answer would come too late to be sent for, and
+//!   [`longest_gap`] how long callers wait at a silent target.
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
 //! - [`SendShare`] and [`SendBucket`] limit the rate at which one entry sends to a target that
 //!   all entries together may send little to.
@@ -49,7 +50,7 @@
 pub use events::{EventError, EventSplitter, StreamEvent};
 pub use exclusions::Exclusions;
 pub use freshness::Freshness;
-pub use lateness::{Lateness, max_wait};
+pub use lateness::{Lateness, longest_gap, max_wait};
 pub use limit::{LimitNotice, RateError, RateLimit};
 pub use part::PartId;
 pub use pieces::{Distance, PieceHost, PieceSelector};
--- a/crates/azurestand_direct/tests/direct/lateness.rs
+++ b/crates/azurestand_direct/tests/direct/lateness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azurestand_direct::{Lateness, max_wait};
+use azurestand_direct::{Lateness, longest_gap, max_wait};
 
 const LONG: Duration = Duration::from_millis(400);
 const SHORT: Duration = Duration::from_millis(300);
@@ -55,3 +55,14 @@
     };
     assert_eq!(longest.limit(), limit(LONG, Duration::ZERO, None));
 }
+
+/// Callers leave after the longest of two seconds, four latency targets and eight pauses.
+#[test]
+fn a_silent_stream_ends_before_its_caller_leaves() {
+    let millis = Duration::from_millis;
+    for (target, pause, leaves) in [(300, 100, 2_000), (600, 100, 2_400), (300, 400, 3_200)] {
+        let gap = longest_gap(millis(target), millis(pause));
+        assert!(gap < millis(leaves), "{gap:?}");
+        assert!(gap + millis(500) > millis(leaves), "{gap:?}");
+    }
+}
--- a/crates/azurestand_gateway/src/entry/call.rs
+++ b/crates/azurestand_gateway/src/entry/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Account, Route, Service};
+use azurestand_direct::{Account, Route, RouteKind, Service, longest_gap};
 use azurestand_types::Moment;
 use bytes::Bytes;
 use http::request;
@@ -43,6 +43,17 @@
         self.deadline.since(BootClock.now())
     }
 
+    /// How long the caller waits for the first or the next event of a stream; none if the
+    /// request isn't for a stream.
+    pub(crate) fn longest_gap(&self) -> Option<Duration> {
+        match self.route.kind {
+            RouteKind::Streaming { gap_target, .. } => {
+                Some(longest_gap(self.route.latency_target, gap_target))
+            }
+            RouteKind::Idempotent | RouteKind::NonIdempotent => None,
+        }
+    }
+
     /// The priority of the request; 0 is served first.
     pub(crate) fn priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{Fault, Incarnation, LimitNotice, RouteKind, Target};
+use azurestand_types::Moment;
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, response};
@@ -104,6 +105,8 @@
     pub(crate) written: Written,
     /// Whether a target may have run the request.
     maybe_ran: bool,
+    /// When the caller last got an event, or its request arrived.
+    pub(crate) last_progress: Moment,
     /// The target of the next attempt, reserved when the last one was silent.
     replacement: Option<Reservation<P>>,
 }
@@ -115,6 +118,7 @@
 {
     shared.state().retries.earn();
     let last_event = call.request.last_event;
+    let last_progress = call.arrived;
     let mut delivery = Delivery {
         shared,
         call,
@@ -125,6 +129,7 @@
         ended_targets: 0,
         written: Written::default(),
         maybe_ran: false,
+        last_progress,
         replacement: None,
     };
     let is_stream = delivery.call.route.kind.is_stream();
@@ -234,18 +239,26 @@
         }
     }
 
+    /// How long it is of use to wait at a silent target.
+    pub(crate) fn patience_left(&self) -> Duration {
+        let left = self.call.time_left();
+        let gap = self.call.longest_gap();
+        let gap_end = gap.map(|gap| self.last_progress + gap);
+        gap_end.map_or(left, |end| end.since(BootClock.now()).min(left))
+    }
+
     /// Completes when another target is reserved in place of a silent one, or the time is
     /// over. The silent one may still answer until then.
     async fn replace_silent(&mut self, target: &Arc<Target>, patience: Duration) {
-        sleep(patience.min(self.call.time_left())).await;
-        if self.may_try_another() && !self.call.time_left().is_zero() {
+        sleep(patience.min(self.patience_left())).await;
+        if self.may_try_another() && !self.patience_left().is_zero() {
             self.record_silence(target);
         }
-        while !self.call.time_left().is_zero() {
+        while !self.patience_left().is_zero() {
             if self.reserve_other(target) {
                 return;
             }
-            sleep(REPLACE_INTERVAL.min(self.call.time_left())).await;
+            sleep(REPLACE_INTERVAL.min(self.patience_left())).await;
         }
     }
 
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -171,7 +171,7 @@
     /// Reads from the current target until it has completed an event or counts as silent.
     async fn read(&mut self) -> Read {
         let began = Instant::now();
-        let left = self.delivery.call.time_left();
+        let left = self.delivery.patience_left();
         let Some(source) = self.source.as_mut() else {
             return Read::End;
         };
@@ -227,6 +227,7 @@
             self.quarantined = None;
             quarantine::record_written(&self.delivery.shared, &self.delivery.call);
         }
+        self.delivery.last_progress = BootClock.now();
         let now = Instant::now();
         if let Some(last_forward) = self.last_forward.replace(now) {
             metrics::time(Span::Pause, now - last_forward);
@@ -337,7 +338,7 @@
     /// Seeks another target for a stream whose target is silent; returns what that one has
     /// sent meanwhile, none if another target has taken over or can't.
     async fn replace_silent(&mut self) -> Result<Option<Read>, BodyError> {
-        if self.delivery.call.time_left().is_zero() {
+        if self.delivery.patience_left().is_zero() {
             return Err(self.abort(SILENT));
         }
         let Some(source) = self.source.as_mut() else {
