Keep to the replacement of a silent target that breaks off meanwhile

If the silent target's connection broke while the other one had not answered yet, the other one was cancelled and the search began anew, without an attempt or a retry left as a rule; the stream was broken off. Found by review, by reading; no test holds it yet. Class: one outcome of a race taken for another.

--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -6,7 +6,7 @@
 //! the head from its first target. A stream that can't be continued ends with a broken
 //! connection, never as a complete response.
 
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use azurestand_direct::{EventSplitter, Fault, StreamEvent};
@@ -359,10 +359,17 @@
         };
         let mut has_bytes = false;
         let goes_on = read_events(&mut source.body, &mut self.splitter, &mut has_bytes);
-        let raced = tokio::select! {
-            biased;
-            read = goes_on => Err(read),
-            opened = self.delivery.open() => Ok(opened),
+        let raced = {
+            let mut opening = pin!(self.delivery.open());
+            tokio::select! {
+                biased;
+                read = goes_on => match read {
+                    // The silent target broke off; the other one is on its way.
+                    Read::Broken(_) => Ok(opening.as_mut().await),
+                    read => Err(read),
+                },
+                opened = opening.as_mut() => Ok(opened),
+            }
         };
         match raced {
             Ok(Ok(opened)) if self.is_continued_by(&opened) => {
