--- a/crates/azurestand_direct/src/lateness.rs
+++ b/crates/azurestand_direct/src/lateness.rs
@@ -33,7 +33,7 @@
 /// caller is about to leave.
 pub fn longest_gap(latency_target: Duration, gap_target: Duration) -> Duration {
     let gap = (latency_target * LATENCY_FACTOR).max(gap_target * PAUSE_FACTOR);
-    gap.max(MIN_GAP) - GAP_MARGIN
+    gap.max(MIN_GAP).saturating_sub(GAP_MARGIN)
 }
 
 /// What decides how late the first byte of a request may be expected.
