--- a/crates/azurestand_gateway/src/client/tests.rs
+++ b/crates/azurestand_gateway/src/client/tests.rs
@@ -76,3 +76,21 @@
     let read = timeout(LIMIT, stream.read_to_end(&mut bytes)).await;
     assert!(read.is_ok() && bytes.is_empty(), "{bytes:?}");
 }
+
+/// What a cut had held up of a cancelled request reached its target seconds later, when the target
+/// had long said that it leaves. A reset discards it.
+#[tokio::test]
+async fn cancelling_a_call_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let client = Client::default();
+    let request = plain_request(Method::POST, peer, "/", Bytes::from_static(b"{}"));
+    let limit = Duration::from_millis(200);
+    let call = client.call(peer, request, limit, MAX_BYTES);
+    let (outcome, accepted) = tokio::join!(call, listener.accept());
+    assert!(matches!(outcome, Err(CallError::TimedOut)), "{outcome:?}");
+    let mut received = Vec::new();
+    let end = accepted.unwrap().0.read_to_end(&mut received).await;
+    let is_reset = |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionReset;
+    assert!(end.as_ref().is_err_and(is_reset), "{end:?}");
+}
