Take back the reset of every closed connection

The whole check failed then: connections_to_the_origin_are_closed_after_each_call asks for an orderly end after a complete call, rightly. A reset for cancelled calls alone needs the connection's socket at the time of the cancel.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -401,10 +401,7 @@
 
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    // Closing resets the connection, so that what a cut holds up doesn't arrive later.
-    socket.set_linger(Some(Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
 /// How long a connection may stay idle according to the peer's response headers.
