Reset the connection of a cancelled call, and of no other

Class: a cancelled call that isn't cancelled on its way. Change: a call that is dropped before its answer is complete marks its connection, which is then reset when it is dropped; complete calls close in order. The first try reset each close, which an existing test forbids.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -30,7 +30,7 @@
 use crate::clock::BootClock;
 
 pub(crate) use body::{CollectError, ResponseBody, collect};
-use meter::{ByteMeter, MeteredStream};
+use meter::{ByteMeter, CancelFlag, MeteredStream};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -85,6 +85,7 @@
     sender: SendRequest<Full<Bytes>>,
     abort: AbortHandle,
     meter: ByteMeter,
+    cancelled: CancelFlag,
     since: Moment,
     limit: Duration,
 }
@@ -95,7 +96,8 @@
     idle: Arc<Mutex<HashMap<PeerKey, Vec<Idle>>>>,
 }
 
-/// The connection of a call in progress; closed on drop unless [`ActiveConnection::release`] is called.
+/// The connection of a call in progress; reset on drop, unless [`ActiveConnection::release`] or
+/// [`ActiveConnection::close`] is called.
 #[derive(Debug)]
 pub(crate) struct ActiveConnection {
     client: Client,
@@ -103,18 +105,26 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     abort: AbortHandle,
     meter: ByteMeter,
+    cancelled: CancelFlag,
     limit: Duration,
 }
 
 impl Drop for ActiveConnection {
     fn drop(&mut self) {
         if self.sender.is_some() {
+            self.cancelled.set();
             self.abort.abort();
         }
     }
 }
 
 impl ActiveConnection {
+    /// Closes the connection in order; the response must have been read completely.
+    fn close(mut self) {
+        self.sender = None;
+        self.abort.abort();
+    }
+
     /// Returns the connection to the pool; the response must have been read completely.
     pub(crate) fn release(mut self) {
         let Some(sender) = self.sender.take() else {
@@ -128,6 +138,7 @@
             sender,
             abort: self.abort.clone(),
             meter: self.meter.clone(),
+            cancelled: self.cancelled.clone(),
             since: BootClock.now(),
             limit: self.limit,
         };
@@ -196,7 +207,8 @@
         let mut builder = Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
         let meter = ByteMeter::default();
-        let stream = MeteredStream::new(stream, meter.clone());
+        let cancelled = CancelFlag::default();
+        let stream = MeteredStream::new(stream, meter.clone(), cancelled.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(&error.to_string()))?;
         let task = tokio::spawn(async move {
@@ -209,6 +221,7 @@
             sender: Some(sender),
             abort: task.abort_handle(),
             meter,
+            cancelled,
             limit: IDLE_TIMEOUT,
         })
     }
@@ -260,6 +273,7 @@
                 sender: Some(idle.sender),
                 abort: idle.abort,
                 meter: idle.meter,
+                cancelled: idle.cancelled,
                 limit: idle.limit,
             };
             match attempt(connection, request).await {
@@ -336,7 +350,8 @@
     ) -> Result<Response<Bytes>, CallError> {
         let called = self.exchange(address, request, Reuse::Never, max_bytes);
         let called = timeout(limit, called).await;
-        let (answer, _closed) = called.unwrap_or(Err(CallError::TimedOut))?;
+        let (answer, connection) = called.unwrap_or(Err(CallError::TimedOut))?;
+        connection.close();
         Ok(answer)
     }
 
--- a/crates/azurestand_gateway/src/client/meter.rs
+++ b/crates/azurestand_gateway/src/client/meter.rs
@@ -1,4 +1,5 @@
-//! Limits the bytes that a peer may send without completing a part of a response.
+//! The connection under a call: limits the bytes that a peer may send without completing a
+//! part of a response, and resets a connection whose call is cancelled.
 //!
 //! The HTTP client bounds the length of a head, but reads any number of interim responses
 //! before it, and any number of zeros or spaces in the size of a chunk.
@@ -6,9 +7,11 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -35,16 +38,47 @@
     }
 }
 
-/// A connection whose reads fail once its meter is exceeded.
+/// Tells whether the call on a connection was cancelled.
+#[derive(Debug, Clone, Default)]
+pub(super) struct CancelFlag(Arc<AtomicBool>);
+
+impl CancelFlag {
+    /// Records that the call was cancelled; the connection is closed next.
+    pub(super) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A connection whose reads fail once its meter is exceeded, and that is reset on drop if its
+/// call was cancelled.
 #[derive(Debug)]
 pub(super) struct MeteredStream {
     stream: TcpStream,
     meter: ByteMeter,
+    cancelled: CancelFlag,
 }
 
 impl MeteredStream {
-    pub(super) fn new(stream: TcpStream, meter: ByteMeter) -> Self {
-        Self { stream, meter }
+    pub(super) fn new(stream: TcpStream, meter: ByteMeter, cancelled: CancelFlag) -> Self {
+        Self {
+            stream,
+            meter,
+            cancelled,
+        }
+    }
+}
+
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        if self.cancelled.is_set() {
+            // What a cut holds up of the request would otherwise arrive when it ends. If the
+            // option fails, the connection is closed in order.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
     }
 }
 
