Name every entry to every entry, however many there are

Cause: an agent names the first 60 entries by address, since each name takes about 36 bytes of one datagram. Change: addresses as octets, grouped by data centre, about 7 bytes each, up to 1,000 of them. The field has a new number; an agent of the earlier build names nobody to an entry of this one, which then assumes 12 entries until it is replaced.

--- a/crates/azurestand_gateway/src/agent/report.rs
+++ b/crates/azurestand_gateway/src/agent/report.rs
@@ -16,7 +16,7 @@
 use crate::pieces::StagingStatus;
 use crate::platform::EngineState;
 use crate::presence::{
-    EngineReport, KnownEntry, KnownVersion, MAX_BYTES, MAX_ENTRIES, MAX_VERSIONS, Subscribe,
+    EngineReport, EntryGroup, KnownEntry, KnownVersion, MAX_BYTES, MAX_VERSIONS, Subscribe,
 };
 
 /// A subscription that isn't renewed for this long expires.
@@ -140,14 +140,12 @@
     }
 
     /// The subscribed entries, as many as a report holds.
-    fn known_entries(&self) -> Vec<KnownEntry> {
-        let subscribers = self.subscribers().into_iter().take(MAX_ENTRIES);
-        subscribers
-            .map(|(ip, centre)| KnownEntry {
-                ip: ip.to_string(),
-                centre: centre.to_string(),
-            })
-            .collect()
+    fn known_entries(&self) -> Vec<EntryGroup> {
+        let subscribers = self.subscribers().into_iter();
+        let known: Vec<_> = subscribers
+            .map(|(ip, centre)| KnownEntry { ip, centre })
+            .collect();
+        EntryGroup::group(&known)
     }
 
     fn named_versions(&self) -> Vec<KnownVersion> {
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -20,7 +20,7 @@
 use crate::error::GatewayError;
 use crate::log::{LogEvent, millis};
 use crate::platform::Platform;
-use crate::presence::{EngineReport, KnownEntry, MAX_BYTES, Subscribe};
+use crate::presence::{EngineReport, EntryGroup, KnownEntry, MAX_BYTES, Subscribe};
 use crate::supervise::restart_on_panic;
 
 /// The interval of the messages that ask agents for further reports.
@@ -77,7 +77,8 @@
                 let Ok((length, from)) = received else { continue };
                 if let Ok(report) = EngineReport::decode(&buffer[..length]) {
                     let now = Instant::now();
-                    if let Some(known) = known_entries.update(now, from.ip(), &report.known_entries) {
+                    let listed: Vec<_> = report.known_entries.iter().flat_map(EntryGroup::entries).collect();
+                    if let Some(known) = known_entries.update(now, from.ip(), &listed) {
                         shared.update_entries(known);
                     }
                     apply_report(&shared, from.ip(), &report, &mut entry_counts);
@@ -121,8 +122,7 @@
             return None;
         }
         let all = self.lists.values().flat_map(|(_, known)| known);
-        let all: BTreeMap<&str, &KnownEntry> =
-            all.map(|entry| (entry.ip.as_str(), entry)).collect();
+        let all: BTreeMap<IpAddr, &KnownEntry> = all.map(|entry| (entry.ip, entry)).collect();
         Some(all.into_values().cloned().collect())
     }
 }
--- a/crates/azurestand_gateway/src/entry/reports/tests.rs
+++ b/crates/azurestand_gateway/src/entry/reports/tests.rs
@@ -38,7 +38,7 @@
 
 fn known(lasts: &[u8]) -> Vec<KnownEntry> {
     let name = |last: &u8| KnownEntry {
-        ip: ip(*last).to_string(),
+        ip: ip(*last),
         centre: "north".into(),
     };
     lasts.iter().map(name).collect()
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -190,11 +190,8 @@
 
     /// Replaces the known entries by those that agents have reported, unless there are none.
     pub(crate) fn update_entries(&self, known: Vec<KnownEntry>) {
-        let parse = |entry: KnownEntry| {
-            let ip = entry.ip.parse().ok()?;
-            Some((ip, entry.centre.as_str().into()))
-        };
-        let known: Vec<_> = known.into_iter().filter_map(parse).collect();
+        let known = known.into_iter().map(|entry| (entry.ip, entry.centre));
+        let known: Vec<_> = known.collect();
         if !known.is_empty() {
             let names = known
                 .iter()
