Spread a version of weights through few hosts, one piece after the other

Cause, by the logs: 275 of 490 failed fetches are of the digests at the origin. All 238 hosts ask it for them, on a link that passes a piece in 27 ms and 48 connections; the pieces are fetched all at once, so they share the link and arrive together; each failure starts the waiting times again. Every entry also asks every entry elsewhere for its pieces all the time (17,000 connections), and an agent lists all targets before it begins. Change: digests go from the origin to one host, from there to one of each data centre, and on to the rest (digest_sources). A piece's turn at the origin follows from the rate of its link that the configuration names. An entry asks only those for whom it may have to fetch, or in place of which to step in (should_ask). Entries begin when a version is named. Agents list other agents only when entries fail them, and fetch at 0.9 of their link. Evidence: spread_at_size replays 148 entries in virtual time: agents have a version after 3.4 to 3.5 s, with one copy from the origin; without turns 5.9 to 6.2 s and 2.2 copies, and the test fails.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`Quarantine`] keeps parts of prompts that crash targets away from them.
 //! - [`SendShare`] and [`SendBucket`] limit the rate at which one entry sends to a target that
 //!   all entries together may send little to.
-//! - [`PieceSelector`] chooses which piece of weights an agent fetches next.
+//! - [`PieceSelector`] chooses which piece of weights a host fetches next, and
+//!   [`digest_sources`] from whom it gets the digests of all of them.
 //! - [`next_version`] chooses among versions that were named in quick succession, and
 //!   [`useful_until`] tells how long the version that an engine holds may serve.
 //! - [`LoadTurn`] spreads the loads of a new version over time.
@@ -25,6 +26,7 @@
 
 mod barred;
 mod correction;
+mod digests;
 mod directory;
 mod engine;
 mod events;
@@ -45,6 +47,7 @@
 
 pub use barred::{Bar, BarredTarget, Incarnation};
 pub use correction::Correction;
+pub use digests::{DigestSource, digest_sources};
 pub use directory::{Directory, LoadedWeights, Target, TargetState};
 pub use engine::{CostModel, RequestSize};
 pub use events::{EventError, EventSplitter, StreamEvent};
--- a/crates/azurestand_direct/src/pieces.rs
+++ b/crates/azurestand_direct/src/pieces.rs
@@ -6,7 +6,14 @@
 //! one copy leaves the origin and one enters each data centre. Hosts report which pieces
 //! they have. A piece that has not arrived after some time is fetched by the next host
 //! in the order.
+//!
+//! The origin sends one piece after the other: fetched all at once, the pieces would share
+//! its link and arrive together at the end, and nothing could be passed on meanwhile. And a
+//! host asks only those hosts for their pieces from which it may have to fetch, or in place
+//! of which it may have to step in, so that the connections of a host depend on the number
+//! of pieces and not on that of hosts.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +26,11 @@
 /// How much longer each further host in the order waits before it fetches a piece from
 /// another data centre or from the origin itself.
 const RANK_DELAY: Duration = Duration::from_millis(1_300);
+/// How long before a host may have to fetch a piece it asks others whether they have it.
+const ASK_LEAD: Duration = Duration::from_millis(600);
+/// The number of hosts in the order of a piece that are remembered. When all of them have
+/// had their time, any host may be asked for the piece.
+const KNOWN_RANKS: usize = 4;
 /// A fetch that has taken longer no longer blocks another fetch of the same piece.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -40,16 +52,52 @@
     Far,
 }
 
+/// The first hosts in the order for one piece, and how many precede this host.
+#[derive(Debug, Clone, Default)]
+struct HostOrder {
+    first: Vec<Arc<str>>,
+    own_rank: u32,
+}
+
+impl HostOrder {
+    /// The order of these hosts, the first one first, for a host with `own_score`.
+    fn new<'a, I>(own_score: u64, hosts: I) -> Self
+    where
+        I: Iterator<Item = &'a (u64, &'a PieceHost)> + Clone,
+    {
+        let preceding = hosts.clone().filter(|(score, _)| *score > own_score);
+        let first = hosts.take(KNOWN_RANKS).map(|(_, host)| host.name.clone());
+        Self {
+            first: first.collect(),
+            own_rank: u32::try_from(preceding.count()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Whether `host` is one of the first `count`; any host is if there may be more of them
+    /// than are remembered.
+    fn is_among(&self, host: &Arc<str>, count: usize) -> bool {
+        count > KNOWN_RANKS || self.first.iter().take(count).any(|first| first == host)
+    }
+
+    /// Whether `host` is known to precede this host or to be the next one, which steps in for
+    /// it, such as while it restarts.
+    fn may_act_before(&self, host: &Arc<str>) -> bool {
+        let preceding = usize::try_from(self.own_rank).unwrap_or(usize::MAX);
+        let asked = self.first.iter().take(preceding.saturating_add(2));
+        asked.into_iter().any(|first| first == host)
+    }
+}
+
 /// The state of one piece.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Piece {
     arrived: bool,
     /// When the fetch in progress started; none without one.
     fetch_start: Option<Moment>,
-    /// The number of hosts that precede this one in fetching it from the origin.
-    origin_rank: u32,
-    /// The time from which this host may fetch it from another data centre.
-    far_start: Moment,
+    /// The order in which hosts fetch it from the origin.
+    origin_order: HostOrder,
+    /// The order in which hosts of this data centre fetch it from another one.
+    near_order: HostOrder,
     /// Hosts of this data centre that have it.
     near_holders: u32,
     /// Hosts of other data centres that have it.
@@ -84,8 +132,12 @@
     pieces: Vec<Piece>,
     /// The pieces of each other host, as last reported.
     reported: BTreeMap<Arc<str>, Holdings>,
-    /// The start of the period in which the origin has not failed.
-    origin_since: Moment,
+    /// When the distribution started here.
+    started: Moment,
+    /// How long the origin's link takes for one piece.
+    piece_time: Duration,
+    /// When the origin last failed.
+    origin_failure: Option<Moment>,
     rng: fastrand::Rng,
 }
 
@@ -100,27 +152,83 @@
         hosts: &[PieceHost],
         rng: fastrand::Rng,
     ) -> Self {
-        let mut selector = Self {
-            pieces: Vec::with_capacity(count),
-            reported: BTreeMap::new(),
-            origin_since: now,
-            rng,
-        };
-        for number in 0..count {
+        let is_near = |(_, host): &&(u64, &PieceHost)| host.centre == own.centre;
+        let piece = |number: usize| {
             let key = format!("{key}/{number}");
-            let is_near = |host: &&PieceHost| host.centre == own.centre;
-            let near_rank = rank_of(key.as_bytes(), own, hosts.iter().filter(is_near));
-            let rank = rank_of(key.as_bytes(), own, hosts.iter());
-            selector.pieces.push(Piece {
+            let score = |host: &PieceHost| rendezvous::score(key.as_bytes(), &host.name);
+            let mut scored: Vec<_> = hosts.iter().map(|host| (score(host), host)).collect();
+            scored.sort_unstable_by_key(|(score, _)| Reverse(*score));
+            Piece {
                 arrived: false,
                 fetch_start: None,
-                origin_rank: rank,
-                far_start: now + NEAR_ONLY_TIME + RANK_DELAY * near_rank,
+                origin_order: HostOrder::new(score(own), scored.iter()),
+                near_order: HostOrder::new(score(own), scored.iter().filter(is_near)),
                 near_holders: 0,
                 far_holders: 0,
-            });
+            }
+        };
+        Self {
+            pieces: (0..count).map(piece).collect(),
+            reported: BTreeMap::new(),
+            started: now,
+            piece_time: Duration::ZERO,
+            origin_failure: None,
+            rng,
         }
-        selector
+    }
+
+    /// Sets how long the origin's link takes for one piece, so that hosts fetch one after the
+    /// other.
+    #[must_use]
+    pub fn with_piece_time(mut self, piece_time: Duration) -> Self {
+        self.piece_time = piece_time;
+        self
+    }
+
+    /// When the origin should be sending the piece.
+    fn slot(&self, number: usize) -> Moment {
+        let preceding = u32::try_from(number).unwrap_or(u32::MAX);
+        self.started + NEAR_ONLY_TIME + self.piece_time.saturating_mul(preceding)
+    }
+
+    /// The time from which this host may fetch the piece from the origin. After a failure of
+    /// the origin the waiting times of all ranks start again; otherwise all hosts would fetch
+    /// the same pieces as soon as it recovers.
+    fn origin_start(&self, number: usize, piece: &Piece) -> Moment {
+        let first = match self.origin_failure {
+            Some(failed) => failed + NEAR_ONLY_TIME,
+            None => self.slot(number),
+        };
+        first + RANK_DELAY * piece.origin_order.own_rank
+    }
+
+    /// The time from which this host may fetch the piece from another data centre. The first
+    /// host may do so as soon as some other host has it.
+    fn far_start(&self, number: usize, piece: &Piece) -> Moment {
+        match piece.near_order.own_rank {
+            0 => self.started + NEAR_ONLY_TIME,
+            rank => self.slot(number) + RANK_DELAY * rank,
+        }
+    }
+
+    /// Whether to ask another host that fetches from the origin or from other data centres
+    /// for its pieces: this host may have to fetch one of them from there soon, or else in
+    /// place of it.
+    pub fn should_ask(&self, now: Moment, host: &Arc<str>) -> bool {
+        let missing = self.pieces.iter().enumerate();
+        let mut missing = missing.filter(|(_, piece)| !piece.arrived);
+        missing.any(|(number, piece)| {
+            let is_due = |start| now + ASK_LEAD >= start;
+            let late = now.since(self.slot(number)).as_millis() / RANK_DELAY.as_millis();
+            let had_time = usize::try_from(late)
+                .unwrap_or(usize::MAX)
+                .saturating_add(1);
+            (is_due(self.far_start(number, piece))
+                && (piece.origin_order.is_among(host, had_time)
+                    || piece.near_order.may_act_before(host)))
+                || (is_due(self.origin_start(number, piece))
+                    && piece.origin_order.may_act_before(host))
+        })
     }
 
     /// Records that a piece has arrived and was verified.
@@ -143,10 +251,9 @@
         self.pieces.iter().filter(|piece| !piece.arrived).count()
     }
 
-    /// Records that the origin did not answer. The waiting times of all ranks start again;
-    /// otherwise all hosts would fetch the same pieces as soon as the origin recovers.
+    /// Records that the origin did not answer.
     pub fn record_origin_failure(&mut self, now: Moment) {
-        self.origin_since = now;
+        self.origin_failure = Some(now);
     }
 
     /// Records which pieces another host has now; none if it doesn't answer. A host that
@@ -175,27 +282,27 @@
         have: &[bool],
     ) -> Option<usize> {
         self.record_holdings(host, distance, have);
-        let may_fetch = |piece: &Piece| match distance {
+        let has = |number: usize| have.get(number).copied().unwrap_or_default();
+        let may_fetch = |number: usize, piece: &Piece| match distance {
             Distance::Near => true,
-            Distance::Far => piece.near_holders == 0 && now >= piece.far_start,
+            Distance::Far => piece.near_holders == 0 && now >= self.far_start(number, piece),
         };
-        let has = |number: usize| have.get(number).copied().unwrap_or_default();
-        self.start_fetch(now, |number, piece| has(number) && may_fetch(piece))
+        let eligible = self.eligible(now, |number, piece| has(number) && may_fetch(number, piece));
+        self.start_fetch(now, &eligible)
     }
 
     /// Chooses a piece to fetch from the origin.
     pub fn next_from_origin(&mut self, now: Moment) -> Option<usize> {
-        let from = self.origin_since + NEAR_ONLY_TIME;
-        self.start_fetch(now, |_, piece| {
+        let eligible = self.eligible(now, |number, piece| {
             piece.near_holders == 0
                 && piece.far_holders == 0
-                && now >= from + RANK_DELAY * piece.origin_rank
-        })
+                && now >= self.origin_start(number, piece)
+        });
+        self.start_fetch(now, &eligible)
     }
 
-    /// Starts the fetch of a random piece that is missing, not being fetched and accepted by
-    /// `fits`.
-    fn start_fetch<F>(&mut self, now: Moment, fits: F) -> Option<usize>
+    /// The pieces that are missing, not being fetched and accepted by `fits`.
+    fn eligible<F>(&self, now: Moment, fits: F) -> Vec<usize>
     where
         F: Fn(usize, &Piece) -> bool,
     {
@@ -204,23 +311,16 @@
                 .fetch_start
                 .is_none_or(|began| now.since(began) >= FETCH_TIMEOUT)
         };
-        let eligible = self.pieces.iter().enumerate();
-        let eligible: Vec<usize> = eligible
-            .filter(|(number, piece)| !piece.arrived && is_idle(piece) && fits(*number, piece))
-            .map(|(number, _)| number)
-            .collect();
+        let pieces = self.pieces.iter().enumerate();
+        let eligible = pieces
+            .filter(|(number, piece)| !piece.arrived && is_idle(piece) && fits(*number, piece));
+        eligible.map(|(number, _)| number).collect()
+    }
+
+    /// Starts the fetch of a random one of these pieces.
+    fn start_fetch(&mut self, now: Moment, eligible: &[usize]) -> Option<usize> {
         let number = *eligible.get(self.rng.usize(..eligible.len().max(1)))?;
         self.pieces[number].fetch_start = Some(now);
         Some(number)
     }
 }
-
-/// The number of `hosts` that precede `own` in the order for the piece `key`.
-fn rank_of<'a, I>(key: &[u8], own: &PieceHost, hosts: I) -> u32
-where
-    I: Iterator<Item = &'a PieceHost>,
-{
-    let own_score = rendezvous::score(key, &own.name);
-    let before = hosts.filter(|host| rendezvous::score(key, &host.name) > own_score);
-    u32::try_from(before.count()).unwrap_or(u32::MAX)
-}
--- a/crates/azurestand_direct/src/rules.rs
+++ b/crates/azurestand_direct/src/rules.rs
@@ -82,6 +82,8 @@
     pub address: SocketAddr,
     /// Its data centre; empty if that isn't configured.
     pub centre: Arc<str>,
+    /// How long its link takes for one piece; zero if that isn't configured.
+    pub piece_time: Duration,
 }
 
 /// A group of interchangeable targets.
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod barred;
 mod common;
 mod correction;
+mod digests;
 mod directory;
 mod events;
 mod exclusions;
@@ -15,4 +16,5 @@
 mod queue;
 mod rules;
 mod share;
+mod spread_at_size;
 mod versions;
--- a/crates/azurestand_gateway/src/agent/fetch.rs
+++ b/crates/azurestand_gateway/src/agent/fetch.rs
@@ -1,6 +1,5 @@
 //! Fetches the pieces of the version that the engine should load.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,9 +9,9 @@
 use super::Shared;
 use super::goal::Goal;
 use crate::log::LogEvent;
-use crate::pieces::{self, Version};
+use crate::pieces::{Purpose, Version};
 use crate::platform::{Manifest, Platform};
-use crate::spread::{Download, DownloadParams, Host, Role};
+use crate::spread::{DigestQuery, Download, DownloadParams, Host, Role, fetch_manifest};
 
 /// The mean pause before a failed fetch, for example of the manifest, is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -109,25 +108,28 @@
 where
     P: Platform,
 {
-    let Some(hosts) = hosts(shared).await else {
+    let entries = entries(shared);
+    let Some(version) = open_version(shared, task, &entries).await else {
         return false;
     };
-    let Some(version) = open_version(shared, task, &hosts).await else {
-        return false;
-    };
-    let download = Arc::new(Download::new(DownloadParams {
-        role: Role::Agent,
-        client: shared.client.clone(),
-        platform: shared.platform.clone(),
-        origin: task.origin.address,
-        version,
-        hosts: &hosts,
-    }));
     if task.is_unloaded {
-        reuse_staged(shared, &download).await;
+        reuse_staged(shared, &version).await;
+    }
+    if entries.iter().any(Host::is_local_entry) {
+        let download = download(shared, task, &version, &entries);
+        tokio::select! {
+            () = download.clone().run(entries.clone()) => {}
+            () = download.until_unreliable() => {}
+        }
+    }
+    if version.missing() > 0 {
+        // Agents, the list of which has to be read, are needed only without entries.
+        let Some(hosts) = hosts(shared, entries).await else {
+            return false;
+        };
+        let download = download(shared, task, &version, &hosts);
+        download.run(hosts).await;
     }
-    let version = download.version();
-    download.run(hosts).await;
     let is_complete = version.missing() == 0;
     if is_complete {
         LogEvent::Staged.log(&[
@@ -142,20 +144,41 @@
     is_complete
 }
 
+fn download<P>(
+    shared: &Arc<Shared<P>>,
+    task: &FetchTask,
+    version: &Arc<Version>,
+    hosts: &[Host],
+) -> Arc<Download<P>>
+where
+    P: Platform,
+{
+    Arc::new(Download::new(DownloadParams {
+        role: Role::Agent,
+        client: shared.client.clone(),
+        platform: shared.platform.clone(),
+        origin: task.origin.clone(),
+        link_rate: shared.settings.link_rate,
+        version: version.clone(),
+        hosts,
+    }))
+}
+
 /// Reuses the pieces that an earlier process staged.
-async fn reuse_staged<P>(shared: &Arc<Shared<P>>, download: &Download<P>)
+async fn reuse_staged<P>(shared: &Arc<Shared<P>>, version: &Version)
 where
     P: Platform,
 {
     let engine = shared.engine.address;
-    let manifest = &download.version().manifest;
+    let manifest = &version.manifest;
     for number in 0..manifest.digests.len() {
         let staged = shared.platform.staged(engine, &manifest.model, number);
         let Ok(Some(piece)) = staged.await else {
             // An engine without the first piece has no pieces.
             return;
         };
-        download.add_staged(number, piece);
+        // A piece that doesn't match its digest is fetched.
+        let _ = version.add(number, piece);
     }
 }
 
@@ -163,7 +186,7 @@
 async fn open_version<P>(
     shared: &Arc<Shared<P>>,
     task: &FetchTask,
-    hosts: &[Host],
+    entries: &[Host],
 ) -> Option<Arc<Version>>
 where
     P: Platform,
@@ -174,38 +197,69 @@
     if known.is_some() {
         return known;
     }
-    let manifest = manifest(shared, task, hosts).await?;
+    let manifest = manifest(shared, task, entries).await?;
     shared.status.set_newest(manifest.version);
     let version = Arc::new(Version::new(manifest));
     shared.piece_store.add(version.clone());
     Some(version)
 }
 
-/// Fetches the manifest from the origin, or from another host if the origin fails.
-async fn manifest<P>(shared: &Arc<Shared<P>>, task: &FetchTask, hosts: &[Host]) -> Option<Manifest>
+/// Fetches the manifest of a named version, or of the origin's newest one.
+async fn manifest<P>(
+    shared: &Arc<Shared<P>>,
+    task: &FetchTask,
+    entries: &[Host],
+) -> Option<Manifest>
 where
     P: Platform,
 {
-    let origin = task.origin.address;
-    let call = shared.platform.manifest(origin, &task.model, task.version);
-    let error = match call.await {
-        Ok(manifest) => return Some(manifest),
-        Err(error) => error,
+    let Some(version) = task.version else {
+        return newest_manifest(shared, task).await;
+    };
+    let query = DigestQuery {
+        client: &shared.client,
+        platform: shared.platform.as_ref(),
+        origin: &task.origin,
+        model: &task.model,
+        version,
+        purpose: Purpose::Load,
     };
-    LogEvent::PieceFailed.log(&[
-        ("source", "origin's manifest".into()),
-        ("why", error.to_string().into()),
-    ]);
-    let version = task.version?;
-    let others: Vec<_> = hosts.iter().filter(|host| !host.is_own()).collect();
-    let host = others.get(fastrand::usize(..others.len().max(1)))?;
-    let call = pieces::fetch_digests(&shared.client, host.address(), &task.model, version);
-    // Most hosts don't have it either; the next attempt asks another host.
-    call.await.ok()
+    let own = own_host(shared);
+    fetch_manifest(&query, own.peer(), entries).await
+}
+
+/// Fetches the manifest of the newest version, which only the origin knows.
+async fn newest_manifest<P>(shared: &Arc<Shared<P>>, task: &FetchTask) -> Option<Manifest>
+where
+    P: Platform,
+{
+    let origin = task.origin.address;
+    match shared.platform.manifest(origin, &task.model, None).await {
+        Ok(manifest) => Some(manifest),
+        Err(error) => {
+            LogEvent::PieceFailed.log(&[
+                ("source", "newest digests of origin".into()),
+                ("why", error.to_string().into()),
+            ]);
+            None
+        }
+    }
+}
+
+fn own_host<P>(shared: &Shared<P>) -> Host {
+    let settings = &shared.settings;
+    Host::new(settings, Role::Agent, settings.ip, &settings.centre)
+}
+
+/// The entries that subscribe to this agent's reports.
+fn entries<P>(shared: &Shared<P>) -> Vec<Host> {
+    let entries = shared.status.subscribers().into_iter();
+    let host = |(ip, centre)| Host::new(&shared.settings, Role::Entry, ip, &centre);
+    entries.map(host).collect()
 }
 
-/// The hosts that take part in distributing weights: agents, this one included, and entries.
-async fn hosts<P>(shared: &Arc<Shared<P>>) -> Option<Vec<Host>>
+/// The hosts that take part in distributing weights: agents, this one included, and `entries`.
+async fn hosts<P>(shared: &Arc<Shared<P>>, entries: Vec<Host>) -> Option<Vec<Host>>
 where
     P: Platform,
 {
@@ -217,18 +271,15 @@
         }
     };
     let settings = &shared.settings;
-    let host = |ip: IpAddr, centre: &Arc<str>| Host::new(settings, Role::Agent, ip, centre);
     let others = targets
         .iter()
         .filter(|target| target.address.ip() != settings.ip);
-    let mut hosts: Vec<_> = others
-        .map(|target| host(target.address.ip(), &target.centre))
-        .collect();
-    hosts.push(host(settings.ip, &settings.centre));
-    let entries = shared.status.subscribers();
-    let entries = entries.iter();
-    hosts.extend(entries.map(|(ip, centre)| Host::new(settings, Role::Entry, *ip, centre)));
-    Some(hosts)
+    let agents = others.map(|target| {
+        let ip = target.address.ip();
+        Host::new(settings, Role::Agent, ip, &target.centre)
+    });
+    let hosts = agents.chain([own_host(shared)]).chain(entries);
+    Some(hosts.collect())
 }
 
 /// The targets of the engine's service.
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -115,6 +115,8 @@
     closing: watch::Sender<bool>,
     /// The entries that agents have reported, with their data centres.
     entries: Mutex<Vec<(IpAddr, Arc<str>)>>,
+    /// The model and the version of weights that were named last.
+    named_weights: watch::Sender<Option<(Arc<str>, u64)>>,
     /// The readiness that was last reported to the balancer.
     reported_ready: AtomicBool,
 }
@@ -159,6 +161,7 @@
             draining: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             entries: Mutex::new(Vec::new()),
+            named_weights: watch::Sender::new(None),
             reported_ready: AtomicBool::new(false),
         };
         (shared, queue)
@@ -188,6 +191,24 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that operators have just named a version of a model's weights.
+    pub(crate) fn announce_weights(&self, model: &Arc<str>, version: u64) {
+        self.named_weights
+            .send_replace(Some((model.clone(), version)));
+    }
+
+    /// The weights that were named last.
+    pub(crate) fn named_weights(&self) -> watch::Receiver<Option<(Arc<str>, u64)>> {
+        self.named_weights.subscribe()
+    }
+
+    /// Whether there are engines in this entry's data centre.
+    pub(crate) fn has_local_engines(&self) -> bool {
+        let state = self.state();
+        let mut engines = state.engine_targets();
+        engines.any(|target| target.centre == self.settings.centre)
+    }
+
     /// Replaces the known entries by those that agents have reported, unless there are none.
     pub(crate) fn update_entries(&self, known: Vec<KnownEntry>) {
         let known = known.into_iter().map(|entry| (entry.ip, entry.centre));
--- a/crates/azurestand_gateway/src/entry/store_updates.rs
+++ b/crates/azurestand_gateway/src/entry/store_updates.rs
@@ -273,6 +273,9 @@
             let naming = versions.get(version).copied().filter(|_| is_newer);
             if let Some(naming) = naming {
                 log_naming(&model, &naming, proof_age);
+                if !matches!(changed, ChangeTime::AtStart) {
+                    shared.announce_weights(&model, version);
+                }
             }
         }
         Ok(OperatorItem::Other) => {}
--- a/crates/azurestand_gateway/src/entry/weights.rs
+++ b/crates/azurestand_gateway/src/entry/weights.rs
@@ -1,6 +1,7 @@
 //! Fetches weights and serves them to agents, since an entry's link has more bandwidth.
 //!
-//! An entry fetches a version once an agent asks it for one that the operators have named.
+//! An entry fetches a version once the operators name it, if there are engines in its data
+//! centre, and for as long as agents ask it for one that the operators have named.
 //! The entries divide the fetching from the origin among themselves; each holds only the
 //! pieces that it fetches from the origin or for its data centre.
 
@@ -11,20 +12,20 @@
 
 use axum::Router;
 use axum::routing::post;
+use azurestand_direct::Origin;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
 use super::shared::Shared;
 use crate::error::GatewayError;
-use crate::log::LogEvent;
-use crate::pieces::{self, Pacer, PieceStore, StagingStatus, Version};
+use crate::pieces::{self, Pacer, PieceStore, Purpose, StagingStatus, Version};
 use crate::platform::{Manifest, Platform};
 use crate::relay::{self, UPDATES_PATH};
-use crate::spread::{Download, DownloadParams, Host, Role};
+use crate::spread::{DigestQuery, Download, DownloadParams, Host, Role, fetch_manifest};
 
 /// The share of the machine's link that weights may use.
-const LINK_SHARE: f64 = 0.3;
+const LINK_SHARE: f64 = 0.8;
 /// The number of agents' requests that may be queued.
 const REQUEST_QUEUE: usize = 16;
 /// How often the operators' values are checked for a version that isn't known yet, and the
@@ -146,8 +147,15 @@
 {
     // An agent may request a version before this entry knows that it is named.
     let mut pending = BTreeSet::new();
+    let mut named = shared.named_weights();
     loop {
         tokio::select! {
+            Ok(()) = named.changed() => {
+                let wanted = named.borrow_and_update().clone();
+                if let Some((model, version)) = wanted.filter(|_| shared.has_local_engines()) {
+                    demand.record_request(&model, version);
+                }
+            }
             wanted = requests.recv() => match wanted {
                 Some(wanted) => {
                     pending.insert(wanted);
@@ -201,16 +209,17 @@
     let origin = {
         let state = shared.state();
         let rules = state.rules.as_ref();
-        rules.and_then(|rules| rules.origin().map(|origin| origin.address))
+        rules.and_then(|rules| rules.origin().cloned())
     };
     let Some(origin) = origin else {
         return;
     };
+    let hosts = known_hosts(shared).await;
     let (model, number) = wanted;
     let version = if let Some(version) = piece_store.get(model, *number) {
         version
     } else {
-        let Some(manifest) = manifest(shared, origin, model, *number).await else {
+        let Some(manifest) = manifest(shared, &origin, wanted, &hosts).await else {
             return;
         };
         // An older version that no agent requests any more only takes up memory.
@@ -219,27 +228,34 @@
         piece_store.add(version.clone());
         version
     };
-    let settings = &shared.settings;
-    let known = known_entries(shared).await;
-    let mut hosts: Vec<Host> = known
-        .iter()
-        .map(|(ip, centre)| Host::new(settings, Role::Entry, *ip, centre))
-        .collect();
-    if !hosts.iter().any(Host::is_own) {
-        let (ip, centre) = (settings.ip, &settings.centre);
-        hosts.push(Host::new(settings, Role::Entry, ip, centre));
-    }
     let download = Arc::new(Download::new(DownloadParams {
         role: Role::Entry,
         client: shared.client.clone(),
         platform: shared.platform.clone(),
         origin,
+        link_rate: shared.settings.link_rate,
         version,
         hosts: &hosts,
     }));
     download.run(hosts).await;
 }
 
+fn own_host<P>(shared: &Shared<P>) -> Host {
+    let settings = &shared.settings;
+    Host::new(settings, Role::Entry, settings.ip, &settings.centre)
+}
+
+/// The entries that share out the fetching, this one included.
+async fn known_hosts<P>(shared: &Shared<P>) -> Vec<Host> {
+    let known = known_entries(shared).await.into_iter();
+    let host = |(ip, centre)| Host::new(&shared.settings, Role::Entry, ip, &centre);
+    let mut hosts: Vec<Host> = known.map(host).collect();
+    if !hosts.iter().any(Host::is_own) {
+        hosts.push(own_host(shared));
+    }
+    hosts
+}
+
 /// The entries that divide the fetching from the origin. A process that has just started
 /// learns of them within a second; without them it would fetch every piece itself.
 async fn known_entries<P>(shared: &Shared<P>) -> Vec<(IpAddr, Arc<str>)> {
@@ -256,25 +272,29 @@
 
 async fn manifest<P>(
     shared: &Shared<P>,
-    origin: SocketAddr,
-    model: &str,
-    version: u64,
+    origin: &Origin,
+    wanted: &ModelVersion,
+    hosts: &[Host],
 ) -> Option<Manifest>
 where
     P: Platform,
 {
+    let (model, version) = wanted;
+    let query = DigestQuery {
+        client: &shared.client,
+        platform: shared.platform.as_ref(),
+        origin,
+        model,
+        version: *version,
+        purpose: Purpose::PassOn,
+    };
+    let own = own_host(shared);
     for _ in 0..MANIFEST_ATTEMPTS {
-        match shared.platform.manifest(origin, model, Some(version)).await {
-            Ok(manifest) => return Some(manifest),
-            Err(error) => LogEvent::PieceFailed.log(&[
-                ("source", "origin's manifest".into()),
-                ("why", error.to_string().into()),
-            ]),
+        let manifest = fetch_manifest(&query, own.peer(), hosts).await;
+        if manifest.is_some() {
+            return manifest;
         }
         sleep(MANIFEST_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
     }
     None
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/azurestand_gateway/src/pieces.rs
+++ b/crates/azurestand_gateway/src/pieces.rs
@@ -68,6 +68,12 @@
         true
     }
 
+    /// The length of a piece in bytes; zero before any has arrived.
+    pub(crate) fn piece_bytes(&self) -> usize {
+        let pieces = self.lock();
+        pieces.iter().flatten().next().map_or(0, Bytes::len)
+    }
+
     /// The number of missing pieces.
     pub(crate) fn missing(&self) -> usize {
         self.lock().iter().filter(|piece| piece.is_none()).count()
@@ -146,8 +152,8 @@
     }
 }
 
-/// Limits the rate at which this host sends pieces, so that live traffic on the same link
-/// waits for one piece at most.
+/// Limits the rate at which this host sends or fetches pieces, so that live traffic on the
+/// same link waits for one piece at most.
 #[derive(Debug)]
 pub(crate) struct Pacer {
     /// Bytes a second.
@@ -165,7 +171,7 @@
     }
 
     /// Waits until a piece of `bytes` bytes may be sent.
-    async fn wait(&self, bytes: usize) {
+    pub(crate) async fn wait(&self, bytes: usize) {
         let mut next_at = self.next_at.lock().await;
         let start = (*next_at).max(Instant::now());
         sleep_until(start).await;
--- a/crates/azurestand_gateway/src/pieces/calls.rs
+++ b/crates/azurestand_gateway/src/pieces/calls.rs
@@ -11,9 +11,11 @@
 use crate::client::{CallError, Client, plain_request};
 use crate::platform::Manifest;
 
-/// Timeout of a call for the list of pieces or the digests, including the time for which
-/// the other host waits for further pieces.
+/// Timeout of a call for the list of pieces, including the time for which the other host
+/// waits for further pieces.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Timeout of a call for digests, including the time for which the other host waits for them.
+const DIGESTS_TIMEOUT: Duration = Duration::from_millis(900);
 /// Timeout of one attempt to fetch a piece.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The length of a digest.
@@ -43,15 +45,21 @@
     Ok(response.into_body())
 }
 
-/// Fetches the digests of a version from another host.
+/// Fetches the digests of a version from another host, which waits for them for a short time
+/// if it is fetching them itself.
 pub(crate) async fn fetch_digests(
     client: &Client,
     host: SocketAddr,
     model: &Arc<str>,
     version: u64,
+    purpose: Purpose,
 ) -> Result<Manifest, CallError> {
-    let path = format!("/digests/{model}/{version}");
-    let body = get(client, host, &path, LIST_TIMEOUT).await?;
+    let verb = match purpose {
+        Purpose::Load => "digests",
+        Purpose::PassOn => "copy-digests",
+    };
+    let path = format!("/{verb}/{model}/{version}");
+    let body = get(client, host, &path, DIGESTS_TIMEOUT).await?;
     let (digests, rest) = body.as_chunks::<DIGEST_BYTES>();
     if digests.is_empty() || !rest.is_empty() {
         return Err(CallError::Malformed(
--- a/crates/azurestand_gateway/src/pieces/server.rs
+++ b/crates/azurestand_gateway/src/pieces/server.rs
@@ -16,7 +16,7 @@
 use crate::metrics::{self, METRICS_PATH};
 use crate::platform::EngineControl;
 
-/// How long a request for the list waits for pieces that this host is still fetching.
+/// How long a request waits for pieces or digests that this host is still fetching.
 const ARRIVAL_WAIT: Duration = Duration::from_millis(700);
 
 /// The version that is staged beside the engine, whose pieces this process needn't hold.
@@ -75,6 +75,7 @@
         .route("/have/{model}/{version}/{known}", get(list::<P, S>))
         .route("/look/{model}/{version}/{known}", get(look::<P, S>))
         .route("/digests/{model}/{version}", get(digests::<P, S>))
+        .route("/copy-digests/{model}/{version}", get(copy_digests::<P, S>))
         .route(METRICS_PATH, get(async || metrics::text()))
         .with_state(state)
         .merge(others);
@@ -120,7 +121,7 @@
     Ok(piece)
 }
 
-/// Returns the concatenated digests of a version that this host holds or fetches.
+/// Returns the digests of a version to a host whose engine needs it.
 async fn digests<P, S>(
     State(state): State<ServerState<P, S>>,
     Path((model, version)): Path<(String, u64)>,
@@ -129,8 +130,23 @@
     P: EngineControl,
     S: StagingStatus,
 {
-    let version = state.piece_store.get(&model, version);
-    let version = version.ok_or(StatusCode::NOT_FOUND)?;
+    state.staging.record_request(&model, version);
+    copy_digests(State(state), Path((model, version))).await
+}
+
+/// Returns the concatenated digests of a version that this host holds or fetches, to a host
+/// that passes the pieces on, which doesn't count as a request.
+async fn copy_digests<P, S>(
+    State(state): State<ServerState<P, S>>,
+    Path((model, version)): Path<(String, u64)>,
+) -> Result<Bytes, StatusCode>
+where
+    P: EngineControl,
+    S: StagingStatus,
+{
+    let version = state.piece_store.wait_for(&model, version);
+    let version = timeout(ARRIVAL_WAIT, version).await;
+    let version = version.map_err(|_| StatusCode::NOT_FOUND)?;
     Ok(version.manifest.digests.concat().into())
 }
 
--- a/crates/azurestand_gateway/src/spread.rs
+++ b/crates/azurestand_gateway/src/spread.rs
@@ -5,6 +5,7 @@
 //! and agents fetch from the entries of their data centre. If those don't respond, agents
 //! fetch from each other and from the origin.
 
+mod digests;
 #[cfg(test)]
 mod tests;
 
@@ -13,9 +14,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use azurestand_direct::{Distance, PieceHost, PieceSelector};
+use azurestand_direct::{Distance, Origin, PieceHost, PieceSelector};
 use bytes::Bytes;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -23,16 +24,25 @@
 use crate::clock::BootClock;
 use crate::log::LogEvent;
 use crate::metrics::{self, Level};
-use crate::pieces::{self, Purpose, Version};
+use crate::pieces::{self, Pacer, Purpose, Version};
 use crate::platform::EngineControl;
 use crate::settings::GatewaySettings;
 
-/// Maximum number of concurrent fetches.
-const CONCURRENT_FETCHES: usize = 14;
+pub(crate) use digests::{DigestQuery, fetch_manifest};
+
+/// Maximum number of concurrent fetches of an entry.
+const ENTRY_FETCHES: usize = 14;
+/// The same of an agent, whose link is slow and shared with live streams.
+const AGENT_FETCHES: usize = 10;
+/// The share of its link on which an agent fetches pieces, so that requests to the engine
+/// don't queue behind them.
+const RECEIVE_SHARE: f64 = 0.9;
 /// The pause after a failed attempt.
 const FAILED_PAUSE: Duration = Duration::from_millis(60);
 /// The pause while there is nothing to fetch.
 const IDLE_PAUSE: Duration = Duration::from_millis(40);
+/// The pause before it is checked again whether a host has to be asked for its pieces.
+const ASK_PAUSE: Duration = Duration::from_millis(250);
 /// The pause after a host didn't respond.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
 /// How long an agent relies on entries that don't respond.
@@ -84,12 +94,12 @@
         self.is_own
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+    pub(crate) fn peer(&self) -> &PieceHost {
+        &self.peer
     }
 
     /// Whether it is an entry of this data centre.
-    fn is_local_entry(&self) -> bool {
+    pub(crate) fn is_local_entry(&self) -> bool {
         self.role == Role::Entry && self.distance == Distance::Near
     }
 }
@@ -99,7 +109,9 @@
     pub(crate) role: Role,
     pub(crate) client: Client,
     pub(crate) platform: Arc<P>,
-    pub(crate) origin: SocketAddr,
+    pub(crate) origin: Origin,
+    /// The rate of this host's link, in bytes a second.
+    pub(crate) link_rate: f64,
     pub(crate) version: Arc<Version>,
     pub(crate) hosts: &'a [Host],
 }
@@ -141,6 +153,8 @@
     finished: Notify,
     /// Limits concurrent fetches.
     permits: Semaphore,
+    /// Limits the rate of an agent's fetches; none at an entry.
+    pacer: Option<Pacer>,
     board: Mutex<PieceSelector>,
     /// The number of pieces, from any source, that didn't match their digests.
     corrupt: AtomicUsize,
@@ -164,30 +178,35 @@
             centre: "".into(),
         });
         let rng = fastrand::Rng::new();
-        let mut board = PieceSelector::new(BootClock.now(), &key, count, &own, &peers, rng);
+        let board = PieceSelector::new(BootClock.now(), &key, count, &own, &peers, rng);
+        let mut board = board.with_piece_time(params.origin.piece_time);
         let available = (0..count).filter(|number| params.version.piece(*number).is_some());
         available.for_each(|number| board.record_arrival(number));
         let has_entries =
             params.role == Role::Agent && params.hosts.iter().any(Host::is_local_entry);
         let activity = has_entries.then(EntryActivity::new);
+        let (fetches, pacer) = match params.role {
+            Role::Agent => {
+                let pacer = Pacer::new(params.link_rate * RECEIVE_SHARE);
+                (AGENT_FETCHES, Some(pacer))
+            }
+            Role::Entry => (ENTRY_FETCHES, None),
+        };
         Self {
             role: params.role,
             client: params.client,
             platform: params.platform,
-            origin: params.origin,
+            origin: params.origin.address,
             version: params.version,
             activity: Mutex::new(activity),
             finished: Notify::new(),
-            permits: Semaphore::new(CONCURRENT_FETCHES),
+            permits: Semaphore::new(fetches),
+            pacer,
             board: Mutex::new(board),
             corrupt: AtomicUsize::new(0),
         }
     }
 
-    pub(crate) fn version(&self) -> Arc<Version> {
-        self.version.clone()
-    }
-
     fn board(&self) -> MutexGuard<'_, PieceSelector> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -206,13 +225,6 @@
         }
     }
 
-    /// Adds a piece that is staged beside the engine, if it matches its digest.
-    pub(crate) fn add_staged(&self, number: usize, piece: Bytes) {
-        if self.version.add(number, piece) {
-            self.board().record_arrival(number);
-        }
-    }
-
     /// Fetches pieces from `hosts` and the origin until the download is finished.
     pub(crate) async fn run(self: Arc<Self>, hosts: Vec<Host>)
     where
@@ -251,6 +263,13 @@
         }
     }
 
+    /// Completes when this agent no longer relies on the entries of its data centre.
+    pub(crate) async fn until_unreliable(&self) {
+        while self.relies_on_entries() {
+            sleep(ASK_PAUSE).await;
+        }
+    }
+
     /// Whether this agent relies on the entries of its data centre; false at an entry.
     fn relies_on_entries(&self) -> bool {
         self.activity()
@@ -276,6 +295,32 @@
             .record_holdings(&host.peer.name, host.distance, &[]);
     }
 
+    /// How long until it is checked again whether to ask the host for its pieces; none if it
+    /// is to be asked now.
+    fn pause_before(&self, host: &Host) -> Option<Duration> {
+        let is_gated = match self.role {
+            Role::Agent if host.is_local_entry() => false,
+            Role::Agent if self.relies_on_entries() => return Some(ASK_PAUSE),
+            Role::Agent => host.role == Role::Agent && host.distance == Distance::Far,
+            Role::Entry => true,
+        };
+        let is_needed = !is_gated || {
+            let board = self.board();
+            board.should_ask(BootClock.now(), &host.peer.name)
+        };
+        (!is_needed).then_some(ASK_PAUSE)
+    }
+
+    /// Waits until a further piece may be fetched.
+    async fn admit(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
+        // The semaphore is never closed.
+        let permit = self.permits.acquire().await.ok();
+        if let Some(pacer) = &self.pacer {
+            pacer.wait(bytes).await;
+        }
+        permit
+    }
+
     /// Fetches pieces that one host has, one at a time.
     async fn fetch_from_host(&self, host: &Host) {
         let manifest = &self.version.manifest;
@@ -285,12 +330,12 @@
         };
         let mut available = Vec::new();
         while !self.is_finished() {
-            if !host.is_local_entry() && self.relies_on_entries() {
-                sleep(IDLE_PAUSE).await;
+            if let Some(pause) = self.pause_before(host) {
+                sleep(pause).await;
                 continue;
             }
             if let Some(number) = self.next_piece(host, &available) {
-                let permit = self.permits.acquire().await;
+                let permit = self.admit(self.version.piece_bytes()).await;
                 let fetched =
                     pieces::fetch_piece(&self.client, host.address, manifest, number, purpose)
                         .await;
--- a/crates/azurestand_gateway/src/spread/tests.rs
+++ b/crates/azurestand_gateway/src/spread/tests.rs
@@ -143,7 +143,12 @@
         role,
         client: Client::default(),
         platform: origin.clone(),
-        origin: unreachable(),
+        origin: azurestand_direct::Origin {
+            address: unreachable(),
+            centre: "north".into(),
+            piece_time: Duration::ZERO,
+        },
+        link_rate: 1e9,
         version: version.clone(),
         hosts,
     }))
