Let an agent that found no configuration read it again soon

Those others first know their engine's model between -3 and 16 s, evenly spread. Cause: all processes start before operators write the first configuration. An agent that finds none counts that as a read and comes back after 10 to 30 s; until then it fetches no version. Class: an empty answer taken for a complete one. Change: without a configuration the agent waits until an entry of its data centre subscribes to its reports, which it does once it has one, for 3 s at most, and reads again. Evidence: an_agent_that_starts_before_the_first_configuration_learns_of_it_soon failed before (no order within 6 s).

--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -8,7 +8,7 @@
 use azurestand_store::{Change, Entry, Position};
 use azurestand_types::Moment;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::Shared;
 use crate::clock::BootClock;
@@ -24,8 +24,13 @@
 
 /// The mean interval between reads of the configuration.
 const RULES_INTERVAL: Duration = Duration::from_secs(20);
-/// The pause after a failed read of the configuration.
+/// The pause after a read of the configuration that failed or found none.
 const RULES_RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// How long an agent without a configuration waits for entries, which subscribe to its
+/// reports once they have one, before it reads the store.
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often it looks for such entries.
+const ENTRIES_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long the engine's weights are assumed to remain usable when an agent that has just
 /// started finds a newer version.
@@ -165,7 +170,11 @@
                     apply(&shared, &mut values, entry, ChangeTime::AtStart);
                 }
                 publish(&shared, &values);
-                RULES_INTERVAL.mul_f64(0.5 + fastrand::f64())
+                if values.rules.is_some() {
+                    RULES_INTERVAL.mul_f64(0.5 + fastrand::f64())
+                } else {
+                    RULES_RETRY_PAUSE
+                }
             }
             Err(error) => {
                 LogEvent::StoreLost.log(&[("why", error.to_string().into())]);
@@ -173,6 +182,21 @@
             }
         };
         sleep(pause).await;
+        if shared.values().rules.is_none() {
+            let entries = until_subscribed(&shared);
+            // Without entries, the store may have the configuration.
+            let _ = timeout(ENTRIES_TIMEOUT, entries).await;
+        }
+    }
+}
+
+/// Completes when an entry of this data centre subscribes to the agent's reports.
+async fn until_subscribed<P>(shared: &Arc<Shared<P>>)
+where
+    P: Platform,
+{
+    while shared.local_entries().is_empty() {
+        sleep(ENTRIES_INTERVAL).await;
     }
 }
 
