Fetch what no longer counts no longer, and go on with what does

Causes: (1) each target's places were weighed against all that search, however many other places were free, and entries with many requests in the queue counted once for each. (2) An agent that turns from its entries to others trusted the entries afresh, and a fetch of the origin's newest version broke off when its number became known. (3) Whether a version is still wanted was looked at when a new one was named only, not when its bound passed. Change: places are thinned only where there are fewer than entries that search, each of which counts once; a fallback starts without trust; versions that nobody named are fetched from agents at once; every 0.5 s it is checked that the version still counts. No test of its own has (2) and (3).

--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -160,9 +160,7 @@
             regions: &[],
             limit: lateness.limit(),
         };
-        let waiting = self.queue.len().max(1);
-        let name = &service.name;
-        self.placement.record_waiting(moment(now), name, waiting);
+        self.record_waiting(now);
         match self.placement.choose(moment(now), &requirements) {
             Ok(choice) => {
                 let is_it = |target: &Arc<Target>| target.id == choice.target.id;
@@ -200,13 +198,20 @@
     }
 
     /// Takes a caller out of the line.
-    pub(super) fn leave(&mut self, caller: usize) {
+    pub(super) fn leave(&mut self, now: f64, caller: usize) {
         if let Some((rank, waiter)) = self.standing.remove(&caller) {
             self.queue.remove(rank, waiter);
             self.callers.remove(&waiter);
+            self.record_waiting(now);
         }
     }
 
+    fn record_waiting(&mut self, now: f64) {
+        let name = &self.service.name;
+        let waiting = self.queue.len();
+        self.placement.record_waiting(moment(now), name, waiting);
+    }
+
     /// Counts a send.
     pub(super) fn sent(&mut self, now: f64, engine: usize) {
         self.own[engine] += 1;
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -307,7 +307,7 @@
         };
         match self.entries[entry].decide(self.now, &ask) {
             Decision::Send(engine) => {
-                self.entries[entry].leave(caller);
+                self.entries[entry].leave(self.now, caller);
                 self.send(caller, entry, engine);
             }
             Decision::Wait(until) if !waits => {
@@ -315,7 +315,7 @@
             }
             Decision::Wait(_) => {}
             Decision::Refuse(after) => {
-                self.entries[entry].leave(caller);
+                self.entries[entry].leave(self.now, caller);
                 self.refuse(caller, after);
             }
         }
@@ -386,7 +386,7 @@
             self.decide(caller, entry, true);
             let asks = self.callers[caller].state == State::Asking;
             if asks && self.places.contains_key(&caller) {
-                self.entries[entry].leave(caller);
+                self.entries[entry].leave(self.now, caller);
                 self.refuse(caller, 300.0);
             }
         }
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -22,7 +22,7 @@
 use crate::retry_after::RetryAfter;
 use crate::rules::Service;
 use crate::share::SendShare;
-use claims::{Claims, Demand};
+use claims::{Claims, Demand, Offer, Seekers};
 use record::TargetRecord;
 
 /// The number of targets in the own data centre that are sampled at random for one
@@ -129,15 +129,6 @@
     },
 }
 
-/// How many requests search for a place at the same time.
-#[derive(Debug, Clone, Copy)]
-struct Seekers {
-    /// At the entries of one data centre, which get all reports of its targets.
-    near: f64,
-    /// At all entries.
-    all: f64,
-}
-
 /// The state of all targets, as one entry knows it.
 #[derive(Debug, Clone)]
 pub struct Placement {
@@ -226,8 +217,7 @@
         }
     }
 
-    /// Records how many requests of a service wait for a place at this entry, those that have
-    /// just arrived included.
+    /// Records how many requests of a service wait for a place at this entry from now on.
     pub fn record_waiting(&mut self, now: Moment, service: &Arc<str>, waiting: usize) {
         let demand = self.demands.entry(service.clone()).or_default();
         demand.record_waiting(now, waiting);
@@ -464,18 +454,18 @@
         }
         self.exclude_suspects(now, &mut candidates);
         if let Some((seekers, engine)) = seekers.zip(requirements.service.engine.as_ref()) {
-            let centre = &self.centre;
-            candidates.retain(|(expected, record)| {
-                let Some(report) = record.last_report() else {
-                    return true;
-                };
-                let is_near = record.target.centre == *centre;
-                let seekers = if is_near { seekers.near } else { seekers.all };
+            let offer = |(expected, record): &(f64, &TargetRecord)| {
                 let places = record.places(now, engine, limit - expected, peer_sends);
-                let id = &record.target.id;
-                let rng = &mut self.rng;
-                self.claims.admit(rng, id, report, places, seekers)
-            });
+                Offer {
+                    id: record.target.id.clone(),
+                    report: record.last_report(),
+                    is_near: record.target.centre == self.centre,
+                    places,
+                }
+            };
+            let offers: Vec<Offer> = candidates.iter().map(offer).collect();
+            let claimed = self.claims.claim(&mut self.rng, &offers, seekers);
+            candidates.retain(|(_, record)| claimed.contains(&record.target.id));
         }
         // A target that names a limit is in need: others are filled first.
         if candidates
@@ -521,11 +511,12 @@
         Err(soonest.map_or(NoTarget::NoneEligible, busy))
     }
 
-    /// The requests that search for places at the engines of this service; none if this entry
-    /// isn't told of those that wait.
+    /// The entries that search for places at the engines of this service; none if this entry
+    /// isn't told of requests that wait.
     fn seekers(&self, now: Moment, service: &Service) -> Option<Seekers> {
-        let mean = self.demands.get(&service.name)?.mean_at(now);
-        let all = f64::from(self.entry_count) * mean;
+        // However many requests wait at an entry, it decides once for each report.
+        let searching = self.demands.get(&service.name)?.mean_at(now).min(1.0);
+        let all = f64::from(self.entry_count) * searching;
         let centres = u32::try_from(self.regions.len().max(1)).unwrap_or(u32::MAX);
         Some(Seekers {
             near: all / f64::from(centres),
--- a/crates/azurestand_direct/src/place/claims.rs
+++ b/crates/azurestand_direct/src/place/claims.rs
@@ -5,10 +5,10 @@
 //! two. With a hundred entries that all have requests waiting it gets a hundred: the target
 //! refuses most of them and answers the others late, while the next place that becomes free
 //! meets the same rush. So an entry claims a place only with the probability at which all
-//! entries together claim it a few times. It assumes that the others have as many requests in search
-//! of a place as it has itself.
+//! entries together claim it a few times. It assumes that the others have requests in search
+//! of a place as often as it has itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,9 +19,9 @@
 /// How long a request that finds a place at once counts as having searched, which is the
 /// interval of reports.
 const SEARCH_TIME: Duration = Duration::from_millis(60);
-/// How many claims each place gets on average, as not every entry that may claim it then has a
-/// request that fits, and a target that gets one too many queues it.
-const CLAIMS_PER_PLACE: f64 = 2.0;
+/// How many more entries may claim the places of a target than there are, as not every one of
+/// them then has a request that fits, and a target queues what comes in excess.
+const EXCESS_CLAIMS: f64 = 2.0;
 
 /// The mean number of requests of one service at this entry that search for a place.
 #[derive(Debug, Clone, Copy, Default)]
@@ -55,6 +55,35 @@
     }
 }
 
+/// How many entries search for a place at the same time.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Seekers {
+    /// Those of one data centre, which get all reports of its targets.
+    pub(super) near: f64,
+    /// Those of all data centres.
+    pub(super) all: f64,
+}
+
+/// The free places at one target.
+#[derive(Debug, Clone)]
+pub(super) struct Offer {
+    /// The target.
+    pub(super) id: Arc<str>,
+    /// When the report that tells of them arrived; none if there was none.
+    pub(super) report: Option<Moment>,
+    /// Whether the target is in the data centre of this entry.
+    pub(super) is_near: bool,
+    /// How many there are.
+    pub(super) places: f64,
+}
+
+impl Offer {
+    /// How many entries may claim them.
+    fn claims(&self) -> f64 {
+        self.places + EXCESS_CLAIMS
+    }
+}
+
 /// The reports whose free places this entry leaves to others.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Claims {
@@ -63,23 +92,43 @@
 }
 
 impl Claims {
-    /// Whether this entry may claim one of the `places` at the target `id` that the report
-    /// received at `report` tells of, for which `seekers` requests search at all entries.
-    /// Once it has left them to others, it does so until the next report.
-    pub(super) fn admit(
+    /// The targets among `offers` at which this entry may claim a place now. If there are
+    /// places enough for all seekers, these are all; else what this entry has left to others
+    /// remains so until the target's next report.
+    pub(super) fn claim(
         &mut self,
         rng: &mut fastrand::Rng,
-        id: &Arc<str>,
-        report: Moment,
-        places: f64,
-        seekers: f64,
-    ) -> bool {
-        if self.left.get(id) == Some(&report) {
+        offers: &[Offer],
+        seekers: Seekers,
+    ) -> BTreeSet<Arc<str>> {
+        let near = offers.iter().filter(|offer| offer.is_near);
+        let near: f64 = near.map(Offer::claims).sum();
+        let all: f64 = offers.iter().map(Offer::claims).sum();
+        let mut claimed = BTreeSet::new();
+        for offer in offers {
+            let (claims, seekers) = if offer.is_near {
+                (near, seekers.near)
+            } else {
+                (all, seekers.all)
+            };
+            if claims >= seekers || self.admit(rng, offer, seekers) {
+                claimed.insert(offer.id.clone());
+            }
+        }
+        claimed
+    }
+
+    /// Whether this entry claims a place for which `seekers` entries search.
+    fn admit(&mut self, rng: &mut fastrand::Rng, offer: &Offer, seekers: f64) -> bool {
+        let Some(report) = offer.report else {
+            return true;
+        };
+        if self.left.get(&offer.id) == Some(&report) {
             return false;
         }
-        let is_admitted = rng.f64() * seekers < places + CLAIMS_PER_PLACE;
+        let is_admitted = rng.f64() * seekers < offer.claims();
         if !is_admitted {
-            self.left.insert(id.clone(), report);
+            self.left.insert(offer.id.clone(), report);
         }
         is_admitted
     }
--- a/crates/azurestand_gateway/src/agent/fetch.rs
+++ b/crates/azurestand_gateway/src/agent/fetch.rs
@@ -25,6 +25,8 @@
     /// None for the origin's newest version.
     version: Option<u64>,
     origin: Origin,
+    /// Whether operators have named the version; entries fetch no others.
+    is_named: bool,
     /// Whether the engine has nothing loaded, as after a restart; then pieces staged earlier
     /// may belong to this version.
     is_unloaded: bool,
@@ -61,12 +63,16 @@
     version: Option<u64>,
 ) {
     loop {
-        if goals.changed().await.is_err() {
+        // A version may also become useless because its bound passes.
+        if let Ok(Err(_)) = timeout(POLL_INTERVAL, goals.changed()).await {
             return std::future::pending().await;
         }
         let goal = goals.borrow_and_update().clone();
         let next = next_task(shared, &goal);
-        if next.is_none_or(|next| next.version != version) {
+        // The newest version of the origin is known once its digests are there.
+        let fetched = version.or_else(|| shared.status.newest());
+        let is_same = |next: FetchTask| next.version == version || next.version == fetched;
+        if !next.is_some_and(is_same) {
             return;
         }
     }
@@ -99,6 +105,7 @@
         model,
         version,
         origin,
+        is_named: missing.is_some(),
         is_unloaded: held == 0,
     })
 }
@@ -115,8 +122,8 @@
     if task.is_unloaded {
         reuse_staged(shared, &version).await;
     }
-    if entries.iter().any(Host::is_local_entry) {
-        let download = download(shared, task, &version, &entries);
+    if task.is_named && entries.iter().any(Host::is_local_entry) {
+        let download = download(shared, task, &version, &entries, true);
         tokio::select! {
             () = download.clone().run(entries.clone()) => {}
             () = download.until_unreliable() => {}
@@ -127,7 +134,7 @@
         let Some(hosts) = hosts(shared, entries).await else {
             return false;
         };
-        let download = download(shared, task, &version, &hosts);
+        let download = download(shared, task, &version, &hosts, false);
         download.run(hosts).await;
     }
     let is_complete = version.missing() == 0;
@@ -149,6 +156,7 @@
     task: &FetchTask,
     version: &Arc<Version>,
     hosts: &[Host],
+    trusts_entries: bool,
 ) -> Arc<Download<P>>
 where
     P: Platform,
@@ -161,6 +169,7 @@
         link_rate: shared.settings.link_rate,
         version: version.clone(),
         hosts,
+        trusts_entries,
     }))
 }
 
--- a/crates/azurestand_gateway/src/agent/report.rs
+++ b/crates/azurestand_gateway/src/agent/report.rs
@@ -23,7 +23,12 @@
 const SUBSCRIPTION_TTL: Duration = Duration::from_millis(3_200);
 /// Entries of other data centres get only every n-th report, since links between data
 /// centres have little bandwidth.
-const REMOTE_REPORT_EVERY: u32 = 3;
+const REMOTE_REPORT_EVERY: usize = 3;
+/// The number of such entries for each of which that is one report fewer, since each entry
+/// spends processor time on the reports of all agents.
+const ENTRIES_A_STEP: usize = 60;
+/// The same at most; a target whose reports are rarer is taken for silent.
+const MAX_REMOTE_REPORT_EVERY: usize = 5;
 
 /// The engine's status as an agent's tasks last saw it, and the entries that subscribe to it.
 #[derive(Debug, Default)]
@@ -53,7 +58,7 @@
     /// The subscribed entries, with their data centres and the time of the last renewal.
     subscribers: BTreeMap<SocketAddr, (Arc<str>, Instant)>,
     /// The number of reports sent.
-    reports: u32,
+    reports: usize,
     /// Whether the next report goes to entries of all data centres.
     to_all: bool,
 }
@@ -132,8 +137,10 @@
             .subscribers
             .retain(|_, (_, at)| at.elapsed() < SUBSCRIPTION_TTL);
         inner.reports = inner.reports.wrapping_add(1);
-        let to_all =
-            std::mem::take(&mut inner.to_all) || inner.reports.is_multiple_of(REMOTE_REPORT_EVERY);
+        let remote = inner.subscribers.values();
+        let remote = remote.filter(|(other, _)| other.as_ref() != centre).count();
+        let is_for_all = inner.reports.is_multiple_of(remote_interval(remote));
+        let to_all = std::mem::take(&mut inner.to_all) || is_for_all;
         let entries = inner.subscribers.iter();
         let recipients = entries.filter(|(_, (other, _))| to_all || other.as_ref() == centre);
         recipients.map(|(address, _)| *address).collect()
@@ -190,6 +197,12 @@
     fn record_request(&self, _model: &str, _version: u64) {}
 }
 
+/// Of how many reports one goes to `remote` entries of other data centres.
+fn remote_interval(remote: usize) -> usize {
+    let interval = REMOTE_REPORT_EVERY + remote / ENTRIES_A_STEP;
+    interval.min(MAX_REMOTE_REPORT_EVERY)
+}
+
 /// Receives subscriptions of entries, and sends them a report whenever the status is set.
 pub(super) async fn run<P>(shared: Arc<Shared<P>>, socket: Arc<UdpSocket>) {
     let mut buffer = [0; MAX_BYTES];
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -112,6 +112,9 @@
             queue.waiters.remove(self.rank, self.waiter);
             queue.wakers.remove(&self.waiter);
             queue.wake_first();
+            let queued = queue.waiters.len();
+            let now = BootClock.now();
+            state.placement.record_waiting(now, self.service, queued);
         }
     }
 }
@@ -315,7 +318,7 @@
         .queues
         .get(name)
         .map_or(0, |queue| queue.waiters.len());
-    state.placement.record_waiting(now, name, queued.max(1));
+    state.placement.record_waiting(now, name, queued);
     let choice = state.placement.choose(now, &requirements)?;
     let Choice {
         target,
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -62,10 +62,11 @@
     let mut ticks = interval(START_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut known_entries = KnownEntries::default();
-    let mut entry_counts: BTreeMap<IpAddr, (u32, Instant)> = BTreeMap::new();
+    let mut entry_counts = EntryCounts::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
+                shared.state().placement.set_entries(entry_counts.most(Instant::now()));
                 if send_subscriptions(&shared, &socket) > 0 {
                     known_entries.start_query(Instant::now());
                 }
@@ -81,7 +82,10 @@
                     if let Some(known) = known_entries.update(now, from.ip(), &listed) {
                         shared.update_entries(known);
                     }
-                    apply_report(&shared, from.ip(), &report, &mut entry_counts);
+                    if entry_counts.record(now, from.ip(), report.entries) {
+                        shared.state().placement.set_entries(entry_counts.most(now));
+                    }
+                    apply_report(&shared, from.ip(), &report);
                 }
             }
         }
@@ -160,19 +164,34 @@
     hosts.into_iter().map(|(ip, _)| ip).collect()
 }
 
-fn apply_report<P>(
-    shared: &Shared<P>,
-    host: IpAddr,
-    report: &EngineReport,
-    entry_counts: &mut BTreeMap<IpAddr, (u32, Instant)>,
-) {
+/// The numbers of entries that agents have reported.
+#[derive(Debug, Default)]
+struct EntryCounts {
+    by_agent: BTreeMap<IpAddr, (u32, Instant)>,
+    most: u32,
+}
+
+impl EntryCounts {
+    /// Records an agent's count; returns whether it is larger than all recent ones.
+    fn record(&mut self, now: Instant, agent: IpAddr, entries: u32) -> bool {
+        self.by_agent.insert(agent, (entries, now));
+        entries > self.most
+    }
+
+    /// The largest recent count.
+    fn most(&mut self, now: Instant) -> u32 {
+        self.by_agent
+            .retain(|_, (_, at)| now.duration_since(*at) < SUBSCRIPTION_INTERVAL * 3);
+        let counts = self.by_agent.values().map(|(entries, _)| *entries);
+        self.most = counts.max().unwrap_or(1);
+        self.most
+    }
+}
+
+fn apply_report<P>(shared: &Shared<P>, host: IpAddr, report: &EngineReport) {
     let mut state = shared.state();
-    let now = Instant::now();
-    entry_counts.insert(host, (report.entries, now));
-    entry_counts.retain(|_, (_, at)| now.duration_since(*at) < SUBSCRIPTION_INTERVAL * 3);
-    let entries = entry_counts.values().map(|(entries, _)| *entries).max();
-    state.placement.set_entries(entries.unwrap_or(1));
-    let Some(target) = reporting_target(state.engine_targets(), host, report).cloned() else {
+    let Some(target) = reporting_target(state.engine_targets_at(host), host, report).cloned()
+    else {
         return;
     };
     let boot_now = BootClock.now();
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -83,10 +83,18 @@
     /// The targets that are engines.
     pub(crate) fn engine_targets(&self) -> impl Iterator<Item = &Arc<Target>> + Clone {
         let rules = self.rules.as_ref();
-        self.directory.targets().filter(move |target| {
-            let service = rules.and_then(|rules| rules.service(&target.service));
-            service.is_some_and(|service| service.engine.is_some())
-        })
+        let targets = self.directory.targets();
+        targets.filter(move |target| is_engine(rules, target))
+    }
+
+    /// The targets at `host` that are engines.
+    pub(crate) fn engine_targets_at(
+        &self,
+        host: IpAddr,
+    ) -> impl Iterator<Item = &Arc<Target>> + Clone {
+        let rules = self.rules.as_ref();
+        let targets = self.directory.targets();
+        targets.filter(move |target| target.address.ip() == host && is_engine(rules, target))
     }
 
     /// Wakes the first request of each queue.
@@ -97,6 +105,12 @@
     }
 }
 
+/// Whether the target belongs to a service of engines.
+fn is_engine(rules: Option<&Arc<Rules>>, target: &Target) -> bool {
+    let service = rules.and_then(|rules| rules.service(&target.service));
+    service.is_some_and(|service| service.engine.is_some())
+}
+
 /// The shared parts of one entry.
 #[derive(Debug)]
 pub(crate) struct Shared<P> {
--- a/crates/azurestand_gateway/src/entry/weights.rs
+++ b/crates/azurestand_gateway/src/entry/weights.rs
@@ -236,6 +236,7 @@
         link_rate: shared.settings.link_rate,
         version,
         hosts: &hosts,
+        trusts_entries: true,
     }));
     download.run(hosts).await;
 }
--- a/crates/azurestand_gateway/src/spread.rs
+++ b/crates/azurestand_gateway/src/spread.rs
@@ -114,20 +114,25 @@
     pub(crate) link_rate: f64,
     pub(crate) version: Arc<Version>,
     pub(crate) hosts: &'a [Host],
+    /// Whether an agent relies on the entries of its data centre from the start, or not until
+    /// they have further pieces.
+    pub(crate) trusts_entries: bool,
 }
 
 /// The latest activity of the entries of this data centre.
 #[derive(Debug)]
 struct EntryActivity {
-    /// When one of them last responded.
-    responded: Instant,
-    /// When one of them last had different pieces than before.
-    progressed: Instant,
+    /// When one of them last responded; none if they are known not to.
+    responded: Option<Instant>,
+    /// When one of them last had different pieces than before; none if they are known not to
+    /// get further ones.
+    progressed: Option<Instant>,
 }
 
 impl EntryActivity {
-    fn new() -> Self {
-        let now = Instant::now();
+    /// The activity of entries that are assumed to respond and make progress, or not to.
+    fn new(is_assumed: bool) -> Self {
+        let now = is_assumed.then(Instant::now);
         Self {
             responded: now,
             progressed: now,
@@ -136,7 +141,9 @@
 
     /// Whether they respond and make progress, so that agents rely on them.
     fn is_recent(&self) -> bool {
-        self.responded.elapsed() < RESPONSE_TIMEOUT && self.progressed.elapsed() < PROGRESS_TIMEOUT
+        let is_within =
+            |at: Option<Instant>, limit| at.is_some_and(|at: Instant| at.elapsed() < limit);
+        is_within(self.responded, RESPONSE_TIMEOUT) && is_within(self.progressed, PROGRESS_TIMEOUT)
     }
 }
 
@@ -184,7 +191,7 @@
         available.for_each(|number| board.record_arrival(number));
         let has_entries =
             params.role == Role::Agent && params.hosts.iter().any(Host::is_local_entry);
-        let activity = has_entries.then(EntryActivity::new);
+        let activity = has_entries.then(|| EntryActivity::new(params.trusts_entries));
         let (fetches, pacer) = match params.role {
             Role::Agent => {
                 let pacer = Pacer::new(params.link_rate * RECEIVE_SHARE);
@@ -218,7 +225,7 @@
     /// Records that an entry of this data centre responded; `is_new` if its pieces changed.
     fn record_response(&self, is_new: bool) {
         if let Some(activity) = self.activity().as_mut() {
-            activity.responded = Instant::now();
+            activity.responded = Some(Instant::now());
             if is_new {
                 activity.progressed = activity.responded;
             }
--- a/crates/azurestand_gateway/src/spread/tests.rs
+++ b/crates/azurestand_gateway/src/spread/tests.rs
@@ -151,6 +151,7 @@
         link_rate: 1e9,
         version: version.clone(),
         hosts,
+        trusts_entries: true,
     }))
 }
 
