Keep the assumed number of entries until an agent reports one

Cause: since reports are applied without a scan, the number of entries was set every second, and without any report set to one in place of the assumed twelve; an entry that counts no sends of others then always prefers its own data centre. Class: an empty set taken for an answer. Change: without a recent report the number stays.

--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -1,5 +1,8 @@
 //! The whole deployment in virtual time: callers, entries and engines.
 
+mod change;
+mod reports;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -22,16 +25,8 @@
 const UNEVEN_CENTRES: [usize; 4] = [0, 1, 0, 2];
 /// How long a new engine is cold, in milliseconds.
 const COLD_MS: f64 = 3_000.0;
-/// How often an agent reports, in milliseconds.
-const REPORT_MS: f64 = 62.0;
-/// Of how many reports one goes to entries of other data centres.
-const REMOTE_EVERY: u32 = 3;
 /// How long a load takes, in milliseconds.
 const LOAD_MS: f64 = 300.0;
-/// The time over which loads are spread, in milliseconds.
-const LOAD_SPAN_MS: f64 = 3_000.0;
-/// How late the list tells that a target leaves, in milliseconds.
-const LATE_LIST_MS: f64 = 4_000.0;
 /// How long after a refusal a caller comes that doesn't wait, in milliseconds.
 const AT_ONCE_MS: f64 = 5.0;
 
@@ -528,143 +523,4 @@
     fn centre_of(&self, number: usize) -> &'static str {
         self.site.centres[number % self.site.centres.len()]
     }
-
-    fn start_reports(&mut self) {
-        if !self.site.is_staggered {
-            self.at(0.0, Event::Report);
-            return;
-        }
-        for engine in 0..self.site.engines {
-            let first = self.rng.f64() * REPORT_MS;
-            let number = self.rng.u32(..REMOTE_EVERY);
-            self.at(first, Event::ReportOf { engine, number });
-        }
-    }
-
-    fn is_over(&self) -> bool {
-        self.now > self.end && self.engines.iter().all(Engine::is_idle)
-    }
-
-    fn report_of(&mut self, engine: usize, number: u32) {
-        let heard = self.now + self.site.delay;
-        let hear = Event::Hear {
-            engine,
-            load: self.engines[engine].report(),
-            is_for_all: number.is_multiple_of(REMOTE_EVERY),
-        };
-        self.at(heard, hear);
-        if !self.is_over() {
-            let number = number.wrapping_add(1);
-            self.at(self.now + REPORT_MS, Event::ReportOf { engine, number });
-        }
-    }
-
-    fn hear(&mut self, engine: usize, load: TargetLoad, is_for_all: bool) {
-        let target = self.targets[engine].clone();
-        let entries = 0..self.entries.len();
-        let is_near = |entry: &usize| self.centre_of(*entry) == target.centre.as_ref();
-        let mut hearing: Vec<usize> = entries
-            .filter(|entry| is_for_all || is_near(entry))
-            .collect();
-        self.rng.shuffle(&mut hearing);
-        let now = moment(self.now);
-        for entry in hearing {
-            let placement = self.entries[entry].placement();
-            placement.record_load(now, &target, load);
-            self.wake_entry(entry);
-        }
-    }
-
-    fn report(&mut self) {
-        for (engine, target) in self.engines.iter().zip(&self.targets) {
-            for entry in &mut self.entries {
-                let placement = entry.placement();
-                placement.record_load(moment(self.now), target, engine.report());
-            }
-        }
-        self.wake();
-        if !self.is_over() {
-            self.at(self.now + REPORT_MS, Event::Report);
-        }
-    }
-
-    fn close(&mut self, engine: usize) {
-        self.open[engine] = false;
-        self.loading[engine] = true;
-        self.tell_targets();
-        if self.engines[engine].is_idle() {
-            self.at(self.now + LOAD_MS, Event::Open(engine));
-        }
-    }
-
-    fn change(&mut self, begins: bool) {
-        let third = self.site.engines / 3;
-        match (self.plan.pattern, begins) {
-            (Pattern::TargetsLost, true) => {
-                for engine in 0..third {
-                    self.open[engine] = false;
-                    for caller in self.engines[engine].crash() {
-                        self.lose(caller);
-                    }
-                }
-            }
-            (Pattern::LimitsNamed, true) => {
-                let needy = self.limited.iter_mut().skip(third);
-                needy.for_each(|limited| limited.begin(self.now));
-            }
-            (Pattern::LimitsNamed, false) => {
-                let needy = self.limited.iter_mut();
-                needy.for_each(|limited| limited.end(self.now));
-            }
-            (Pattern::TurnedAway, true) => self.bar_targets(third),
-            (Pattern::ColdAdded, true) => (0..third).for_each(|_| self.add_engine(COLD_MS)),
-            (Pattern::CentreOut, _) => {
-                let centres = self.site.centres.len();
-                let places = (0..self.site.engines).filter(|engine| engine % centres == 0);
-                for engine in places {
-                    self.open[engine] = !begins;
-                }
-            }
-            (Pattern::NewVersion, true) => {
-                let gap = LOAD_SPAN_MS / 8.0 * 15.0 / to_f64(self.site.engines);
-                let mut at = self.now;
-                for engine in 0..self.site.engines {
-                    self.at(at, Event::Close(engine));
-                    at += gap;
-                }
-            }
-            _ => {}
-        }
-        self.tell_targets();
-    }
-
-    /// Lets a third of the targets turn requests away, one after the other, and a fifth leave.
-    fn bar_targets(&mut self, third: usize) {
-        let mut from = self.now;
-        for barring in self.barring.iter_mut().take(third) {
-            barring.refuse(from);
-            from += self.end / 3.0 / 5.0;
-        }
-        let engines = self.site.engines;
-        for engine in engines - engines / 5..engines {
-            self.barring[engine].leave(self.now);
-            self.at(self.now + LATE_LIST_MS, Event::Unlist(engine));
-        }
-    }
-
-    fn lose(&mut self, caller: usize) {
-        let (entry, engine, began) = match self.callers[caller].state {
-            State::Sent { entry, engine } => (entry, engine, false),
-            State::Begun { entry, engine, .. } => (entry, engine, true),
-            _ => return,
-        };
-        self.entries[entry].ended(engine, began);
-        self.entries[entry].failed(self.now, engine, Fault::Unreachable);
-        self.callers[caller].state = State::Failed;
-    }
-}
-
-/// Converts a small number of engines, which no precision is lost of.
-fn to_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/azurestand_gateway/src/entry/reports.rs
+++ b/crates/azurestand_gateway/src/entry/reports.rs
@@ -66,7 +66,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                shared.state().placement.set_entries(entry_counts.most(Instant::now()));
+                set_entries(&shared, entry_counts.most(Instant::now()));
                 if send_subscriptions(&shared, &socket) > 0 {
                     known_entries.start_query(Instant::now());
                 }
@@ -83,7 +83,7 @@
                         shared.update_entries(known);
                     }
                     if entry_counts.record(now, from.ip(), report.entries) {
-                        shared.state().placement.set_entries(entry_counts.most(now));
+                        set_entries(&shared, entry_counts.most(now));
                     }
                     apply_report(&shared, from.ip(), &report);
                 }
@@ -178,13 +178,21 @@
         entries > self.most
     }
 
-    /// The largest recent count.
-    fn most(&mut self, now: Instant) -> u32 {
+    /// The largest recent count; none without one.
+    fn most(&mut self, now: Instant) -> Option<u32> {
         self.by_agent
             .retain(|_, (_, at)| now.duration_since(*at) < SUBSCRIPTION_INTERVAL * 3);
         let counts = self.by_agent.values().map(|(entries, _)| *entries);
-        self.most = counts.max().unwrap_or(1);
-        self.most
+        let most = counts.max();
+        self.most = most.unwrap_or_default();
+        most
+    }
+}
+
+/// Sets how many entries send to the same targets, unless no agent has reported it lately.
+fn set_entries<P>(shared: &Shared<P>, entries: Option<u32>) {
+    if let Some(entries) = entries {
+        shared.state().placement.set_entries(entries);
     }
 }
 
