--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
@@ -22,6 +22,8 @@
     pub weights: Mutex<(u64, u64)>,
     /// The request that the last order and the staged pieces are for are kept by the case.
     pub running: AtomicU32,
+    /// Whether it loads weights.
+    pub busy: AtomicBool,
     pub record: Record,
 }
 
@@ -35,6 +37,7 @@
             pause: Duration::from_millis(pause_ms),
             weights: Mutex::new((1, 0)),
             running: AtomicU32::new(0),
+            busy: AtomicBool::new(false),
             record,
         })
     }
@@ -45,10 +48,11 @@
             "/azurestand/report" => {
                 let (version, seq) = *self.weights.lock().unwrap();
                 let running = self.running.load(Ordering::Relaxed);
+                let busy = self.busy.load(Ordering::Relaxed);
                 http::reply_json(
                     stream,
                     &format!(
-                        r#"{{"stage":"unified","models":[{{"name":"m0","version":{version},"adapters":[]}}],"layers":{{"from":0,"to":16,"version":{version}}},"busy":false,"seq":{seq},"queue_depth":0,"in_flight":{running},"kv_used":0,"kv_total":1640000,"handles":0,"pace":1.0,"born":{}}}"#,
+                        r#"{{"stage":"unified","models":[{{"name":"m0","version":{version},"adapters":[]}}],"layers":{{"from":0,"to":16,"version":{version}}},"busy":{busy},"seq":{seq},"queue_depth":0,"in_flight":{running},"kv_used":0,"kv_total":1640000,"handles":0,"pace":1.0,"born":{}}}"#,
                         self.born
                     ),
                 )
