Review: a cut-off list of digests leaves pieces of an older version in place (WHOLE)

Tried: the origin hands out 90 of 96 digests. Seen: the agent stages 90 pieces and orders the load; tokens of version 2 come from layers with six pieces of version 1. None with TROUBLE=0.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod case2;
 mod case3;
 mod case4;
+mod case5;
 mod http;
 mod local;
 mod runner;
@@ -26,6 +27,7 @@
                 "2" => case2::run(record.clone(), trouble),
                 "3" => case3::run(record.clone(), trouble),
                 "4" => case4::run(record.clone(), trouble),
+                "5" => case5::run(record.clone(), trouble),
                 _ => Err("no such case".to_owned()),
             };
             let code = match result {
