--- a/review/standin/case2.rs
+++ b/review/standin/case2.rs
@@ -62,7 +62,7 @@
         http::reply(stream, "200 OK", &[], &piece(version, number))
     });
 
-    let runner = Runner::new("i-llm", local.app(SIDE), EVENTS, 40, unix_ms(), record.clone());
+    let runner = Runner::new("i-llm", local.app(SIDE), EVENTS, 40, 0, unix_ms(), record.clone());
     let disk = Arc::new(Mutex::new(Disk::default()));
     disk.lock().unwrap().pieces = (0..CHUNKS).map(|number| (number, piece(1, number))).collect();
     let (served, served_disk, served_record) = (runner.clone(), disk.clone(), record.clone());
--- a/review/standin/case4.rs
+++ b/review/standin/case4.rs
@@ -73,7 +73,7 @@
 
     let mut sides = Vec::new();
     for (number, ip) in SIDES.iter().enumerate() {
-        let runner = Runner::new(&format!("i-llm-{number}"), local.app(ip), EVENTS, 40, unix_ms(), record.clone());
+        let runner = Runner::new(&format!("i-llm-{number}"), local.app(ip), EVENTS, 40, 0, unix_ms(), record.clone());
         let disk = Arc::new(Mutex::new(Disk::default()));
         disk.lock().unwrap().pieces = (0..CHUNKS).map(|number| (number, piece(1, number))).collect();
         let (served, served_disk, served_record) = (runner.clone(), disk.clone(), record.clone());
--- a/review/standin/case5.rs
+++ b/review/standin/case5.rs
@@ -7,26 +7,32 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use crate::http::read_head;
+use crate::http::{read_chunks, read_head, End};
 use crate::local::{self, listed, unix_ms, Local, Record};
 use crate::store::Store;
 
 const ENTRY: &str = "127.0.0.80";
 const DESK: &str = "127.0.0.81";
-const SIDE: &str = "127.0.0.82";
+const SIDES: [&str; 8] = [
+    "127.0.0.82", "127.0.0.83", "127.0.0.84", "127.0.0.85", "127.0.0.86", "127.0.0.87", "127.0.0.88", "127.0.0.89",
+];
 /// `memory_mb` of the settings: a process that exceeds it is killed by the platform.
 const MEMORY_KB: u64 = 260 * 1_024;
-/// Clients with long bodies: 30 a second for 2.8 s. With `burst` (x 1.7) a zone of the sheet has
-/// 95 requests a second before three entries, so 32 at each.
-const UPLOADS: usize = 84;
-const APART: Duration = Duration::from_micros(33_333);
-/// The body, below `max_body_bytes`; 960 Mbit/s together, below `link_mbps`.
-const BODY: usize = 4_000_000;
+/// Clients with long bodies: 26 a second for 2.9 s. With `burst` (x 1.7) a zone of the sheet has
+/// 95 requests a second before three entries, so 31.8 at each, those of `READERS` included.
+const UPLOADS: usize = 75;
+const APART: Duration = Duration::from_micros(38_462);
+/// The body, below `max_body_bytes`; 872 Mbit/s together, below `link_mbps`.
+const BODY: usize = 4_190_000;
 /// Its last part comes so long after its start, below `header_timeout_ms`.
 const LAST_PART: usize = 10_000;
-const LAST_AFTER: Duration = Duration::from_millis(2_700);
-/// Clients that look something up again and again on a kept channel.
+const LAST_AFTER: Duration = Duration::from_millis(2_800);
+/// Clients that ask the model runner again and again on a kept channel: 5.6 requests a second
+/// together.
 const READERS: usize = 8;
+const READER_PERIOD: Duration = Duration::from_millis(1_430);
+/// The runner's time to the first token, until which there is no answer.
+const FIRST_MS: &str = "900";
 
 fn resident_kb(id: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
@@ -56,17 +62,20 @@
 
 pub fn run(record: Record, trouble: bool) -> Result<bool, String> {
     let (address, store) = Store::start();
-    let local = Local::new(address, &[ENTRY, DESK, SIDE]);
+    let local = Local::new(address, &[&[ENTRY, DESK][..], &SIDES[..]].concat());
     store.put("op/config", &local::config(None));
     let born = unix_ms();
     let at = local.app(DESK).to_string();
     let _desk = local::runner(&["i-desk", &at, "1", "200", &born.to_string()], &record);
     sleep(Duration::from_millis(300));
     store.put("servers/i-desk", &listed("desk", local.app(DESK), "north", born, 1, 1));
-    let at = local.app(SIDE).to_string();
-    let _llm = local::runner(&["i-llm", &at, "24", "50", &born.to_string()], &record);
-    store.put("servers/i-llm", &listed("llm", local.app(SIDE), "north", born, 1, 1));
-    let _agent = local.agent("side-1", SIDE, "north");
+    let mut sides = Vec::new();
+    for (number, ip) in SIDES.iter().enumerate() {
+        let (id, at) = (format!("i-llm-{number}"), local.app(ip).to_string());
+        let llm = local::runner(&[&id, &at, "1", "1", &born.to_string(), FIRST_MS], &record);
+        store.put(&format!("servers/{id}"), &listed("llm", local.app(ip), "north", born, 1, 1));
+        sides.push((llm, local.agent(&format!("side-{number}"), ip, "north")));
+    }
     let entry = local.entry("front-1", ENTRY, "north");
     local.wait_ready(ENTRY)?;
     sleep(Duration::from_millis(2_500));
@@ -83,17 +92,21 @@
                 let _ = stream.set_nodelay(true);
                 let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
                 let mut reader = BufReader::new(stream);
-                for turn in 0.. {
+                let began = Instant::now();
+                for turn in 0_u32.. {
+                    let at = began + READER_PERIOD * turn + READER_PERIOD * number as u32 / READERS as u32;
+                    sleep(at.saturating_duration_since(Instant::now()));
                     if over.load(Ordering::Relaxed) {
                         return;
                     }
-                    let name = format!("r{number}-{turn}");
-                    let text = local::lookup_request(&name);
+                    // The runner's name of the request has to be hexadecimal in a prompt's part.
+                    let name = format!("c5{number}{turn:03}");
+                    let text = local::stream_request(&name, 6_000);
                     if reader.get_mut().write_all(text.as_bytes()).is_err() {
                         return;
                     }
                     let head = read_head(&mut reader);
-                    let Ok(Some((first, headers))) = head else {
+                    let Ok(Some((first, _))) = head else {
                         sleep(Duration::from_millis(300));
                         let ran = record.lines().iter().any(|line| line.contains(&format!("runs {name} ")));
                         record.line(&format!("client got no answer to {name}; a runner had it: {ran}"));
@@ -102,9 +115,8 @@
                         }
                         return;
                     };
-                    let length = headers.get("content-length").and_then(|value| value.parse().ok());
-                    let _ = reader.read_exact(&mut vec![0; length.unwrap_or(0)]);
-                    if !first.contains(" 200 ") {
+                    let is_whole = read_chunks(&mut reader, |_| {}) == End::Complete;
+                    if !first.contains(" 200 ") || !is_whole {
                         record.line(&format!("client got {name}: {first}"));
                         failed.fetch_add(1, Ordering::Relaxed);
                     }
@@ -112,7 +124,7 @@
             })
         })
         .collect();
-    sleep(Duration::from_millis(1_500));
+    sleep(Duration::from_millis(3_000));
 
     let count = if trouble { UPLOADS } else { 1 };
     record.line(&format!("{count} clients send {BODY} bytes each; the entry has {} kB", resident_kb(entry.id())));
@@ -148,7 +160,7 @@
         }
     }
     let lost = lost.load(Ordering::Relaxed);
-    record.line(&format!("peak {peak} kB; {answered} of {count} uploads answered 200; {lost} lookups lost"));
+    record.line(&format!("peak {peak} kB; {answered} of {count} uploads answered 200; {lost} requests lost"));
     if !trouble && (failed.load(Ordering::Relaxed) > 0 || answered != 1 || lost > 0) {
         return Err("requests failed without the disruption".to_owned());
     }
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -18,6 +18,8 @@
     pub born: u64,
     pub events: u64,
     pub pause: Duration,
+    /// The time until the head of an answer.
+    pub first: Duration,
     /// The version of the weights, and how many orders were accepted.
     pub weights: Mutex<(u64, u64)>,
     /// The request that the last order and the staged pieces are for are kept by the case.
@@ -28,13 +30,14 @@
 }
 
 impl Runner {
-    pub fn new(id: &str, address: SocketAddr, events: u64, pause_ms: u64, born: u64, record: Record) -> Arc<Self> {
+    pub fn new(id: &str, address: SocketAddr, events: u64, pause_ms: u64, first_ms: u64, born: u64, record: Record) -> Arc<Self> {
         Arc::new(Self {
             id: id.to_owned(),
             address,
             born,
             events,
             pause: Duration::from_millis(pause_ms),
+            first: Duration::from_millis(first_ms),
             weights: Mutex::new((1, 0)),
             running: AtomicU32::new(0),
             busy: AtomicBool::new(false),
@@ -75,6 +78,7 @@
         let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
         self.record.line(&format!("runner {} runs {name} {} after event {after}", self.id, request.path()));
         self.running.fetch_add(1, Ordering::Relaxed);
+        sleep(self.first);
         let result = if request.path().starts_with("/tell/") {
             self.tell(&name, version, after, stream)
         } else {
@@ -110,12 +114,13 @@
     }
 }
 
-/// A runner as a process of its own: RECORD ID ADDRESS EVENTS PAUSE_MS BORN.
+/// A runner as a process of its own: RECORD ID ADDRESS EVENTS PAUSE_MS BORN [FIRST_MS].
 pub fn run(args: &[String]) {
     let record = Record::append(Path::new(&args[0]));
     let address: SocketAddr = args[2].parse().unwrap();
     let number = |index: usize| args[index].parse::<u64>().unwrap();
-    let runner = Runner::new(&args[1], address, number(3), number(4), number(5), record);
+    let first = if args.len() > 6 { number(6) } else { 0 };
+    let runner = Runner::new(&args[1], address, number(3), number(4), first, number(5), record);
     let listener = TcpListener::bind(address).unwrap();
     runner.record.line(&format!("runner {} listens", runner.id));
     http::serve(listener, move |request, stream| runner.answer(request, stream));
