Never take the end of a body that has failed for a whole one

Cause: replace_silent dropped the error of the silent target's body while another target was asked, and kept that body when the other one failed; the HTTP library reports an error once and the end after it. Now ResponseBody stays failed, also when it ends before its stated length, and replace_silent returns the break, which is logged with its cause.

--- a/crates/azurestand_gateway/src/client/body.rs
+++ b/crates/azurestand_gateway/src/client/body.rs
@@ -1,6 +1,8 @@
 //! The body of a response that is still arriving, and its collection into memory.
 
+use std::error::Error;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
@@ -60,34 +62,78 @@
     Ok(bytes)
 }
 
+/// Why a body is incomplete.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) struct BodyFailure(Arc<str>);
+
+impl From<&hyper::Error> for BodyFailure {
+    fn from(error: &hyper::Error) -> Self {
+        match error.source() {
+            Some(cause) => Self(format!("{error}: {cause}").into()),
+            None => Self(error.to_string().into()),
+        }
+    }
+}
+
 /// A body; each part of it that arrives resets the meter of its connection.
+///
+/// A body that has failed stays failed, however often it is polled: the HTTP library reports an
+/// error once and the end of the body after it.
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     body: Incoming,
     meter: ByteMeter,
+    failure: Option<BodyFailure>,
 }
 
 impl ResponseBody {
     pub(super) fn new(body: Incoming, meter: ByteMeter) -> Self {
-        Self { body, meter }
+        Self {
+            body,
+            meter,
+            failure: None,
+        }
+    }
+
+    /// Why no further part of the body arrives, unless it has ended as a whole.
+    fn find_failure(
+        &self,
+        frame: Option<&Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<BodyFailure> {
+        match frame {
+            Some(Ok(_)) => None,
+            Some(Err(error)) => Some(BodyFailure::from(error)),
+            None => {
+                let missing = self.body.size_hint().lower();
+                let text = || format!("{missing} bytes of the body are missing");
+                (missing > 0).then(|| BodyFailure(text().into()))
+            }
+        }
     }
 }
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyFailure;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFailure>>> {
+        if let Some(failure) = &self.failure {
+            return Poll::Ready(Some(Err(failure.clone())));
+        }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
         self.meter.reset();
-        Poll::Ready(frame)
+        self.failure = self.find_failure(frame.as_ref());
+        if let Some(failure) = &self.failure {
+            return Poll::Ready(Some(Err(failure.clone())));
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(|error| BodyFailure::from(&error))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.failure.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/azurestand_gateway/src/client/tests.rs
+++ b/crates/azurestand_gateway/src/client/tests.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -58,6 +59,37 @@
     }
 }
 
+/// The HTTP library reports the error of a body once and its end after that, so a stream that
+/// was read again after it had broken off ended like a whole one.
+#[tokio::test]
+async fn a_body_that_broke_off_never_ends_in_order() {
+    for start in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n",
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1_024]).await;
+            stream.write_all(start.as_bytes()).await.unwrap();
+        });
+        let client = Client::default();
+        let request = plain_request(Method::GET, peer, "/", Bytes::new());
+        let key = (peer, Arc::from(""));
+        let sent = client.send(&key, request, Reuse::Never).await;
+        let (answer, _connection) = sent.unwrap();
+        let mut body = answer.into_body();
+        let first = body.frame().await.unwrap().unwrap();
+        assert_eq!(first.into_data().unwrap(), "done");
+        for _ in 0..3 {
+            let frame = body.frame().await;
+            assert!(frame.is_some_and(|frame| frame.is_err()), "{start}");
+            assert!(!hyper::body::Body::is_end_stream(&body), "{start}");
+        }
+    }
+}
+
 /// A target said that it leaves while a connection to it was being opened.
 #[tokio::test]
 async fn nothing_is_sent_on_a_connection_whose_peer_wants_nothing_by_then() {
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -196,7 +196,7 @@
         Err(RequestError::TimedOut)
     }
 
-    pub(super) fn record_fault(&self, target: &Arc<Target>, fault: Fault, reason: &str) {
+    pub(crate) fn record_fault(&self, target: &Arc<Target>, fault: Fault, reason: &str) {
         let now = BootClock.now();
         self.shared
             .state()
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -336,7 +336,8 @@
     }
 
     /// Seeks another target for a stream whose target is silent; returns what that one has
-    /// sent meanwhile, none if another target has taken over or can't.
+    /// sent meanwhile, or that it broke off, unless another target has taken over. Returns none
+    /// as well if no other target can take over from one that is still silent.
     async fn replace_silent(&mut self) -> Result<Option<Read>, BodyError> {
         if self.delivery.patience_left().is_zero() {
             return Err(self.abort(SILENT));
@@ -358,6 +359,7 @@
             return Ok(None);
         };
         let mut has_bytes = false;
+        let mut broken = None;
         let goes_on = read_events(&mut source.body, &mut self.splitter, &mut has_bytes);
         let raced = {
             let mut opening = pin!(self.delivery.open());
@@ -365,7 +367,10 @@
                 biased;
                 read = goes_on => match read {
                     // The silent target broke off; the other one is on its way.
-                    Read::Broken(_) => Ok(opening.as_mut().await),
+                    Read::Broken(why) => {
+                        broken = Some(why);
+                        Ok(opening.as_mut().await)
+                    }
                     read => Err(read),
                 },
                 opened = opening.as_mut() => Ok(opened),
@@ -373,12 +378,15 @@
         };
         match raced {
             Ok(Ok(opened)) if self.is_continued_by(&opened) => {
+                if let Some(why) = broken {
+                    self.delivery.record_fault(&target, Fault::Failed, &why);
+                }
                 self.continue_at(opened);
                 Ok(None)
             }
             Ok(_) => {
                 self.delivery.stay(written);
-                Ok(None)
+                Ok(broken.map(Read::Broken))
             }
             Err(read) => {
                 self.delivery.stay(written);
