Let an order to load expire a short time after its pieces were staged

Cause: nothing looked at the time between the staging and the order, in which the agent was suspended. Now an order expires 1.5 s after the first piece began to be staged, on the clock that counts suspensions; the client checks it last before it sends. Expired orders are logged (G0307) and the pieces staged anew.

--- a/crates/azurestand_gateway/src/agent/load.rs
+++ b/crates/azurestand_gateway/src/agent/load.rs
@@ -1,8 +1,10 @@
 //! Polls the engine's state and orders it to load complete versions.
 //!
 //! All pieces are staged from verified memory just before an order, since pieces staged
-//! earlier may have become corrupt. If an order gets no response, the state that the
-//! engine reports afterwards shows whether it took effect.
+//! earlier may have become corrupt. An order expires a short time after the first of them was
+//! staged, however long this process was suspended meanwhile; the pieces are staged anew then.
+//! If an order gets no response, the state that the engine reports afterwards shows whether it
+//! took effect.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,12 +13,13 @@
 use azurestand_types::Moment;
 use futures_util::StreamExt;
 use futures_util::stream::iter;
-use tokio::time::{Instant, interval};
+use tokio::time::interval;
 
 use super::Shared;
 use super::fetch::targets;
+use crate::client::CallError;
 use crate::clock::BootClock;
-use crate::log::LogEvent;
+use crate::log::{LogEvent, millis};
 use crate::pieces::Version;
 use crate::platform::{EngineState, Order, Platform};
 
@@ -26,6 +29,9 @@
 const CONCURRENT_STAGES: usize = 4;
 /// The time between the report to entries that the engine is about to load and the order.
 const LOAD_NOTICE: Duration = Duration::from_millis(60);
+/// How long after the first piece was staged an order may be sent. With the time that the order
+/// itself may take, it is below the time in which corrupt pieces must not be loaded.
+const MAX_STAGED_AGE: Duration = Duration::from_millis(1_500);
 
 /// When this engine may load one version; the engines of a service take turns.
 struct Turn {
@@ -145,7 +151,7 @@
 where
     P: Platform,
 {
-    let started = Instant::now();
+    let staging_at = BootClock.now();
     if !stage(shared, version).await {
         return;
     }
@@ -157,19 +163,23 @@
         version: version.manifest.version,
         accepted_orders: state.accepted_orders,
         fence,
+        expires_at: staging_at + MAX_STAGED_AGE,
     };
     let reply = shared.platform.order(shared.engine.address, &order).await;
     let text = match &reply {
         Ok(reply) => format!("{reply:?}"),
         Err(error) => error.to_string(),
     };
-    let staged_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-    LogEvent::Ordered.log(&[
+    let event = match &reply {
+        Err(CallError::Withheld) => LogEvent::OrderWithheld,
+        _ => LogEvent::Ordered,
+    };
+    event.log(&[
         ("version", order.version.into()),
         ("after", order.accepted_orders.into()),
         ("fence", order.fence.into()),
         ("reply", text.into()),
-        ("staged_ms", staged_ms.into()),
+        ("staged_ms", millis(BootClock.now().since(staging_at))),
     ]);
     // From now on the engine's state shows that it is loading.
     shared.status.set_closes_at(None);
--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -53,9 +53,9 @@
         NotSent(reason: String) {
             display("no connection could be opened ({reason}); check that the peer runs")
         }
-        /// Nothing was sent, since the peer wants no requests any more.
+        /// Nothing was sent, since the call was no longer wanted when a connection was open.
         Withheld {
-            display("the peer has said that it wants no requests")
+            display("the call was withheld before anything was sent; it is made anew if needed")
         }
         /// The connection broke; the call may have run.
         Broken(reason: String) {
@@ -304,7 +304,7 @@
         limit: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, CallError> {
-        let called = self.exchange(address, request, Reuse::Pooled, max_bytes);
+        let called = self.exchange(address, request, Reuse::Pooled, max_bytes, || true);
         let (answer, connection) = timeout(limit, called)
             .await
             .unwrap_or(Err(CallError::TimedOut))?;
@@ -348,22 +348,44 @@
         limit: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, CallError> {
-        let called = self.exchange(address, request, Reuse::Never, max_bytes);
+        self.call_once_before(address, request, limit, max_bytes, None)
+            .await
+    }
+
+    /// Like [`Client::call_once`], if a connection is open before `expires_at`.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Withheld`] if it isn't; nothing was sent then. Else as [`Client::call_once`].
+    pub async fn call_once_before(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        max_bytes: usize,
+        expires_at: Option<Moment>,
+    ) -> Result<Response<Bytes>, CallError> {
+        let may_send = || expires_at.is_none_or(|at| BootClock.now() < at);
+        let called = self.exchange(address, request, Reuse::Never, max_bytes, may_send);
         let called = timeout(limit, called).await;
         let (answer, connection) = called.unwrap_or(Err(CallError::TimedOut))?;
         connection.close();
         Ok(answer)
     }
 
-    async fn exchange(
+    async fn exchange<F>(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
         max_bytes: usize,
-    ) -> Result<(Response<Bytes>, ActiveConnection), CallError> {
+        may_send: F,
+    ) -> Result<(Response<Bytes>, ActiveConnection), CallError>
+    where
+        F: Fn() -> bool + Send,
+    {
         let key = (address, Arc::from(""));
-        let (answer, connection) = self.send(&key, request, reuse).await?;
+        let (answer, connection) = self.send_if(&key, request, reuse, may_send).await?;
         Ok((read_body(answer, max_bytes).await?, connection))
     }
 }
--- a/crates/azurestand_gateway/src/log.rs
+++ b/crates/azurestand_gateway/src/log.rs
@@ -106,6 +106,7 @@
     PieceSpoilt = "G0302", "piece_spoilt", "A piece of weights doesn't match its digest.";
     Staged = "G0303", "staged", "All pieces of a version are staged.";
     Ordered = "G0304", "ordered", "The engine was ordered to load a version.";
+    OrderWithheld = "G0307", "order_withheld", "An order to load wasn't sent, since its pieces had been staged too long before; they are staged anew.";
     Loaded = "G0305", "loaded", "The engine holds a version.";
     EngineLost = "G0306", "engine_lost", "The engine doesn't respond.";
 }
--- a/crates/azurestand_gateway/src/platform/engine.rs
+++ b/crates/azurestand_gateway/src/platform/engine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use azurestand_direct::{LoadedWeights, TargetLoad};
+use azurestand_types::Moment;
 use bytes::Bytes;
 
 use crate::client::CallError;
@@ -47,6 +48,8 @@
     pub accepted_orders: u64,
     /// The fencing number, which never decreases.
     pub fence: u64,
+    /// When the staged pieces may have turned bad; the order isn't sent from then on.
+    pub expires_at: Moment,
 }
 
 /// An engine's reply to an order.
@@ -72,7 +75,8 @@
         engine: SocketAddr,
     ) -> impl Future<Output = Result<EngineState, CallError>> + Send;
 
-    /// Orders an engine to load what is staged.
+    /// Orders an engine to load what is staged; [`CallError::Withheld`] if the order has expired
+    /// before anything was sent.
     fn order(
         &self,
         engine: SocketAddr,
