Take a list of digests only with one for each configured piece

Cause: the origin's list had lost six digests on its way, and the length of the list was the number of pieces at every later step. Now a manifest is made only of a list for the model and version asked for with as many digests as the configuration names, whether it comes from the origin or from another host; lists of a host's pieces are checked too.

--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -119,6 +119,7 @@
             cold_rate: Some(site.cold_rate),
             engine: Some(site.cost_model),
             models: Vec::new(),
+            pieces: None,
         });
         let end = plan.time.as_secs_f64() * 1_000.0;
         let mut fleet = Self {
--- a/crates/azurestand_direct/src/rules.rs
+++ b/crates/azurestand_direct/src/rules.rs
@@ -97,6 +97,8 @@
     pub engine: Option<CostModel>,
     /// The models that its engines serve.
     pub models: Vec<Arc<str>>,
+    /// The number of pieces of each version of their weights; none if that isn't configured.
+    pub pieces: Option<usize>,
 }
 
 /// Limits on the size and duration of what a caller sends.
@@ -223,6 +225,15 @@
         self.services.values()
     }
 
+    /// The number of pieces of each version of the model's weights, if that is configured.
+    pub fn pieces(&self, model: &str) -> Option<usize> {
+        let serves = |service: &&Arc<Service>| {
+            let mut models = service.models.iter();
+            models.any(|served| served.as_ref() == model)
+        };
+        self.services().find(serves)?.pieces
+    }
+
     /// Whether a request on `route` needs an account.
     pub fn needs_account(&self, route: &Route) -> bool {
         self.needs_keys && !route.keyless
--- a/crates/azurestand_direct/tests/direct/common.rs
+++ b/crates/azurestand_direct/tests/direct/common.rs
@@ -37,6 +37,7 @@
         cold_rate: Some(36.0),
         engine: Some(cost_model()),
         models: vec![Arc::from("m")],
+        pieces: Some(96),
     }
 }
 
@@ -64,5 +65,6 @@
         cold_rate: None,
         engine: None,
         models: Vec::new(),
+        pieces: None,
     }
 }
--- a/crates/azurestand_gateway/src/agent/fetch.rs
+++ b/crates/azurestand_gateway/src/agent/fetch.rs
@@ -10,7 +10,7 @@
 use super::goal::Goal;
 use crate::log::LogEvent;
 use crate::pieces::{Purpose, Version};
-use crate::platform::{Manifest, Platform};
+use crate::platform::{Manifest, ManifestQuery, Platform};
 use crate::spread::{DigestQuery, Download, DownloadParams, Host, Role, fetch_manifest};
 
 /// The mean pause before a failed fetch, for example of the manifest, is retried.
@@ -25,6 +25,8 @@
     /// None for the origin's newest version.
     version: Option<u64>,
     origin: Origin,
+    /// The number of pieces of each version.
+    pieces: usize,
     /// Whether operators have named the version; entries fetch no others.
     is_named: bool,
     /// Whether the engine has nothing loaded, as after a restart; then pieces staged earlier
@@ -82,6 +84,7 @@
 fn next_task<P>(shared: &Shared<P>, goal: &Goal) -> Option<FetchTask> {
     let model = goal.model.clone()?;
     let origin = goal.origin.clone()?;
+    let pieces = goal.pieces?;
     let state = shared.status.state()?;
     let held = state.held.iter().find(|held| held.model == model);
     let held = held.filter(|held| held.is_complete(goal.layers));
@@ -91,7 +94,7 @@
     let unnamed = shared.status.newest().filter(|_| held == 0);
     let is_complete = |version: &u64| {
         let version = shared.piece_store.get(&model, *version);
-        version.is_some_and(|version| version.missing() == 0)
+        version.is_some_and(|version| version.is_complete(goal.pieces))
     };
     let named: Vec<u64> = [next, newest].into_iter().flatten().collect();
     let missing = named.iter().copied().find(|version| !is_complete(version));
@@ -105,6 +108,7 @@
         model,
         version,
         origin,
+        pieces,
         is_named: missing.is_some(),
         is_unloaded: held == 0,
     })
@@ -203,8 +207,14 @@
     let known = task
         .version
         .and_then(|version| shared.piece_store.get(&task.model, version));
-    if known.is_some() {
-        return known;
+    if let Some(known) = known {
+        if known.manifest.digests.len() == task.pieces {
+            return Some(known);
+        }
+        // The configuration has changed the number of pieces.
+        shared
+            .piece_store
+            .remove(&task.model, known.manifest.version);
     }
     let manifest = manifest(shared, task, entries).await?;
     shared.status.set_newest(manifest.version);
@@ -222,8 +232,9 @@
 where
     P: Platform,
 {
-    let Some(version) = task.version else {
-        return newest_manifest(shared, task).await;
+    let version = match task.version {
+        Some(version) => version,
+        None => newest_version(shared, task).await?,
     };
     let query = DigestQuery {
         client: &shared.client,
@@ -231,20 +242,27 @@
         origin: &task.origin,
         model: &task.model,
         version,
+        pieces: task.pieces,
         purpose: Purpose::Load,
     };
     let own = own_host(shared);
     fetch_manifest(&query, own.peer(), entries).await
 }
 
-/// Fetches the manifest of the newest version, which only the origin knows.
-async fn newest_manifest<P>(shared: &Arc<Shared<P>>, task: &FetchTask) -> Option<Manifest>
+/// The origin's newest version, which only the origin knows. Its digests are asked for again
+/// under that number, since the number may have been corrupted on its way.
+async fn newest_version<P>(shared: &Arc<Shared<P>>, task: &FetchTask) -> Option<u64>
 where
     P: Platform,
 {
     let origin = task.origin.address;
-    match shared.platform.manifest(origin, &task.model, None).await {
-        Ok(manifest) => Some(manifest),
+    let query = ManifestQuery {
+        model: task.model.clone(),
+        version: None,
+        pieces: task.pieces,
+    };
+    match shared.platform.manifest(origin, &query).await {
+        Ok(manifest) => Some(manifest.version),
         Err(error) => {
             LogEvent::PieceFailed.log(&[
                 ("source", "newest digests of origin".into()),
--- a/crates/azurestand_gateway/src/agent/goal.rs
+++ b/crates/azurestand_gateway/src/agent/goal.rs
@@ -45,6 +45,8 @@
     pub(super) named: Vec<NamedVersion>,
     /// The number of layers of the model.
     pub(super) layers: u32,
+    /// The number of pieces of each version; none if that isn't configured.
+    pub(super) pieces: Option<usize>,
     /// The origin of the weights.
     pub(super) origin: Option<Origin>,
     /// A number that grows with the store's history, also when its versions go back.
@@ -61,6 +63,11 @@
         next_version(BootClock.now(), &self.named, held, bound)
     }
 
+    /// Whether weights can't be loaded since it isn't known how many pieces they have.
+    fn lacks_pieces(&self) -> bool {
+        self.model.is_some() && self.origin.is_some() && self.pieces.is_none()
+    }
+
     /// The newest named version.
     pub(super) fn newest(&self) -> Option<u64> {
         self.named.last().map(|named| named.version)
@@ -253,12 +260,26 @@
         named: named.cloned().unwrap_or_default(),
         origin: origin.cloned(),
         layers: engine.map_or(0, |engine| engine.layers),
+        pieces: service.and_then(|service| service.pieces),
         fence: values.position.fencing_number(),
         model,
     };
     shared.goals.0.send_if_modified(|old| {
         let changed = *old != goal;
+        if changed && goal.lacks_pieces() && !old.lacks_pieces() {
+            log_no_pieces(&goal);
+        }
         *old = goal;
         changed
     });
 }
+
+fn log_no_pieces(goal: &Goal) {
+    LogEvent::ConfigRefused.log(&[
+        ("model", goal.model.as_deref().into()),
+        (
+            "why",
+            "the number of pieces of its weights isn't configured, so none are loaded".into(),
+        ),
+    ]);
+}
--- a/crates/azurestand_gateway/src/agent/load.rs
+++ b/crates/azurestand_gateway/src/agent/load.rs
@@ -99,7 +99,8 @@
     // The newest version may be complete although the next one isn't.
     let complete = |number| {
         let version = shared.piece_store.get(&model, number);
-        version.filter(|version| version.missing() == 0)
+        let is_complete = |version: &Arc<Version>| version.is_complete(goal.pieces);
+        version.filter(is_complete)
     };
     let newest = goal.newest().filter(|newest| *newest > held_version);
     let Some(version) = complete(wanted).or_else(|| newest.and_then(complete)) else {
--- a/crates/azurestand_gateway/src/entry/weights.rs
+++ b/crates/azurestand_gateway/src/entry/weights.rs
@@ -206,28 +206,26 @@
 ) where
     P: Platform,
 {
-    let origin = {
-        let state = shared.state();
-        let rules = state.rules.as_ref();
-        rules.and_then(|rules| rules.origin().cloned())
-    };
-    let Some(origin) = origin else {
+    let (model, number) = wanted;
+    let Some((origin, pieces)) = origin_and_pieces(shared, model) else {
         return;
     };
     let hosts = known_hosts(shared).await;
-    let (model, number) = wanted;
-    let version = if let Some(version) = piece_store.get(model, *number) {
-        version
-    } else {
-        let Some(manifest) = manifest(shared, &origin, wanted, &hosts).await else {
-            return;
+    let known = piece_store.get(model, *number);
+    let version =
+        if let Some(version) = known.filter(|version| version.manifest.digests.len() == pieces) {
+            version
+        } else {
+            let Some(manifest) = manifest(shared, &origin, pieces, wanted, &hosts).await else {
+                return;
+            };
+            piece_store.remove(model, *number);
+            // An older version that no agent requests any more only takes up memory.
+            piece_store.retain(|known| demand.is_wanted(&(known.model.clone(), known.version)));
+            let version = Arc::new(Version::new(manifest));
+            piece_store.add(version.clone());
+            version
         };
-        // An older version that no agent requests any more only takes up memory.
-        piece_store.retain(|known| demand.is_wanted(&(known.model.clone(), known.version)));
-        let version = Arc::new(Version::new(manifest));
-        piece_store.add(version.clone());
-        version
-    };
     let download = Arc::new(Download::new(DownloadParams {
         role: Role::Entry,
         client: shared.client.clone(),
@@ -241,6 +239,13 @@
     download.run(hosts).await;
 }
 
+/// The origin of the model's weights and the number of pieces of each version.
+fn origin_and_pieces<P>(shared: &Shared<P>, model: &str) -> Option<(Origin, usize)> {
+    let state = shared.state();
+    let rules = state.rules.as_ref()?;
+    Some((rules.origin()?.clone(), rules.pieces(model)?))
+}
+
 fn own_host<P>(shared: &Shared<P>) -> Host {
     let settings = &shared.settings;
     Host::new(settings, Role::Entry, settings.ip, &settings.centre)
@@ -274,6 +279,7 @@
 async fn manifest<P>(
     shared: &Shared<P>,
     origin: &Origin,
+    pieces: usize,
     wanted: &ModelVersion,
     hosts: &[Host],
 ) -> Option<Manifest>
@@ -287,6 +293,7 @@
         origin,
         model,
         version: *version,
+        pieces,
         purpose: Purpose::PassOn,
     };
     let own = own_host(shared);
--- a/crates/azurestand_gateway/src/lib.rs
+++ b/crates/azurestand_gateway/src/lib.rs
@@ -33,7 +33,8 @@
 pub use log::{LogEvent, flush_logs, start_logs};
 pub use metrics::{Level, Span};
 pub use platform::{
-    DecodeError, Dialect, EngineControl, EngineState, Manifest, NamedPause, OperatorItem, Order,
-    OrderReply, Platform, RequestContext, RequestHead, ResponseHead,
+    DecodeError, Dialect, DigestList, EngineControl, EngineState, Manifest, ManifestQuery,
+    NamedPause, OperatorItem, Order, OrderReply, Platform, RequestContext, RequestHead,
+    ResponseHead,
 };
 pub use settings::{Bounds, GatewaySettings, LiveBounds, LocalEngine};
--- a/crates/azurestand_gateway/src/pieces.rs
+++ b/crates/azurestand_gateway/src/pieces.rs
@@ -79,6 +79,11 @@
         self.lock().iter().filter(|piece| piece.is_none()).count()
     }
 
+    /// Whether all pieces are here, of which there are `pieces` as configured.
+    pub(crate) fn is_complete(&self, pieces: Option<usize>) -> bool {
+        pieces == Some(self.manifest.digests.len()) && self.missing() == 0
+    }
+
     /// Which pieces are available.
     fn available(&self) -> Vec<bool> {
         self.lock().iter().map(Option::is_some).collect()
--- a/crates/azurestand_gateway/src/pieces/calls.rs
+++ b/crates/azurestand_gateway/src/pieces/calls.rs
@@ -1,7 +1,6 @@
 //! Calls to other hosts that hold or fetch pieces.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Bytes;
@@ -9,7 +8,7 @@
 
 use super::{AVAILABLE, MAX_PIECE_BYTES};
 use crate::client::{CallError, Client, plain_request};
-use crate::platform::Manifest;
+use crate::platform::{DigestList, Manifest, ManifestQuery};
 
 /// Timeout of a call for the list of pieces, including the time for which the other host
 /// waits for further pieces.
@@ -50,7 +49,7 @@
 pub(crate) async fn fetch_digests(
     client: &Client,
     host: SocketAddr,
-    model: &Arc<str>,
+    query: &ManifestQuery,
     version: u64,
     purpose: Purpose,
 ) -> Result<Manifest, CallError> {
@@ -58,19 +57,20 @@
         Purpose::Load => "digests",
         Purpose::PassOn => "copy-digests",
     };
-    let path = format!("/{verb}/{model}/{version}");
+    let path = format!("/{verb}/{}/{version}", query.model);
     let body = get(client, host, &path, DIGESTS_TIMEOUT).await?;
     let (digests, rest) = body.as_chunks::<DIGEST_BYTES>();
-    if digests.is_empty() || !rest.is_empty() {
+    if !rest.is_empty() {
         return Err(CallError::Malformed(
-            "the list of digests is empty or truncated".to_owned(),
+            "the list of digests is truncated".to_owned(),
         ));
     }
-    Ok(Manifest {
-        model: model.clone(),
+    let list = DigestList {
+        model: query.model.clone(),
         version,
         digests: digests.to_vec(),
-    })
+    };
+    Manifest::new(query, list)
 }
 
 /// Asks another host which pieces it has. It responds at once if there are more than
@@ -88,8 +88,13 @@
     };
     let path = format!("/{verb}/{}/{}/{known}", manifest.model, manifest.version);
     let body = get(client, host, &path, LIST_TIMEOUT).await?;
+    let count = manifest.digests.len();
     if body.is_empty() {
-        return Ok(vec![true; manifest.digests.len()]);
+        return Ok(vec![true; count]);
+    }
+    if body.len() != count {
+        let text = format!("a list of {} pieces for {count}", body.len());
+        return Err(CallError::Malformed(text));
     }
     Ok(body.iter().map(|mark| *mark == AVAILABLE).collect())
 }
--- a/crates/azurestand_gateway/src/platform.rs
+++ b/crates/azurestand_gateway/src/platform.rs
@@ -12,7 +12,9 @@
 use http::{HeaderMap, request, response};
 use quick_error::quick_error;
 
-pub use engine::{EngineControl, EngineState, Manifest, Order, OrderReply};
+pub use engine::{
+    DigestList, EngineControl, EngineState, Manifest, ManifestQuery, Order, OrderReply,
+};
 
 quick_error! {
     /// An error in the decoding of a value from the store.
--- a/crates/azurestand_gateway/src/platform/engine.rs
+++ b/crates/azurestand_gateway/src/platform/engine.rs
@@ -26,17 +26,81 @@
     pub is_leaving: bool,
 }
 
-/// The list of pieces of one version of a model's weights.
+/// Which list of pieces is wanted.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Manifest {
+pub struct ManifestQuery {
     /// The model.
     pub model: Arc<str>,
-    /// The version.
+    /// The version; none for the newest one.
+    pub version: Option<u64>,
+    /// The number of pieces of each version, as configured.
+    pub pieces: usize,
+}
+
+/// The SHA-256 of each piece of one version, as a source lists them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DigestList {
+    /// The model that the source names.
+    pub model: Arc<str>,
+    /// The version that the source names.
     pub version: u64,
-    /// The SHA-256 of each piece.
+    /// The digests, in the order of the pieces.
     pub digests: Vec<[u8; 32]>,
 }
 
+/// The list of pieces of one version of a model's weights.
+///
+/// It is made of a source's list only if that is the list asked for and has a digest for each
+/// piece. A list that was cut short on its way would else make a version complete without its
+/// last pieces.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Manifest {
+    pub(crate) model: Arc<str>,
+    pub(crate) version: u64,
+    /// The SHA-256 of each piece.
+    pub(crate) digests: Vec<[u8; 32]>,
+}
+
+impl Manifest {
+    /// Checks a source's list against what was asked for.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Malformed`] if it is for another model or version, or has another number of
+    /// digests.
+    pub fn new(query: &ManifestQuery, list: DigestList) -> Result<Self, CallError> {
+        let DigestList {
+            model,
+            version,
+            digests,
+        } = list;
+        let is_version = query.version.is_none_or(|wanted| wanted == version);
+        if model != query.model || !is_version {
+            let text = format!("it lists the pieces of {model} {version}");
+            return Err(CallError::Malformed(text));
+        }
+        if digests.len() != query.pieces {
+            let text = format!("{} digests for {} pieces", digests.len(), query.pieces);
+            return Err(CallError::Malformed(text));
+        }
+        Ok(Self {
+            model,
+            version,
+            digests,
+        })
+    }
+
+    /// The version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The SHA-256 of each piece, in the order of the pieces.
+    pub fn digests(&self) -> &[[u8; 32]] {
+        &self.digests
+    }
+}
+
 /// An order to load what is staged.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
@@ -100,12 +164,11 @@
         number: usize,
     ) -> impl Future<Output = Result<Option<Bytes>, CallError>> + Send;
 
-    /// Fetches the digests of a version from the origin; of the newest one if `version` is none.
+    /// Fetches the digests of a version from the origin.
     fn manifest(
         &self,
         origin: SocketAddr,
-        model: &str,
-        version: Option<u64>,
+        query: &ManifestQuery,
     ) -> impl Future<Output = Result<Manifest, CallError>> + Send;
 
     /// Fetches a piece from the origin.
--- a/crates/azurestand_gateway/src/spread/digests.rs
+++ b/crates/azurestand_gateway/src/spread/digests.rs
@@ -8,7 +8,7 @@
 use crate::client::{CallError, Client};
 use crate::log::LogEvent;
 use crate::pieces::{self, Purpose};
-use crate::platform::{EngineControl, Manifest};
+use crate::platform::{EngineControl, Manifest, ManifestQuery};
 
 /// What the digests of a version are requested with.
 pub(crate) struct DigestQuery<'a, P> {
@@ -17,6 +17,8 @@
     pub(crate) origin: &'a Origin,
     pub(crate) model: &'a Arc<str>,
     pub(crate) version: u64,
+    /// The number of pieces of each version.
+    pub(crate) pieces: usize,
     pub(crate) purpose: Purpose,
 }
 
@@ -29,14 +31,19 @@
 where
     P: EngineControl,
 {
+    let wanted = ManifestQuery {
+        model: query.model.clone(),
+        version: Some(query.version),
+        pieces: query.pieces,
+    };
     let key = format!("{}/{}/digests", query.model, query.version);
     let peers: Vec<PieceHost> = entries.iter().map(|host| host.peer.clone()).collect();
     for source in digest_sources(&key, own, &peers) {
         let (name, fetched) = match source {
-            DigestSource::Origin => ("origin".into(), from_origin(query).await),
+            DigestSource::Origin => ("origin".into(), from_origin(query, &wanted).await),
             DigestSource::Host(name) => {
                 let host = entries.iter().find(|host| host.peer.name == name)?;
-                (name, from_host(query, host).await)
+                (name, from_host(query, &wanted, host).await)
             }
         };
         match fetched {
@@ -50,17 +57,22 @@
     None
 }
 
-async fn from_origin<P>(query: &DigestQuery<'_, P>) -> Result<Manifest, CallError>
+async fn from_origin<P>(
+    query: &DigestQuery<'_, P>,
+    wanted: &ManifestQuery,
+) -> Result<Manifest, CallError>
 where
     P: EngineControl,
 {
-    let DigestQuery { origin, model, .. } = query;
-    let version = Some(query.version);
-    let manifest = query.platform.manifest(origin.address, model, version);
-    manifest.await
+    let origin = query.origin.address;
+    query.platform.manifest(origin, wanted).await
 }
 
-async fn from_host<P>(query: &DigestQuery<'_, P>, host: &Host) -> Result<Manifest, CallError> {
-    let DigestQuery { client, model, .. } = query;
-    pieces::fetch_digests(client, host.address, model, query.version, query.purpose).await
+async fn from_host<P>(
+    query: &DigestQuery<'_, P>,
+    wanted: &ManifestQuery,
+    host: &Host,
+) -> Result<Manifest, CallError> {
+    let (client, address) = (query.client, host.address);
+    pieces::fetch_digests(client, address, wanted, query.version, query.purpose).await
 }
--- a/crates/azurestand_gateway/src/spread/tests.rs
+++ b/crates/azurestand_gateway/src/spread/tests.rs
@@ -16,8 +16,8 @@
 
 use super::{Download, DownloadParams, Host, PieceHost, Role};
 use crate::client::{CallError, Client};
-use crate::pieces::{self, Pacer, PieceStore, StagingStatus, Version};
-use crate::platform::{EngineControl, EngineState, Manifest, Order, OrderReply};
+use crate::pieces::{self, Pacer, PieceStore, Purpose, StagingStatus, Version};
+use crate::platform::{EngineControl, EngineState, Manifest, ManifestQuery, Order, OrderReply};
 
 const COUNT: usize = 12;
 /// A test that would otherwise never end fails after this time.
@@ -66,8 +66,7 @@
     async fn manifest(
         &self,
         _origin: SocketAddr,
-        _model: &str,
-        _version: Option<u64>,
+        _query: &ManifestQuery,
     ) -> Result<Manifest, CallError> {
         Err(CallError::TimedOut)
     }
@@ -337,3 +336,24 @@
         assert_eq!(wanted.missing(), 0);
     }
 }
+
+/// A host passed on a list that lacked digests, and all hosts that asked it took the version for
+/// complete without its last pieces.
+#[tokio::test]
+async fn a_host_s_list_with_another_number_of_pieces_is_refused() {
+    let address = serve(version()).await;
+    let client = Client::default();
+    for (pieces, is_wanted) in [(COUNT, true), (COUNT - 1, false), (COUNT + 1, false)] {
+        let query = ManifestQuery {
+            model: "m".into(),
+            version: Some(2),
+            pieces,
+        };
+        let fetched = pieces::fetch_digests(&client, address, &query, 2, Purpose::Load).await;
+        assert_eq!(fetched.is_ok(), is_wanted, "{pieces}");
+    }
+    let mut longer = version().manifest.clone();
+    longer.digests.push([0; 32]);
+    let listed = pieces::list_pieces(&client, address, &longer, 0, Purpose::Load).await;
+    assert!(listed.is_err(), "{listed:?}");
+}
