Take a late request in a planned stop only if its time ends before the stop does

Cause: until it closed, an entry took requests whatever time they had left. StopPlan now decides: all for 2.8 s, later ones only if they end in time, others are refused as not run.

--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -42,6 +42,7 @@
 mod retry_after;
 mod rules;
 mod share;
+mod stop;
 mod turn;
 mod versions;
 
@@ -65,5 +66,6 @@
     Account, InputLimits, Origin, Route, RouteKind, Rules, RulesParts, Service, Share,
 };
 pub use share::{SendBound, SendBucket, SendLimit, SendPlace, SendShare};
+pub use stop::StopPlan;
 pub use turn::{LoadTurn, VERSION_MARGIN};
 pub use versions::{NamedVersion, NamedVersions, Naming, NamingSource, next_version, useful_until};
--- a/crates/azurestand_direct/tests/direct/main.rs
+++ b/crates/azurestand_direct/tests/direct/main.rs
@@ -18,4 +18,5 @@
 mod rules;
 mod share;
 mod spread_at_size;
+mod stop;
 mod versions;
--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::Rules;
+use azurestand_direct::{Rules, StopPlan};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
@@ -39,10 +39,8 @@
 
 use shared::Shared;
 
-/// How long the balancer may take to notice that this entry is no longer ready.
-const READINESS_DELAY: Duration = Duration::from_millis(3_200);
-/// The part of the grace time of a planned stop that is reserved for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// How long the last answers may take to be written once open requests are given up.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 
 /// A running entry.
 #[derive(Debug)]
@@ -118,25 +116,22 @@
     }
 
     /// Stops gracefully: reports not ready at once, then accepts no new connections and
-    /// completes the open responses. Returns whether all of them completed in time.
+    /// completes the open responses. Requests that are open at the end are given up, each with
+    /// an answer or a log line. Returns whether none was.
     pub async fn stop(self) -> bool {
         LogEvent::Stopping.log(&[]);
-        let limit = self
-            .shared
-            .settings
-            .bounds
-            .now()
-            .grace
-            .saturating_sub(EXIT_MARGIN);
-        self.shared.drain();
-        let completed = timeout(limit, async {
-            sleep(READINESS_DELAY).await;
-            self.shared.close();
-            // A task that panicked has no open responses left.
-            let _ = self.server.await;
-        })
-        .await
-        .is_ok();
+        let plan = StopPlan::new(BootClock.now(), self.shared.settings.bounds.now().grace);
+        self.shared.drain(plan);
+        sleep(plan.closes_at.since(BootClock.now())).await;
+        self.shared.close();
+        let mut server = self.server;
+        let time_left = plan.ends_at.since(BootClock.now());
+        // A task that panicked has no open responses left.
+        let completed = timeout(time_left, &mut server).await.is_ok();
+        if !completed {
+            self.shared.give_up();
+            let _ = timeout(FLUSH_TIME, server).await;
+        }
         LogEvent::Stopped.log(&[("whole", completed.into())]);
         completed
     }
--- a/crates/azurestand_gateway/src/entry/connections.rs
+++ b/crates/azurestand_gateway/src/entry/connections.rs
@@ -18,7 +18,7 @@
 use tokio::time::sleep;
 
 use super::filter::{self, ReceivedRequest};
-use super::response::Body;
+use super::response::{Body, RequestError};
 use super::shared::Shared;
 use super::whole;
 use crate::log::LogEvent;
@@ -119,7 +119,13 @@
     P: Platform,
 {
     let version = request.head.version;
-    let mut response = filter::run(&shared, request).await;
+    let given_up = shared.given_up();
+    let name = request.request.id.clone();
+    let mut response = tokio::select! {
+        biased;
+        response = filter::run(&shared, request) => response,
+        () = given_up => filter::error_response(name.as_deref(), RequestError::GivenUp),
+    };
     if version < Version::HTTP_11 {
         response = whole::collect(response).await;
     }
--- a/crates/azurestand_gateway/src/entry/filter.rs
+++ b/crates/azurestand_gateway/src/entry/filter.rs
@@ -75,12 +75,16 @@
             if error != RequestError::NoBody {
                 discard_body(shared, &head, body).await;
             }
-            return error_response(&request, error);
+            return error_response(request.id.as_deref(), error);
         }
     };
     let deadline = arrived + request.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let expires_at = deadline.min(arrived + destination.route.timeout);
+    if !shared.takes(expires_at) {
+        return error_response(request.id.as_deref(), RequestError::Stopping);
+    }
     let call = Call {
-        expires_at: deadline.min(arrived + destination.route.timeout),
+        expires_at,
         deadline,
         head,
         body,
@@ -129,9 +133,14 @@
     let _ = timeout(limit, discard).await;
 }
 
-fn error_response(request: &RequestHead, error: RequestError) -> Response<Body> {
-    LogEvent::Refused.log(&[
-        ("request", request.id.as_deref().unwrap_or("-").into()),
+/// Logs and answers a request that no target got, or that is given up.
+pub(crate) fn error_response(id: Option<&str>, error: RequestError) -> Response<Body> {
+    let event = match error {
+        RequestError::GivenUp => LogEvent::Unknown,
+        _ => LogEvent::Refused,
+    };
+    event.log(&[
+        ("request", id.unwrap_or("-").into()),
         ("why", error.to_string().into()),
         ("status", error.status().as_u16().into()),
     ]);
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -70,6 +70,12 @@
     /// The deadline passed before the request was sent.
     #[display("the deadline passed before the request was sent")]
     Expired,
+    /// This entry stops before the request's time ends.
+    #[display("this entry stops before the request's time ends; send it again")]
+    Stopping,
+    /// The request was still open when this entry had to end.
+    #[display("this entry stops; the request may have run")]
+    GivenUp,
     /// The request was sent, and it is unknown whether it ran.
     #[display("the target sent no complete response; the request may have run")]
     Unknown,
@@ -89,12 +95,13 @@
             | Self::TargetRefused(_)
             | Self::Suspected(..)
             | Self::Quarantined(..)
+            | Self::Stopping
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccount => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::Unknown | Self::GivenUp => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -102,7 +109,7 @@
     /// When the caller may retry; none where a retry is useless or could run the request twice.
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoRules | Self::Stale => Some(Duration::from_millis(50)),
+            Self::NoRules | Self::Stale | Self::Stopping => Some(Duration::from_millis(50)),
             Self::NoTarget(after)
             | Self::TurnedAway(after)
             | Self::TargetRefused(after)
@@ -114,6 +121,7 @@
             | Self::NoAccount
             | Self::TooLarge
             | Self::NoBody
+            | Self::GivenUp
             | Self::Unknown
             | Self::TimedOut => None,
         }
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -11,7 +11,7 @@
 
 use azurestand_direct::{
     Directory, Exclusions, Freshness, NamedVersions, Placement, Quarantine, RequestQueue, Rules,
-    SendShare, Target, VERSION_MARGIN, Waiter,
+    SendShare, StopPlan, Target, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
 use azurestand_store::Position;
@@ -125,8 +125,11 @@
     quarantine_changed: Notify,
     /// Whether this entry knows what the others know of parts that crash targets.
     informed: AtomicBool,
-    draining: watch::Sender<bool>,
+    /// The planned stop that has begun.
+    stop: watch::Sender<Option<StopPlan>>,
     closing: watch::Sender<bool>,
+    /// Whether the open requests are given up, since the process ends.
+    giving_up: watch::Sender<bool>,
     /// The entries that agents have reported, with their data centres.
     entries: Mutex<Vec<(IpAddr, Arc<str>)>>,
     /// The model and the version of weights that were named last.
@@ -172,8 +175,9 @@
             quarantine_changed: Notify::new(),
             informed: AtomicBool::new(false),
             state: Mutex::new(state),
-            draining: watch::Sender::new(false),
+            stop: watch::Sender::new(None),
             closing: watch::Sender::new(false),
+            giving_up: watch::Sender::new(false),
             entries: Mutex::new(Vec::new()),
             named_weights: watch::Sender::new(None),
             reported_ready: AtomicBool::new(false),
@@ -268,8 +272,8 @@
     }
 
     /// Marks the entry as not ready; responses then ask callers to close their connections.
-    pub(crate) fn drain(&self) {
-        self.draining.send_replace(true);
+    pub(crate) fn drain(&self, plan: StopPlan) {
+        self.stop.send_replace(Some(plan));
     }
 
     /// Stops accepting connections, and requests on the open ones.
@@ -278,7 +282,27 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        *self.draining.borrow()
+        self.stop.borrow().is_some()
+    }
+
+    /// Whether a request that ends by `expires_at` may be taken now.
+    pub(crate) fn takes(&self, expires_at: Moment) -> bool {
+        let plan = *self.stop.borrow();
+        plan.is_none_or(|plan| plan.takes(BootClock.now(), expires_at))
+    }
+
+    /// Ends the requests that are still open, each with an outcome for its caller.
+    pub(crate) fn give_up(&self) {
+        self.giving_up.send_replace(true);
+    }
+
+    /// Completes when the open requests are given up.
+    pub(crate) fn given_up(&self) -> impl Future<Output = ()> + Send + use<P> {
+        let mut giving_up = self.giving_up.subscribe();
+        async move {
+            // The sender lives as long as the entry.
+            let _ = giving_up.wait_for(|given_up| *given_up).await;
+        }
     }
 
     pub(crate) fn closing(&self) -> watch::Receiver<bool> {
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -37,6 +37,8 @@
 const MAX_UNFINISHED_FACTOR: u32 = 2;
 /// Why a stream ends whose target was silent until the end of its time.
 const SILENT: &str = "silent";
+/// Why a stream ends that was open at the end of a planned stop.
+const STOPPED: &str = "this entry stops";
 
 /// The state of a stream that is being forwarded.
 struct Forwarder<P> {
@@ -106,10 +108,16 @@
         quarantined: None,
     };
     forwarder.set_source(opened);
-    let chunks = unfold(Some(forwarder), |forwarder| async move {
-        let mut forwarder = forwarder?;
-        match forwarder.next_events().await {
-            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
+    let given_up = Box::pin(forwarder.delivery.shared.given_up());
+    let chunks = unfold(Some((forwarder, given_up)), |state| async move {
+        let (mut forwarder, mut given_up) = state?;
+        let next = tokio::select! {
+            biased;
+            next = forwarder.next_events() => next,
+            () = given_up.as_mut() => Err(forwarder.abort(STOPPED)),
+        };
+        match next {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((forwarder, given_up)))),
             Ok(None) => None,
             Err(error) => Some((Err(error), None)),
         }
