Leave a silent target only for one that has written an event

Callers' streams were cut 2.15 s after their last event although their target was silent for 1.6 s only. Cause: another target's head was enough to leave the first one, and that target was silent as well. Now both are read until one of them writes; while an entry stops, silence ends no answer.

Evidence: silence::a_head_alone_does_not_take_a_stream_from_its_silent_target failed before.

--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -239,9 +239,13 @@
         }
     }
 
-    /// How long it is of use to wait at a silent target.
+    /// How long it is of use to wait at a silent target. While this entry stops, silence ends
+    /// no answer: its caller can't be sent here again.
     pub(crate) fn patience_left(&self) -> Duration {
         let left = self.call.time_left();
+        if self.shared.is_draining() {
+            return left;
+        }
         let gap = self.call.longest_gap();
         let gap_end = gap.map(|gap| self.last_progress + gap);
         gap_end.map_or(left, |end| end.since(BootClock.now()).min(left))
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -128,6 +128,12 @@
         fault: Fault,
         reason: &str,
     ) -> Result<(), RequestError> {
+        self.record_if_crashed(target).await;
+        self.failed(target, fault, reason)
+    }
+
+    /// Records a crash if the target has ended before it had gone on writing the answer.
+    pub(crate) async fn record_if_crashed(&mut self, target: &Arc<Target>) {
         let at = BootClock.now();
         let is_unproven = self.written.batches < PROVEN_BATCHES;
         if is_unproven && quarantine::has_ended(&self.shared, target).await {
@@ -136,7 +142,6 @@
             let beginning = self.written.head;
             quarantine::record_crash(&self.shared, &self.call, target, beginning, at);
         }
-        self.failed(target, fault, reason)
     }
 
     /// Handles a failure after which the target may have run the request.
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -7,9 +7,10 @@
 //! connection, never as a complete response.
 
 use std::pin::{Pin, pin};
+use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{EventSplitter, Fault, StreamEvent};
+use azurestand_direct::{EventSplitter, Fault, StreamEvent, Target};
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::header::CONTENT_TYPE;
@@ -17,7 +18,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::task::coop::consume_budget;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::deliver::{Delivery, OpenResponse, PROVEN_BATCHES, QUARANTINED, REPLACE_INTERVAL};
 use super::place::Reservation;
@@ -84,6 +85,14 @@
     Quarantined,
 }
 
+/// How the search for a target in place of a silent one ended.
+enum Race {
+    /// Another target goes on; its first events, if they are here.
+    TakenOver(Option<Read>),
+    /// The target stays; what it has sent meanwhile, if anything.
+    Stayed(Option<Read>),
+}
+
 /// The response for a stream whose head, with a successful status, has arrived.
 pub(crate) fn start<P>(delivery: Delivery<P>, opened: OpenResponse<P>) -> Response<Body>
 where
@@ -366,9 +375,8 @@
         let Some(source) = self.source.as_mut() else {
             return Ok(None);
         };
-        let mut has_bytes = false;
         let mut broken = None;
-        let goes_on = read_events(&mut source.body, &mut self.splitter, &mut has_bytes);
+        let goes_on = read_next(&mut source.body, &mut self.splitter);
         let raced = {
             let mut opening = pin!(self.delivery.open());
             tokio::select! {
@@ -384,22 +392,71 @@
                 opened = opening.as_mut() => Ok(opened),
             }
         };
-        match raced {
+        let raced = match raced {
             Ok(Ok(opened)) if self.is_continued_by(&opened) => {
                 if let Some(why) = broken {
                     self.delivery.record_fault(&target, Fault::Failed, &why);
+                    self.continue_at(opened);
+                    return Ok(None);
                 }
-                self.continue_at(opened);
-                Ok(None)
+                self.race(&target, opened).await
             }
-            Ok(_) => {
+            Ok(_) => Race::Stayed(broken.map(Read::Broken)),
+            Err(read) => Race::Stayed(Some(read)),
+        };
+        match raced {
+            Race::TakenOver(read) => Ok(read),
+            Race::Stayed(read) => {
                 self.delivery.stay(written);
-                Ok(broken.map(Read::Broken))
+                Ok(read)
             }
-            Err(read) => {
-                self.delivery.stay(written);
-                Ok(Some(read))
+        }
+    }
+
+    /// Waits for the next event of the `silent` target or the first one of the other target,
+    /// whose head alone doesn't show that it goes on sooner.
+    async fn race(&mut self, silent: &Arc<Target>, mut opened: OpenResponse<P>) -> Race {
+        let left = self.delivery.patience_left();
+        let Some(source) = self.source.as_mut() else {
+            return Race::Stayed(None);
+        };
+        let mut splitter = self.splitter.clone();
+        splitter.discard_partial();
+        let goes_on = read_next(&mut source.body, &mut self.splitter);
+        let takes_over = read_next(&mut opened.body, &mut splitter);
+        let target = opened.reservation.target.clone();
+        let raced = timeout(left, async {
+            tokio::select! {
+                biased;
+                read = goes_on => Err(read),
+                read = takes_over => Ok(read),
+            }
+        });
+        match raced.await {
+            Ok(Ok(Read::Events(events))) => {
+                self.continue_at(opened);
+                self.splitter = splitter;
+                Race::TakenOver(Some(Read::Events(events)))
             }
+            Ok(Ok(read)) => {
+                let why = match read {
+                    Read::Broken(why) => why,
+                    _ => "the stream ended before its first event".to_owned(),
+                };
+                drop(opened);
+                self.delivery.record_if_crashed(&target).await;
+                self.delivery.record_fault(&target, Fault::Failed, &why);
+                self.delivery.leave(&target);
+                Race::Stayed(None)
+            }
+            Ok(Err(Read::Broken(why))) => {
+                self.delivery.record_fault(silent, Fault::Failed, &why);
+                self.continue_at(opened);
+                self.splitter = splitter;
+                Race::TakenOver(None)
+            }
+            Ok(Err(read)) => Race::Stayed(Some(read)),
+            Err(_) => Race::Stayed(None),
         }
     }
 
@@ -452,6 +509,11 @@
     Some(name.trim().to_ascii_lowercase())
 }
 
+/// Reads until an event is complete.
+async fn read_next(body: &mut ResponseBody, splitter: &mut EventSplitter) -> Read {
+    read_events(body, splitter, &mut false).await
+}
+
 /// Reads until an event is complete, and tells whether any bytes have arrived.
 async fn read_events(
     body: &mut ResponseBody,
