Pass on the events before one with which a stream can't continue

A caller would miss events 4 and 5 of a stream whose target sent 4, 5 and 7 in one read and that another target resumed: push dropped them with the error, and the stream was resumed after 5. Found by reading related paths of the broken stream that ended as complete.

Evidence: events::events_before_a_missing_one_are_passed_on failed before.

--- a/crates/azurestand_direct/src/events.rs
+++ b/crates/azurestand_direct/src/events.rs
@@ -42,6 +42,8 @@
     last: Option<u64>,
     /// Whether events need ids, without which a resumed stream can't be told from other text.
     needs_ids: bool,
+    /// Why the stream can't continue behind the events that were returned last.
+    failure: Option<EventError>,
 }
 
 impl EventSplitter {
@@ -60,7 +62,16 @@
 
     /// Whether the bytes so far end at an event boundary.
     pub fn is_at_boundary(&self) -> bool {
-        self.pending.iter().all(u8::is_ascii_whitespace)
+        self.failure.is_none() && self.pending.iter().all(u8::is_ascii_whitespace)
+    }
+
+    /// Whether the stream can continue behind the events that were returned last.
+    ///
+    /// # Errors
+    ///
+    /// [`EventError`] if it can't.
+    pub fn check(&self) -> Result<(), EventError> {
+        self.failure.map_or(Ok(()), Err)
     }
 
     /// Drops an incomplete event, whose target failed before its end. Another target then
@@ -69,15 +80,18 @@
         self.needs_ids = self.last.is_some();
         self.pending.clear();
         self.searched = 0;
+        self.failure = None;
     }
 
     /// Adds bytes and returns the events that are now complete and that the caller doesn't
-    /// have.
+    /// have. Events before one with which the stream can't continue are returned too; the
+    /// error follows with the next call and [`Self::check`].
     ///
     /// # Errors
     ///
     /// [`EventError`] when the stream can't continue.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<StreamEvent>, EventError> {
+        self.check()?;
         let mut pending = mem::take(&mut self.pending);
         let mut searched = mem::take(&mut self.searched);
         pending.extend_from_slice(bytes);
@@ -91,15 +105,23 @@
                 id: event_id(complete),
                 bytes: complete.to_vec(),
             };
-            if self.is_new(&event)? {
-                events.push(event);
+            match self.is_new(&event) {
+                Ok(true) => events.push(event),
+                Ok(false) => {}
+                Err(error) => {
+                    self.failure = Some(error);
+                    break;
+                }
             }
         }
         pending.drain(..start);
         self.searched = pending.len();
         self.pending = pending;
         if self.pending.len() > MAX_EVENT_BYTES {
-            return Err(EventError::TooLong);
+            self.failure = self.failure.or(Some(EventError::TooLong));
+        }
+        if events.is_empty() {
+            self.check()?;
         }
         Ok(events)
     }
--- a/crates/azurestand_direct/tests/direct/events.rs
+++ b/crates/azurestand_direct/tests/direct/events.rs
@@ -85,6 +85,20 @@
     assert_eq!(splitter.push(&event(3)), Err(EventError::Gap));
 }
 
+/// The events before the missing one were dropped with it, though they counted as passed on: a
+/// target that resumed the stream went on behind them.
+#[test]
+fn events_before_a_missing_one_are_passed_on() {
+    let mut splitter = EventSplitter::after(Some(3));
+    let bytes = [event(4), event(5), event(7)].concat();
+    assert_eq!(ids(&mut splitter, &bytes), [4, 5]);
+    assert!(!splitter.is_at_boundary());
+    assert_eq!(splitter.push(&event(8)), Err(EventError::Gap));
+    assert_eq!(splitter.last(), Some(5));
+    splitter.discard_partial();
+    assert_eq!(ids(&mut splitter, &event(6)), [6]);
+}
+
 #[test]
 fn an_event_over_the_size_limit_is_refused() {
     let mut splitter = EventSplitter::after(None);
--- a/crates/azurestand_gateway/src/entry/stream.rs
+++ b/crates/azurestand_gateway/src/entry/stream.rs
@@ -520,6 +520,9 @@
     splitter: &mut EventSplitter,
     has_bytes: &mut bool,
 ) -> Read {
+    if let Err(error) = splitter.check() {
+        return Read::Broken(error.to_string());
+    }
     loop {
         let bytes = match body.frame().await {
             None => return Read::End,
