Break off a stream that ends inside an event, in the product's agents too

An agent passed on the part of an event with which an engine's body ended and took the answer for whole; a body without length or chunks ends with its connection. Found while reading for what else drops a source's failure.

--- a/crates/azurestand_server/src/agent/sse.rs
+++ b/crates/azurestand_server/src/agent/sse.rs
@@ -40,6 +40,11 @@
         out.freeze()
     }
 
+    /// Whether the stream ends between events, so that nothing of one is missing.
+    pub(crate) fn is_at_boundary(&self) -> bool {
+        self.rest.iter().all(u8::is_ascii_whitespace)
+    }
+
     /// What is left when the stream has ended.
     pub(crate) fn flush(&mut self) -> Bytes {
         let rest = self.rest.split().freeze();
--- a/crates/azurestand_server/src/agent/target/run.rs
+++ b/crates/azurestand_server/src/agent/target/run.rs
@@ -1,5 +1,8 @@
 //! One call to a target, from its start to its end.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -163,6 +166,9 @@
             };
             self.pass(data).await;
         }
+        if stream && !self.stamper.is_at_boundary() {
+            return RunEnd::Broken;
+        }
         if stream {
             let rest = self.stamper.flush();
             self.pass(rest).await;
