End a caller's body only on an explicit word that it is whole

If the task that carries an answer panicked, an entry of the product's own daemons ended the body in order, so a stream looked complete after any event. Now its connection breaks.

Evidence: entry::send::sink::tests::a_stream_whose_sink_is_dropped_is_broken_off failed before.

--- a/crates/azurestand_server/src/entry/send/sink.rs
+++ b/crates/azurestand_server/src/entry/send/sink.rs
@@ -1,5 +1,8 @@
 //! Where an answer goes: to a caller, or to the entry that passed the request on.
 
+#[cfg(test)]
+mod tests;
+
 use std::io;
 
 use axum::body::Body;
@@ -7,10 +10,10 @@
 use azurestand_types::{Outcome, RequestId};
 use azurestand_wire::{AnswerEnd, AnswerHead, AnswerPart, Body as Message, Outbox};
 use bytes::{Bytes, BytesMut};
+use futures_util::stream::unfold;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderName, HeaderValue, StatusCode};
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::ReceiverStream;
 
 use crate::agent::{failed, raw, refused};
 use crate::entry::answer::{self, OUTCOME_HEADER, REQUEST_HEADER};
@@ -29,6 +32,14 @@
     Entry(EntrySink),
 }
 
+/// A part of a body that is on its way to a caller.
+#[derive(Debug)]
+enum Part {
+    Bytes(Bytes),
+    /// The body is whole. Without this its connection breaks, however the sink ended.
+    End,
+}
+
 /// The answer to a caller, as far as it has come.
 #[derive(Debug)]
 pub(in crate::entry) struct CallerSink {
@@ -36,7 +47,7 @@
     head: Option<oneshot::Sender<Response>>,
     answer_head: Option<AnswerHead>,
     held: BytesMut,
-    body: Option<mpsc::Sender<io::Result<Bytes>>>,
+    body: Option<mpsc::Sender<Part>>,
     stream: bool,
 }
 
@@ -122,7 +133,7 @@
     fn open(&mut self) {
         let (body, parts) = mpsc::channel(BODY_QUEUE);
         self.body = Some(body);
-        let body = Body::from_stream(ReceiverStream::new(parts));
+        let body = Body::from_stream(unfold(Some(parts), next_part));
         self.answer(body, None);
     }
 
@@ -156,7 +167,7 @@
 
     async fn pass(&mut self, bytes: Bytes) -> bool {
         if let Some(body) = &self.body {
-            return body.send(Ok(bytes)).await.is_ok();
+            return body.send(Part::Bytes(bytes)).await.is_ok();
         }
         self.held.extend_from_slice(&bytes);
         if self.held.len() > MAX_HELD_BYTES {
@@ -169,15 +180,15 @@
 
     async fn finish(mut self, outcome: Outcome) {
         if let Some(body) = self.body.take() {
-            if outcome != Outcome::Answered {
-                // A stream can say what happened. Another half-sent body can only be broken
-                // off, which would take a stream's last event along.
-                let last = if self.stream {
-                    Ok(answer::stream_error(outcome, self.id).into())
-                } else {
-                    Err(io::ErrorKind::BrokenPipe.into())
-                };
-                let _ = body.send(last).await;
+            let is_answered = outcome == Outcome::Answered;
+            // A stream can say what happened. Another half-sent body can only be broken off,
+            // which would take a stream's last event along.
+            if !is_answered && self.stream {
+                let last = answer::stream_error(outcome, self.id).into();
+                let _ = body.send(Part::Bytes(last)).await;
+            }
+            if is_answered || self.stream {
+                let _ = body.send(Part::End).await;
             }
             return;
         }
@@ -198,6 +209,18 @@
     }
 }
 
+/// The next bytes of a body; an error if its sink ended without saying that it is whole.
+async fn next_part(
+    parts: Option<mpsc::Receiver<Part>>,
+) -> Option<(io::Result<Bytes>, Option<mpsc::Receiver<Part>>)> {
+    let mut parts = parts?;
+    match parts.recv().await {
+        Some(Part::Bytes(bytes)) => Some((Ok(bytes), Some(parts))),
+        Some(Part::End) => None,
+        None => Some((Err(io::ErrorKind::BrokenPipe.into()), None)),
+    }
+}
+
 impl EntrySink {
     async fn pass(&mut self, bytes: Bytes) -> bool {
         let length = bytes.len() as u64;
