--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -42,6 +42,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections for each peer.
 const MAX_IDLE: usize = 4;
+/// Each part of a response counts as this many bytes at least, since it costs time as well.
+const MIN_PART_BYTES: usize = 64;
 /// The largest head of a response, and the most that is read at once, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -395,7 +397,7 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
     let (head, body) = answer.into_parts();
-    let body = collect(body, max_bytes, |_| true).await;
+    let body = collect(body, max_bytes, MIN_PART_BYTES, |_| true).await;
     let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
     Ok(Response::from_parts(head, body.freeze()))
 }
--- a/crates/azurestand_gateway/src/client/body.rs
+++ b/crates/azurestand_gateway/src/client/body.rs
@@ -12,9 +12,6 @@
 
 use super::meter::ByteMeter;
 
-/// Each part of a body counts as this many bytes at least, since it costs time as well.
-const MIN_PART_BYTES: usize = 64;
-
 /// Why a body could not be collected.
 #[derive(Debug, Display)]
 pub(crate) enum CollectError {
@@ -29,11 +26,12 @@
     NoMemory,
 }
 
-/// Collects a body of at most `max_bytes` bytes. Before the bytes grow to a new length,
-/// `reserve` says whether there is memory for that.
+/// Collects a body of at most `max_bytes` bytes, of which each part counts as `min_part` at
+/// least. Before the bytes grow to a new length, `reserve` says whether there is memory for that.
 pub(crate) async fn collect<B, R>(
     mut body: B,
     max_bytes: usize,
+    min_part: usize,
     mut reserve: R,
 ) -> Result<BytesMut, CollectError>
 where
@@ -49,9 +47,9 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        counted += data.len().max(MIN_PART_BYTES);
+        counted += data.len().max(min_part);
         let length = bytes.len() + data.len();
-        if counted > max_bytes.max(MIN_PART_BYTES) || length > max_bytes {
+        if counted > max_bytes.max(min_part) || length > max_bytes {
             return Err(CollectError::TooLarge(max_bytes));
         }
         if !reserve(length) {
--- a/crates/azurestand_gateway/src/entry/filter.rs
+++ b/crates/azurestand_gateway/src/entry/filter.rs
@@ -6,19 +6,22 @@
 use azurestand_direct::{Account, InputLimits, Route, Service};
 use bytes::Bytes;
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::call::Call;
 use super::deliver;
+use super::memory;
 use super::response::{Body, RequestError};
 use super::shared::Shared;
+use crate::client::CollectError;
 use crate::clock::BootClock;
 use crate::log::LogEvent;
 use crate::platform::{Platform, RequestHead};
 
-/// How much of a body is read in vain, in bytes, so that its caller gets the refusal.
+/// How much of a body is read in vain, in bytes, so that its caller gets the refusal. A body
+/// that the operators' limit allows is read to its end.
 const MAX_DISCARDED_BYTES: usize = 2 << 20;
 /// How long a body is read in vain while no configuration is known.
 const DEFAULT_DISCARD_TIME: Duration = Duration::from_secs(3);
@@ -120,11 +123,13 @@
     }
     let limits = shared.state().rules.as_ref().map(|rules| rules.limits());
     let limit = limits.map_or(DEFAULT_DISCARD_TIME, |limits| limits.head_time);
+    let max_bytes = limits.map_or(0, |limits| limits.body_bytes);
+    let max_bytes = max_bytes.max(MAX_DISCARDED_BYTES);
     let discard = async {
         let mut discarded = 0;
         while let Some(Ok(frame)) = body.frame().await {
             discarded += frame.data_ref().map_or(0, Bytes::len);
-            if discarded > MAX_DISCARDED_BYTES {
+            if discarded > max_bytes {
                 break;
             }
         }
@@ -199,15 +204,12 @@
 }
 
 async fn read_body(body: &mut Incoming, limits: InputLimits) -> Result<Bytes, RequestError> {
-    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = memory::collect_request(body, limits.body_bytes);
     let body = timeout(limits.head_time, body).await;
     let body = body.map_err(|_| RequestError::NoBody)?;
-    let body = body.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            RequestError::TooLarge
-        } else {
-            RequestError::NoBody
-        }
-    })?;
-    Ok(body.to_bytes())
+    body.map_err(|error| match error {
+        CollectError::TooLarge(_) => RequestError::TooLarge,
+        CollectError::NoMemory => RequestError::NoMemory,
+        CollectError::Broken(_) => RequestError::NoBody,
+    })
 }
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -46,6 +46,9 @@
     /// The body is larger than the operators allow.
     #[display("the body is too large")]
     TooLarge,
+    /// The bodies of other requests take up the memory for bodies.
+    #[display("no memory is left for a body of this size; send it again")]
+    NoMemory,
     /// The request body did not arrive in time or was cut off.
     #[display("the body did not arrive")]
     NoBody,
@@ -95,6 +98,7 @@
             | Self::TargetRefused(_)
             | Self::Suspected(..)
             | Self::Quarantined(..)
+            | Self::NoMemory
             | Self::Stopping
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -116,6 +120,7 @@
             | Self::Suspected(_, after)
             | Self::Quarantined(_, after) => Some(after),
             Self::Busy(shortage) => Some(shortage.retry_after),
+            Self::NoMemory => Some(Duration::from_millis(300)),
             Self::Expired => Some(Duration::ZERO),
             Self::NoRoute
             | Self::NoAccount
