--- a/crates/azurestand_direct/tests/direct/stop.rs
+++ b/crates/azurestand_direct/tests/direct/stop.rs
@@ -36,7 +36,7 @@
 fn all_requests_are_taken_until_the_balancer_has_noticed_the_stop() {
     let plan = StopPlan::new(signal(), GRACE);
     let at = signal() + Duration::from_millis(2_500);
-    assert!(plan.takes(at, at + Duration::from_secs(60)));
+    assert!(plan.takes(at, at + Duration::from_mins(1)));
     assert!(plan.closes_at > at && plan.closes_at < plan.ends_at);
 }
 
--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -43,7 +43,7 @@
 /// Maximum number of idle connections for each peer.
 const MAX_IDLE: usize = 4;
 /// Each part of a response counts as this many bytes at least, since it costs time as well.
-const MIN_PART_BYTES: usize = 64;
+pub(crate) const MIN_PART_BYTES: usize = 64;
 /// The largest head of a response, and the most that is read at once, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -40,7 +40,7 @@
 use shared::Shared;
 
 /// How long the last answers may take to be written once open requests are given up.
-const FLUSH_TIME: Duration = Duration::from_millis(200);
+const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// A running entry.
 #[derive(Debug)]
--- a/crates/azurestand_gateway/src/entry/memory.rs
+++ b/crates/azurestand_gateway/src/entry/memory.rs
@@ -12,7 +12,7 @@
 use hyper::body::Body;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-use crate::client::{CollectError, collect};
+use crate::client::{CollectError, MIN_PART_BYTES, collect};
 
 /// The unit in which shared memory is reserved, in bytes.
 const BLOCK_BYTES: usize = 64 * 1024;
@@ -24,9 +24,6 @@
 const RESPONSE_OWN_BYTES: usize = 64 * 1024;
 /// What each request may hold, in bytes. There may be as many as the process has descriptors.
 const REQUEST_OWN_BYTES: usize = 8 * 1024;
-/// Each part of a response counts as this many bytes at least, since it costs time as well. The
-/// time of a request's body has a limit of its own.
-const MIN_RESPONSE_PART: usize = 64;
 
 static RESPONSES: Pool = Pool::new(RESPONSE_OWN_BYTES);
 static REQUESTS: Pool = Pool::new(REQUEST_OWN_BYTES);
@@ -105,7 +102,7 @@
 {
     let mut reserved = RESPONSES.reserve();
     let grow = |length| reserved.grow_to(length);
-    let bytes = collect(body, max_bytes, MIN_RESPONSE_PART, grow).await?;
+    let bytes = collect(body, max_bytes, MIN_PART_BYTES, grow).await?;
     let collected = Collected {
         bytes,
         _reserved: reserved,
@@ -128,6 +125,7 @@
     if !reserved.grow_to(stated) {
         return Err(CollectError::NoMemory);
     }
+    // The time for a request's body is limited by the operators.
     let bytes = collect(body, max_bytes, 0, |length| reserved.grow_to(length)).await?;
     let collected = Collected {
         bytes,
