Admit requests by priority where engines have too little capacity

Change: azurestand_direct::admission keeps slots and time at engines for expected urgent requests, bounds an entry's queue by its rate of placements and displaces what costs least, keeps a least share for each priority and lets less urgent callers return later. In force where routes of an engine service differ in priority; the [admission] table of the settings switches it off.

--- a/crates/azurestand_bench/src/load.rs
+++ b/crates/azurestand_bench/src/load.rs
@@ -18,7 +18,7 @@
 
 use serde::Serialize;
 
-pub use caller::{BASE_CLASSES, Class, LARGE_CLASSES};
+pub use caller::{BASE_CLASSES, Class, LARGE_CLASSES, RANKED_CLASSES};
 pub use fleet::run;
 
 /// How an entry finds the target of a request.
@@ -42,6 +42,10 @@
     Steady,
     /// 1.7 times the load for a third of the time.
     Burst,
+    /// Three times the load of the least urgent kind for a third of the time.
+    LeastUrgentBurst,
+    /// Twice the load of the most urgent kind for a third of the time.
+    UrgentBurst,
     /// A third of the targets is lost after a third of the time.
     TargetsLost,
     /// A third of the targets comes after a third of the time, cold at first.
@@ -75,6 +79,9 @@
     Pattern::TurnedAway,
 ];
 
+/// Patterns of a deployment whose kinds of requests differ in priority.
+pub const RANKED_PATTERNS: [Pattern; 2] = [Pattern::LeastUrgentBurst, Pattern::UrgentBurst];
+
 /// How large the emulated deployment is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum Size {
@@ -82,6 +89,9 @@
     Base,
     /// 148 entries and 90 engines in five data centres; loads are reported at intervals.
     Large,
+    /// 33 entries and 58 engines in three data centres, whose kinds of requests differ in
+    /// priority; loads are reported at intervals.
+    Ranked,
 }
 
 /// One run.
@@ -91,6 +101,8 @@
     pub size: Size,
     /// How requests are placed.
     pub policy: Policy,
+    /// Whether entries admit requests by their priorities, where these differ.
+    pub admits: bool,
     /// What happens.
     pub pattern: Pattern,
     /// The load, as a multiple of the classes' rates.
@@ -118,6 +130,8 @@
     pub worth: f64,
     /// The part of the callers that were served, by class.
     pub served: Vec<f64>,
+    /// What answers were worth, as a part of what all would have been worth, by class.
+    pub earned: Vec<f64>,
     /// The same of the tenth of the callers with the longest prompts.
     pub served_longest: Vec<f64>,
     /// The part of the callers that were served, by data centre.
--- a/crates/azurestand_bench/src/load/caller.rs
+++ b/crates/azurestand_bench/src/load/caller.rs
@@ -17,6 +17,8 @@
     pub worth: f64,
     /// What a later one is worth.
     pub late: f64,
+    /// Its priority; 0 goes first.
+    pub priority: u8,
 }
 
 /// The model requests of one of the users' deployments, for fifteen engines.
@@ -29,6 +31,7 @@
         aim: 400.0,
         worth: 2.5,
         late: 0.62,
+        priority: 1,
     },
     Class {
         name: "middle",
@@ -38,6 +41,7 @@
         aim: 400.0,
         worth: 2.1,
         late: 0.53,
+        priority: 1,
     },
     Class {
         name: "short",
@@ -47,6 +51,7 @@
         aim: 300.0,
         worth: 1.3,
         late: 0.33,
+        priority: 1,
     },
 ];
 
@@ -60,6 +65,7 @@
         aim: 600.0,
         worth: 2.3,
         late: 0.57,
+        priority: 1,
     },
     Class {
         name: "middle",
@@ -69,6 +75,7 @@
         aim: 500.0,
         worth: 2.0,
         late: 0.51,
+        priority: 1,
     },
     Class {
         name: "short",
@@ -78,6 +85,42 @@
         aim: 500.0,
         worth: 1.5,
         late: 0.38,
+        priority: 1,
+    },
+];
+
+/// The model requests of a deployment whose kinds differ in priority, somewhat more than its
+/// engines can answer. The least urgent kind has the longest aim.
+pub const RANKED_CLASSES: [Class; 3] = [
+    Class {
+        name: "long",
+        rate: 211.0,
+        prompt: 1_330.0,
+        answer: 105.0,
+        aim: 1_000.0,
+        worth: 1.0,
+        late: 0.37,
+        priority: 2,
+    },
+    Class {
+        name: "middle",
+        rate: 267.0,
+        prompt: 827.0,
+        answer: 105.0,
+        aim: 400.0,
+        worth: 3.2,
+        late: 0.32,
+        priority: 0,
+    },
+    Class {
+        name: "short",
+        rate: 147.0,
+        prompt: 647.0,
+        answer: 70.0,
+        aim: 400.0,
+        worth: 1.3,
+        late: 0.31,
+        priority: 1,
     },
 ];
 
--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -6,18 +6,19 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Directory, Lateness, NoTarget, Placement, Rank, Regions, RequestQueue, RequestSize, SendShare,
-    Service, Target, TargetRequirements, Waiter, max_wait,
+    AdmissionControl, Directory, Lateness, LeastShare, Levels, Need, NoTarget, Placement, Rank,
+    Regions, RequestQueue, RequestSize, SendShare, Service, Target, TargetRequirements, Terms,
+    Waiter, max_wait,
 };
 use azurestand_types::Moment;
 
 use super::Policy;
 use super::caller::Class;
 
-/// The priority of all requests.
-const PRIORITY: u8 = 1;
 /// The shortest and the longest time after which a refused caller may return.
 const RETURN_MS: (f64, f64) = (150.0, 1_200.0);
+/// When a caller may return that was displaced, before jitter.
+const DISPLACED_RETURN: Duration = Duration::from_millis(300);
 /// The same where no entry predicts, in milliseconds.
 const BLIND_RETURN_MS: f64 = 150.0;
 
@@ -51,6 +52,9 @@
     targets: Vec<Arc<Target>>,
     service: Arc<Service>,
     queue: RequestQueue,
+    admission: AdmissionControl,
+    /// The terms of the callers that are here.
+    terms: BTreeMap<usize, Terms>,
     standing: BTreeMap<usize, (Rank, Waiter)>,
     callers: BTreeMap<Waiter, usize>,
     /// What this entry has at each target.
@@ -63,18 +67,23 @@
 impl Entry {
     pub(super) fn new(
         policy: Policy,
+        levels: Levels,
         placement: Placement,
         targets: Vec<Arc<Target>>,
         service: Arc<Service>,
         rng: fastrand::Rng,
     ) -> Self {
         let count = targets.len();
+        let mut admission = AdmissionControl::default();
+        admission.configure(levels, Some(LeastShare::default()));
         Self {
             policy,
             placement,
             targets,
             service,
             queue: RequestQueue::default(),
+            admission,
+            terms: BTreeMap::new(),
             standing: BTreeMap::new(),
             callers: BTreeMap::new(),
             own: vec![0; count],
@@ -133,23 +142,39 @@
     fn predict(&mut self, now: f64, ask: &Ask<'_>) -> Decision {
         let aim = duration(ask.class.aim);
         let until = ask.arrived + max_wait(aim).as_secs_f64() * 1_000.0;
+        let terms = self.terms(now, ask);
         let rank = Rank {
-            priority: PRIORITY,
+            priority: terms.priority,
             untried: true,
             arrived_at: Reverse(moment(ask.arrived)),
         };
+        let service = self.service.clone();
+        let engine = self.service.engine.as_ref();
+        let need = Need {
+            latency_target: aim,
+            slot_time: engine.map_or(Duration::ZERO, |engine| {
+                duration(engine.slot_time(ask.work, 0))
+            }),
+        };
         if !ask.waits && self.queue.ahead(rank) > 0 {
-            self.join(ask.caller, rank, aim);
+            self.join(now, ask.caller, rank, need);
             return Decision::Wait(until);
         }
-        let service = self.service.clone();
-        let engine = self.service.engine.as_ref();
+        let excess = engine.map_or(Duration::ZERO, |engine| engine.excess_time(ask.work));
         let lateness = Lateness {
             latency_target: aim,
             waited: duration(now - ask.arrived),
-            excess: engine.map_or(Duration::ZERO, |engine| engine.excess_time(ask.work)),
-            shortest: self.queue.shortest_target(PRIORITY),
+            excess,
+            shortest: self.queue.shortest_target(terms.priority),
         };
+        let fleet = self.placement.fleet(&service.name);
+        let reserve = engine.and_then(|engine| {
+            let admission = &self.admission;
+            admission.reserve(moment(now), terms.priority, engine, fleet)
+        });
+        let ceiling = reserve.map_or(Duration::MAX, |reserve| {
+            reserve.ceiling.saturating_add(excess)
+        });
         let requirements = TargetRequirements {
             service: &service,
             model: None,
@@ -158,41 +183,77 @@
             size: ask.work,
             avoid: &[],
             regions: &Regions::Any,
-            limit: lateness.limit(),
+            limit: lateness.limit().min(ceiling),
+            spare_slots: reserve.map(|reserve| reserve.slots),
         };
         self.record_waiting(now);
         match self.placement.choose(moment(now), &requirements) {
             Ok(choice) => {
+                self.admission.record_placed(moment(now), terms);
                 let is_it = |target: &Arc<Target>| target.id == choice.target.id;
                 let engine = self.targets.iter().position(is_it);
                 self.expected.insert(ask.caller, (now, choice.expected));
                 engine.map_or(Decision::Refuse(BLIND_RETURN_MS), Decision::Send)
             }
             Err(NoTarget::TurnedAway { soonest }) if now + millis(soonest) > until => {
-                Decision::Refuse(self.spread(soonest))
+                Decision::Refuse(self.spread(terms, soonest))
             }
             Err(NoTarget::Busy { .. } | NoTarget::TurnedAway { .. }) if now < until => {
                 if !ask.waits {
-                    self.join(ask.caller, rank, aim);
+                    self.join(now, ask.caller, rank, need);
                 }
                 Decision::Wait(until)
             }
             Err(NoTarget::Busy { soonest } | NoTarget::TurnedAway { soonest }) => {
-                Decision::Refuse(self.spread(soonest))
+                Decision::Refuse(self.spread(terms, soonest))
             }
             Err(NoTarget::NoneEligible) => {
-                Decision::Refuse(self.spread(Duration::from_millis(400)))
+                Decision::Refuse(self.spread(terms, Duration::from_millis(400)))
             }
         }
     }
 
-    fn spread(&mut self, time: Duration) -> f64 {
+    /// The terms of a caller, settled when it comes.
+    fn terms(&mut self, now: f64, ask: &Ask<'_>) -> Terms {
+        let known = self.terms.get(&ask.caller).filter(|_| ask.waits);
+        if let Some(known) = known {
+            return *known;
+        }
+        let draw = self.rng.f64();
+        let terms = self.admission.arrive(moment(now), ask.class.priority, draw);
+        self.terms.insert(ask.caller, terms);
+        terms
+    }
+
+    /// The caller that is to be rejected, since it can't be placed in time, and when it may
+    /// return.
+    pub(super) fn displaced(&mut self, now: f64) -> Option<(usize, f64)> {
+        let displaced = self.admission.displaced(moment(now), &self.queue)?;
+        let caller = *self.callers.get(&displaced.waiter)?;
+        let terms = *self.terms.get(&caller)?;
+        Some((caller, self.spread(terms, DISPLACED_RETURN)))
+    }
+
+    /// Takes a caller out of the line that has waited in vain; returns when it may return.
+    pub(super) fn reject(&mut self, now: f64, caller: usize, after: f64) -> f64 {
+        self.leave(now, caller);
+        let terms = self.terms.get(&caller);
+        terms.map_or(after, |terms| {
+            millis(self.admission.return_time(*terms, duration(after)))
+        })
+    }
+
+    fn spread(&mut self, terms: Terms, time: Duration) -> f64 {
         let time = time.as_secs_f64() * 1_000.0;
-        time.clamp(RETURN_MS.0, RETURN_MS.1) * (0.7 + 0.6 * self.rng.f64())
+        let time = duration(time.clamp(RETURN_MS.0, RETURN_MS.1));
+        millis(self.admission.return_time(terms, time)) * (0.7 + 0.6 * self.rng.f64())
     }
 
-    fn join(&mut self, caller: usize, rank: Rank, aim: Duration) {
-        let waiter = self.queue.push(rank, aim);
+    fn join(&mut self, now: f64, caller: usize, rank: Rank, need: Need) {
+        if let Some(terms) = self.terms.get(&caller) {
+            self.admission.record_delayed(moment(now), *terms);
+        }
+        let waiter = self.queue.push(rank, need);
         self.standing.insert(caller, (rank, waiter));
         self.callers.insert(waiter, caller);
     }
@@ -208,8 +269,11 @@
 
     fn record_waiting(&mut self, now: f64) {
         let name = &self.service.name;
-        let waiting = self.queue.len();
-        self.placement.record_waiting(moment(now), name, waiting);
+        let unheld = self.admission.unheld(&self.queue);
+        let now = moment(now);
+        self.placement.record_waiting(now, name, unheld);
+        let held = self.queue.len() - unheld;
+        self.placement.record_held_back(now, name, held);
     }
 
     /// Counts a send.
@@ -246,7 +310,7 @@
 }
 
 /// A time in milliseconds.
-fn duration(millis: f64) -> Duration {
+pub(super) fn duration(millis: f64) -> Duration {
     Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
 }
 
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -7,14 +7,14 @@
 use std::sync::Arc;
 
 use azurestand_direct::{
-    Fault, Incarnation, LimitNotice, LoadedWeights, Placement, RequestSize, RetryAfter, SendShare,
-    Service, Target, TargetLoad, TargetState,
+    Fault, Incarnation, Levels, LimitNotice, LoadedWeights, Placement, RequestSize, RetryAfter,
+    SendShare, Service, Target, TargetLoad, TargetState,
 };
 
 use super::barring::Barring;
 use super::caller::{Caller, PATIENCE_MS, State, gap, size};
 use super::engine::{Engine, Job, Word};
-use super::entry::{Ask, Decision, Entry, moment};
+use super::entry::{Ask, Decision, Entry, duration, moment};
 use super::limited::Limited;
 use super::queue::Queue;
 use super::site::Site;
@@ -147,12 +147,17 @@
             .map(|centre| ((*centre).into(), (*centre).into()))
             .collect();
         let names: Vec<Arc<str>> = (0..site.entries).map(|n| format!("e{n}").into()).collect();
+        let classes = site.classes.iter();
+        let classes = classes.filter(|_| plan.admits);
+        let levels = classes.map(|class| (class.priority, duration(class.aim)));
+        let levels: Levels = levels.collect();
         for number in 0..site.entries {
             let centre = fleet.centre_of(number).into();
             let entries = u32::try_from(site.entries).unwrap_or(u32::MAX);
             let placement = Placement::new(centre, regions.clone(), entries, rng.fork());
             let mut entry = Entry::new(
                 plan.policy,
+                levels.clone(),
                 placement,
                 Vec::new(),
                 service.clone(),
@@ -238,11 +243,19 @@
         }
     }
 
-    fn load(&self) -> f64 {
+    /// The load of a class now, as a multiple of its rate.
+    fn load(&self, class: usize) -> f64 {
         let third = self.end / 3.0;
-        let bursts =
-            self.plan.pattern == Pattern::Burst && (third..2.0 * third).contains(&self.now);
-        self.plan.load * if bursts { 1.7 } else { 1.0 }
+        let priorities = || self.site.classes.iter().map(|class| class.priority);
+        let priority = self.site.classes[class].priority;
+        let factor = match self.plan.pattern {
+            Pattern::Burst => 1.7,
+            Pattern::LeastUrgentBurst if priorities().max() == Some(priority) => 3.0,
+            Pattern::UrgentBurst if priorities().min() == Some(priority) => 2.0,
+            _ => 1.0,
+        };
+        let bursts = (third..2.0 * third).contains(&self.now);
+        self.plan.load * if bursts { factor } else { 1.0 }
     }
 
     fn arrive(&mut self, class: usize) {
@@ -261,7 +274,7 @@
         self.callers.push(caller);
         let number = self.callers.len() - 1;
         self.ask(number);
-        let rate = kind.rate * self.load();
+        let rate = kind.rate * self.load(class);
         let next = self.now + gap(&mut self.rng, rate);
         if next < self.end {
             self.at(next, Event::Arrive(class));
@@ -301,7 +314,21 @@
             arrived,
             waits,
         };
-        match self.entries[entry].decide(self.now, &ask) {
+        let decision = self.entries[entry].decide(self.now, &ask);
+        self.carry_out(caller, entry, waits, decision);
+        self.displace(entry);
+    }
+
+    /// Rejects the callers that can't be placed in time.
+    fn displace(&mut self, entry: usize) {
+        while let Some((caller, after)) = self.entries[entry].displaced(self.now) {
+            self.entries[entry].leave(self.now, caller);
+            self.refuse(caller, after);
+        }
+    }
+
+    fn carry_out(&mut self, caller: usize, entry: usize, waits: bool, decision: Decision) {
+        match decision {
             Decision::Send(engine) => {
                 self.entries[entry].leave(self.now, caller);
                 self.send(caller, entry, engine);
@@ -382,8 +409,8 @@
             self.decide(caller, entry, true);
             let asks = self.callers[caller].state == State::Asking;
             if asks && self.places.contains_key(&caller) {
-                self.entries[entry].leave(self.now, caller);
-                self.refuse(caller, 300.0);
+                let after = self.entries[entry].reject(self.now, caller, 300.0);
+                self.refuse(caller, after);
             }
         }
     }
--- a/crates/azurestand_bench/src/load/site.rs
+++ b/crates/azurestand_bench/src/load/site.rs
@@ -4,7 +4,7 @@
 use azurestand_direct::CostModel;
 
 use super::Size;
-use super::caller::{BASE_CLASSES, Class, LARGE_CLASSES};
+use super::caller::{BASE_CLASSES, Class, LARGE_CLASSES, RANKED_CLASSES};
 
 /// An emulated deployment.
 #[derive(Debug, Clone, Copy)]
@@ -76,11 +76,37 @@
     is_staggered: true,
 };
 
+/// Three data centres with 33 entries and 58 engines, whose callers compete by priority.
+const RANKED: Site = Site {
+    centres: &["west", "east", "north"],
+    entries: 33,
+    engines: 58,
+    slots: 12,
+    cost_model: CostModel {
+        step_ms: 9.27,
+        request_ms: 0.0232,
+        context_ms: 0.0322,
+        read_rate: 20.7,
+        pairs_ms: 1.18,
+        chunk: 2_048,
+        stride: 5,
+        mean_prompt: 954,
+        mean_answer: 95,
+        load_time: std::time::Duration::from_millis(300),
+        layers: 16,
+    },
+    classes: &RANKED_CLASSES,
+    cold_rate: 15.0,
+    delay: 1.0,
+    is_staggered: true,
+};
+
 impl Site {
     pub(super) const fn of(size: Size) -> Self {
         match size {
             Size::Base => BASE,
             Size::Large => LARGE,
+            Size::Ranked => RANKED,
         }
     }
 }
--- a/crates/azurestand_bench/src/load/tally.rs
+++ b/crates/azurestand_bench/src/load/tally.rs
@@ -39,6 +39,7 @@
     let mut owed = 0.0;
     let mut earned = 0.0;
     let mut by_class = vec![(0_u32, 0_u32); classes.len()];
+    let mut worth_by_class = vec![0.0; classes.len()];
     let mut by_centre = vec![(0_u32, 0_u32); 3];
     let mut firsts = Vec::new();
     for caller in callers {
@@ -52,13 +53,15 @@
                 by_class[caller.class].1 += 1;
                 by_centre[caller.centre].1 += 1;
                 firsts.push(after);
-                if after <= class.aim {
+                let worth = if after <= class.aim {
                     figures.in_aim += 1;
-                    earned += class.worth;
+                    class.worth
                 } else {
                     figures.late += 1;
-                    earned += class.late;
-                }
+                    class.late
+                };
+                earned += worth;
+                worth_by_class[caller.class] += worth;
             }
             State::Refused => figures.refused += 1,
             _ => figures.failed += 1,
@@ -68,6 +71,10 @@
     let at = |part: usize| firsts.get(firsts.len() * part / 100).copied();
     figures.worth = earned / f64::max(owed, 1.0);
     figures.served = shares(&by_class);
+    let earned_of = |(class, worth): (&Class, &f64)| worth / class.worth;
+    let in_aims = classes.iter().zip(&worth_by_class).map(earned_of);
+    let of_asked = |(earned, (asked, _)): (f64, &(u32, u32))| earned / f64::from((*asked).max(1));
+    figures.earned = in_aims.zip(&by_class).map(of_asked).collect();
     figures.served_longest = shares(&longest(callers, classes.len()));
     figures.served_centres = shares(&by_centre);
     figures.first_p50 = at(50).unwrap_or_default();
--- a/crates/azurestand_bench/src/main.rs
+++ b/crates/azurestand_bench/src/main.rs
@@ -6,17 +6,19 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use azurestand_bench::load::{self, PATTERNS, POLICIES, Plan, Size};
+use azurestand_bench::load::{self, PATTERNS, POLICIES, Plan, RANKED_PATTERNS, Size};
 use azurestand_bench::report::{self, Options};
 use lexopt::Parser;
 use lexopt::prelude::*;
 
 const USAGE: &str = "usage: azurestand_bench report [--out DIR] [--short]
-       azurestand_bench load [--large] [--pattern NAME] [--factor X] [--seconds S] [--seed N]
+       azurestand_bench load [--large | --ranked] [--plain] [--pattern NAME] [--factor X] [--seconds S] [--seed N]
 
   --out DIR  where the page, its plots and its figures go (docs/measurements)
   --short    leave out the daemons and the side series of spreading
   --large      148 entries and 90 engines in place of 9 and 15
+  --ranked     33 entries and 58 engines, whose kinds of requests differ in priority
+  --plain      without admission by priority
   --pattern NAME  one pattern only, such as Steady
   --factor X   the load, as a multiple of the users' rates (1.5)
   --seconds S  how long callers come, in virtual seconds (30)
@@ -31,6 +33,8 @@
 /// The options of `load`.
 struct LoadOptions {
     size: Size,
+    /// Whether entries admit requests by priority.
+    admits: bool,
     /// The only pattern to run; all if none.
     pattern: Option<String>,
     factor: f64,
@@ -75,30 +79,33 @@
 /// A row for each pattern and policy.
 fn print_load(options: &LoadOptions) {
     println!(
-        "| pattern | policy | worth | in aim | late | refused | failed | first event p50, p99 ms | \
-         most to a cold target | against a target's word |\n|---|---|---|---|---|---|---|---|---|---|"
+        "| pattern | policy | worth | in aim | late | refused | failed | worth by class | served by class | first event p50, p99 ms | \
+         most to a cold target | against a target's word |\n|---|---|---|---|---|---|---|---|---|---|---|---|"
     );
     let is_asked = |pattern: &load::Pattern| {
         let asked = options.pattern.as_deref();
         asked.is_none_or(|name| format!("{pattern:?}").eq_ignore_ascii_case(name))
     };
-    for pattern in PATTERNS.into_iter().filter(is_asked) {
+    for pattern in PATTERNS.into_iter().chain(RANKED_PATTERNS).filter(is_asked) {
         for policy in POLICIES {
             let figures = load::run(&Plan {
                 size: options.size,
                 policy,
+                admits: options.admits,
                 pattern,
                 load: options.factor,
                 time: options.time,
                 seed: options.seed,
             });
             println!(
-                "| {pattern:?} | {policy:?} | {:.3} | {} | {} | {} | {} | {:.0}, {:.0} | {} | {} |",
+                "| {pattern:?} | {policy:?} | {:.3} | {} | {} | {} | {} | {} | {} | {:.0}, {:.0} | {} | {} |",
                 figures.worth,
                 figures.in_aim,
                 figures.late,
                 figures.refused,
                 figures.failed,
+                parts(&figures.earned),
+                parts(&figures.served),
                 figures.first_p50,
                 figures.first_p99,
                 figures.cold_peak,
@@ -108,6 +115,12 @@
     }
 }
 
+/// A list of parts of one.
+fn parts(parts: &[f64]) -> String {
+    let parts = parts.iter().map(|part| format!("{part:.2}"));
+    parts.collect::<Vec<_>>().join(" ")
+}
+
 /// None asks for the usage.
 fn parse<I>(arguments: I) -> Result<Option<Verb>, lexopt::Error>
 where
@@ -148,6 +161,7 @@
 fn parse_load(parser: &mut Parser) -> Result<Option<LoadOptions>, lexopt::Error> {
     let mut options = LoadOptions {
         size: Size::Base,
+        admits: true,
         pattern: None,
         factor: 1.5,
         time: Duration::from_secs(30),
@@ -156,6 +170,8 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("large") => options.size = Size::Large,
+            Long("ranked") => options.size = Size::Ranked,
+            Long("plain") => options.admits = false,
             Long("pattern") => options.pattern = Some(parser.value()?.string()?),
             Long("factor") => options.factor = parser.value()?.parse()?,
             Long("seconds") => options.time = Duration::from_secs(parser.value()?.parse()?),
--- a/crates/azurestand_bench/tests/load.rs
+++ b/crates/azurestand_bench/tests/load.rs
@@ -20,6 +20,7 @@
     run(&Plan {
         size: Size::Base,
         policy,
+        admits: true,
         pattern,
         load,
         time: Duration::from_secs(12),
@@ -72,6 +73,7 @@
         let own = run(&Plan {
             size: Size::Large,
             policy: Policy::Predicted,
+            admits: true,
             pattern: Pattern::Steady,
             load,
             time: Duration::from_secs(10),
@@ -127,6 +129,7 @@
         run(&Plan {
             size: Size::Base,
             policy,
+            admits: true,
             pattern: Pattern::LimitsNamed,
             load: 1.5,
             time: Duration::from_secs(36),
@@ -172,6 +175,7 @@
         let own = run(&Plan {
             size: Size::Base,
             policy: Policy::Predicted,
+            admits: true,
             pattern: Pattern::Uneven,
             load: 2.0,
             time: Duration::from_secs(20),
--- a/crates/azurestand_direct/src/lateness.rs
+++ b/crates/azurestand_direct/src/lateness.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// The part of the latency target within which the first byte must be expected.
-const FIRST_BYTE_SHARE: f64 = 0.9;
+pub(crate) const FIRST_BYTE_SHARE: f64 = 0.9;
 /// The part of the shortest latency target of all queued requests within which the first
 /// byte must be expected while there are any.
 const SHARED_SHARE: f64 = 0.8;
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -9,6 +9,7 @@
 //!   nothing more, and one that names a [`RetryAfter`] nothing for that time.
 //! - [`Residency`] holds the regions that a request may reach.
 //! - [`Placement`] chooses the target of a request.
+//! - [`AdmissionControl`] tells which requests go first when engines have too little capacity.
 //! - [`RequestQueue`] queues the requests that wait for capacity; [`Lateness`] and
 //!   [`max_wait`] tell when an answer would come too late to be sent for, and
 //!   [`longest_gap`] how long callers wait at a silent target.
@@ -25,6 +26,7 @@
 //! [`Moment`](azurestand_types::Moment) and get decisions back.
 //! [docs/PLATFORM.md](../../../docs/PLATFORM.md) gives the reasons for the design.
 
+mod admission;
 mod barred;
 mod correction;
 mod digests;
@@ -48,6 +50,9 @@
 mod turn;
 mod versions;
 
+pub use admission::{
+    AdmissionControl, Basis, FleetSize, LeastShare, LeastShareError, Levels, Reserve, Terms,
+};
 pub use barred::{Bar, BarredTarget, Incarnation};
 pub use correction::Correction;
 pub use digests::{DigestSource, digest_sources};
@@ -62,7 +67,7 @@
 pub use pieces::{Distance, PieceHost, PieceSelector};
 pub use place::{Choice, Fault, NoTarget, Placement, TargetLoad, TargetRequirements};
 pub use quarantine::{Admission, Crash, Merged, PartChange, PartNotice, Quarantine, Standing};
-pub use queue::{Rank, RequestQueue, Waiter};
+pub use queue::{Need, QueuedRequest, Rank, RequestQueue, Waiter};
 pub use residency::{Regions, Residency};
 pub use retry_after::{RetryAfter, RetryAfterError};
 pub use rules::{
--- a/crates/azurestand_direct/src/place.rs
+++ b/crates/azurestand_direct/src/place.rs
@@ -14,6 +14,7 @@
 
 use azurestand_types::Moment;
 
+use crate::admission::FleetSize;
 use crate::barred::{Barred, BarredTarget, Incarnation};
 use crate::correction::Correction;
 use crate::directory::{Directory, Target, TargetState};
@@ -100,6 +101,8 @@
     pub regions: &'a Regions,
     /// The maximum predicted time to the first byte.
     pub limit: Duration,
+    /// The target's slots that have to stay free beside its own; none if it may queue there.
+    pub spare_slots: Option<u32>,
 }
 
 /// The chosen target of a request.
@@ -144,6 +147,8 @@
     corrections: BTreeMap<Arc<str>, Correction>,
     /// By service, the requests of this entry that search for a place.
     demands: BTreeMap<Arc<str>, Demand>,
+    /// The same of those that leave slots to more urgent ones, for which they search apart.
+    held_demands: BTreeMap<Arc<str>, Demand>,
     claims: Claims,
     rng: fastrand::Rng,
 }
@@ -168,6 +173,7 @@
             send_share: SendShare::default(),
             corrections: BTreeMap::new(),
             demands: BTreeMap::new(),
+            held_demands: BTreeMap::new(),
             claims: Claims::default(),
             rng,
         }
@@ -218,12 +224,44 @@
         }
     }
 
+    /// How many entries send to how many ready targets of `service`.
+    pub fn fleet(&self, service: &str) -> FleetSize {
+        let listed = self.records.values().map(|record| &record.target);
+        let ready = listed.filter(|target| {
+            target.service.as_ref() == service && target.state == TargetState::Ready
+        });
+        let mut fleet = FleetSize {
+            entries: self.entry_count,
+            targets: 0,
+            slots: 0,
+        };
+        for target in ready {
+            fleet.targets += 1;
+            fleet.slots = target.slots.max(fleet.slots);
+        }
+        fleet
+    }
+
+    /// The age of the newest load report of the service's targets, if there is one.
+    pub fn report_age(&self, now: Moment, service: &str) -> Option<Duration> {
+        let records = self.records.values();
+        let of_service = records.filter(|record| record.target.service.as_ref() == service);
+        let reports = of_service.filter_map(TargetRecord::last_report);
+        reports.map(|at| now.since(at)).min()
+    }
+
     /// Records how many requests of a service wait for a place at this entry from now on.
     pub fn record_waiting(&mut self, now: Moment, service: &Arc<str>, waiting: usize) {
         let demand = self.demands.entry(service.clone()).or_default();
         demand.record_waiting(now, waiting);
     }
 
+    /// The same of requests that leave slots to more urgent ones.
+    pub fn record_held_back(&mut self, now: Moment, service: &Arc<str>, waiting: usize) {
+        let demand = self.held_demands.entry(service.clone()).or_default();
+        demand.record_waiting(now, waiting);
+    }
+
     /// Records the load that a target reports.
     pub fn record_load(&mut self, now: Moment, target: &Target, load: TargetLoad) {
         if let Some(record) = self.record(target) {
@@ -441,7 +479,7 @@
             .filter(|record| self.may_serve(record, requirements));
         let eligible: Vec<&TargetRecord> = eligible.collect();
         let peer_sends = self.peer_sends(eligible.len());
-        let seekers = self.seekers(now, requirements.service);
+        let seekers = self.seekers(now, requirements);
         let mut soonest: Option<f64> = None;
         let pauses = eligible.iter();
         let pauses = pauses.map(|record| self.barred.pause(now, &record.target));
@@ -519,9 +557,14 @@
 
     /// The entries that search for places at the engines of this service; none if this entry
     /// isn't told of requests that wait.
-    fn seekers(&self, now: Moment, service: &Service) -> Option<Seekers> {
+    fn seekers(&self, now: Moment, requirements: &TargetRequirements<'_>) -> Option<Seekers> {
+        let demands = match requirements.spare_slots {
+            Some(_) => &self.held_demands,
+            None => &self.demands,
+        };
+        let demand = demands.get(&requirements.service.name)?;
         // However many requests wait at an entry, it decides once for each report.
-        let searching = self.demands.get(&service.name)?.mean_at(now).min(1.0);
+        let searching = demand.mean_at(now).min(1.0);
         let all = f64::from(self.entry_count) * searching;
         let centres = u32::try_from(self.regions.len().max(1)).unwrap_or(u32::MAX);
         Some(Seekers {
--- a/crates/azurestand_direct/src/place/record.rs
+++ b/crates/azurestand_direct/src/place/record.rs
@@ -338,7 +338,10 @@
         let within_rate = wait.is_some_and(|wait| wait.is_zero());
         let max_load = self.target.slots.saturating_mul(LOAD_FACTOR);
         let load = self.likely_load(now, peer_sends);
-        let has_slots = load.requests() < max_load;
+        let has_slots = match requirements.spare_slots {
+            Some(spare) => load.requests().saturating_add(spare) < self.target.slots.max(1),
+            None => load.requests() < max_load,
+        };
         let is_open = self
             .closes_at(now)
             .is_none_or(|closes_at| now + CLOSING_MARGIN < closes_at)
--- a/crates/azurestand_direct/src/queue.rs
+++ b/crates/azurestand_direct/src/queue.rs
@@ -33,19 +33,51 @@
     pub arrived_at: Reverse<Moment>,
 }
 
-/// The queued requests of one service, with their latency targets.
+/// What a queued request needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    /// Its latency target.
+    pub latency_target: Duration,
+    /// How long it is going to occupy a slot; zero if that isn't known.
+    pub slot_time: Duration,
+}
+
+impl From<Duration> for Need {
+    fn from(latency_target: Duration) -> Self {
+        Self {
+            latency_target,
+            slot_time: Duration::ZERO,
+        }
+    }
+}
+
+/// A request in the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueuedRequest {
+    /// Its place in the order.
+    pub rank: Rank,
+    /// Its identifier.
+    pub waiter: Waiter,
+    /// What it needs.
+    pub need: Need,
+}
+
+/// The queued requests of one service, with their needs.
 #[derive(Debug, Clone, Default)]
 pub struct RequestQueue {
-    order: BTreeMap<(Rank, Waiter), Duration>,
+    order: BTreeMap<(Rank, Waiter), Need>,
     next: u64,
 }
 
 impl RequestQueue {
-    /// Adds a request with this latency target to the queue.
-    pub fn push(&mut self, rank: Rank, latency_target: Duration) -> Waiter {
+    /// Adds a request with this need, or with this latency target, to the queue.
+    pub fn push<N>(&mut self, rank: Rank, need: N) -> Waiter
+    where
+        N: Into<Need>,
+    {
         let waiter = Waiter(self.next);
         self.next += 1;
-        self.order.insert((rank, waiter), latency_target);
+        self.order.insert((rank, waiter), need.into());
         waiter
     }
 
@@ -71,7 +103,34 @@
     pub fn shortest_target(&self, priority: u8) -> Option<Duration> {
         let queued = self.order.iter();
         let urgent = queued.take_while(|((rank, _), _)| rank.priority <= priority);
-        urgent.map(|(_, target)| *target).min()
+        urgent.map(|(_, need)| need.latency_target).min()
+    }
+
+    /// The last of the requests that no target has had.
+    pub(crate) fn last_untried(&self) -> Option<QueuedRequest> {
+        self.untried().next_back()
+    }
+
+    /// Of the requests of this priority that no target has had, the one that occupies a slot the
+    /// longest.
+    pub(crate) fn heaviest_untried(&self, priority: u8) -> Option<QueuedRequest> {
+        let same = self.untried().filter(|item| item.rank.priority == priority);
+        same.max_by_key(|item| item.need.slot_time)
+    }
+
+    fn untried(&self) -> impl DoubleEndedIterator<Item = QueuedRequest> {
+        let untried = self.order.iter().filter(|((rank, _), _)| rank.untried);
+        untried.map(|((rank, waiter), need)| QueuedRequest {
+            rank: *rank,
+            waiter: *waiter,
+            need: *need,
+        })
+    }
+
+    /// The mean time for which the queued requests are going to occupy a slot.
+    pub(crate) fn mean_slot_time(&self) -> Duration {
+        let sum: Duration = self.order.values().map(|need| need.slot_time).sum();
+        sum / u32::try_from(self.order.len()).unwrap_or(u32::MAX).max(1)
     }
 
     /// The number of queued requests.
@@ -79,6 +138,14 @@
         self.order.len()
     }
 
+    /// The number of queued requests that are as urgent as one of this priority, or more so.
+    pub fn as_urgent(&self, priority: u8) -> usize {
+        let queued = self.order.keys();
+        queued
+            .take_while(|(rank, _)| rank.priority <= priority)
+            .count()
+    }
+
     /// Whether no request is queued.
     pub fn is_empty(&self) -> bool {
         self.order.is_empty()
--- a/crates/azurestand_direct/src/rules.rs
+++ b/crates/azurestand_direct/src/rules.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::admission::Levels;
 use crate::engine::CostModel;
 use crate::residency::Regions;
 
@@ -226,6 +227,11 @@
         self.services.values()
     }
 
+    /// The priorities of the routes that lead to this service.
+    pub fn levels(&self, service: &str) -> Levels {
+        Levels::of(self.routes.values().flatten(), service)
+    }
+
     /// The number of pieces of each version of the model's weights, if that is configured.
     pub fn pieces(&self, model: &str) -> Option<usize> {
         let serves = |service: &&Arc<Service>| {
--- a/crates/azurestand_direct/tests/direct/barred.rs
+++ b/crates/azurestand_direct/tests/direct/barred.rs
@@ -36,6 +36,7 @@
         avoid: &[],
         regions: &Regions::Any,
         limit: Duration::from_millis(360),
+        spare_slots: None,
     }
 }
 
--- a/crates/azurestand_direct/tests/direct/claims.rs
+++ b/crates/azurestand_direct/tests/direct/claims.rs
@@ -50,6 +50,7 @@
         avoid: &[],
         regions: &Regions::Any,
         limit: Duration::from_millis(360),
+        spare_slots: None,
     };
     placement.choose(at(millis), &requirements).is_ok()
 }
--- a/crates/azurestand_direct/tests/direct/place.rs
+++ b/crates/azurestand_direct/tests/direct/place.rs
@@ -49,6 +49,7 @@
         avoid: &[],
         regions,
         limit: Duration::from_millis(360),
+        spare_slots: None,
     }
 }
 
--- a/crates/azurestand_gateway/src/entry.rs
+++ b/crates/azurestand_gateway/src/entry.rs
@@ -3,6 +3,7 @@
 //! A request passes the checks of [`filter`]. [`deliver`] then chooses a target with
 //! [`place`] and sends the request there; [`stream`] forwards event streams.
 
+mod admission;
 mod barred;
 mod call;
 mod connections;
--- a/crates/azurestand_gateway/src/entry/call.rs
+++ b/crates/azurestand_gateway/src/entry/call.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Account, Residency, Route, RouteKind, Service, Target, longest_gap};
+use azurestand_direct::{
+    Account, Residency, Route, RouteKind, Service, Target, Terms, longest_gap,
+};
 use azurestand_types::Moment;
 use bytes::Bytes;
 use http::request;
@@ -22,6 +24,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) account: Option<Arc<Account>>,
+    /// By what it is ordered among those that wait for a target.
+    pub(crate) terms: Terms,
     /// The regions that may serve it.
     pub(crate) residency: Residency,
     /// The age of the proof that the rules which admitted it were the latest.
@@ -60,10 +64,9 @@
         }
     }
 
-    /// The priority of the request; 0 is served first.
-    pub(crate) fn priority(&self) -> u8 {
-        let account = self.account.as_ref().and_then(|account| account.priority);
-        account.unwrap_or(self.route.priority)
+    /// The priority that the operators set for the request; 0 is served first.
+    pub(crate) fn stated_priority(&self) -> u8 {
+        self.terms.own
     }
 
     /// The shared parts of the prompt as logged.
--- a/crates/azurestand_gateway/src/entry/deliver.rs
+++ b/crates/azurestand_gateway/src/entry/deliver.rs
@@ -302,7 +302,7 @@
             target: &target.id,
             account: account.map(|account| account.name.as_ref()),
             version: reservation.required_version,
-            priority: Some(self.call.priority()),
+            priority: Some(self.call.stated_priority()),
             last_event: self.last_event,
         };
         let headers = self
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -7,6 +7,7 @@
 use azurestand_direct::{Fault, Target};
 use http::Response;
 
+use super::super::admission::AdmissionInputs;
 use super::super::place::{Obstacle, obstacle, turned_away};
 use super::super::quarantine;
 use super::super::response::{Body, RequestError};
@@ -40,7 +41,7 @@
         metrics::time(span, self.call.waited());
         let shortage = error.shortage();
         let account = self.call.account.as_ref();
-        event.log(&[
+        let mut fields = vec![
             ("request", self.call.id().into()),
             ("service", self.call.service.name.as_ref().into()),
             ("route", self.call.route.name.as_ref().into()),
@@ -48,7 +49,7 @@
                 "account",
                 account.map(|account| account.name.as_ref()).into(),
             ),
-            ("priority", u64::from(self.call.priority()).into()),
+            ("priority", u64::from(self.call.stated_priority()).into()),
             ("ahead", shortage.map(|known| known.ahead).into()),
             ("limit_ms", shortage.map(|known| millis(known.limit)).into()),
             (
@@ -60,7 +61,10 @@
             ("status", error.status().as_u16().into()),
             ("sends", self.sends.into()),
             ("waited_ms", millis(self.call.waited())),
-        ]);
+        ];
+        let admission = shortage.and_then(|known| known.admission);
+        fields.extend(admission.into_iter().flat_map(AdmissionInputs::fields));
+        event.log(&fields);
         error.response()
     }
 
--- a/crates/azurestand_gateway/src/entry/filter.rs
+++ b/crates/azurestand_gateway/src/entry/filter.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::admission;
 use super::call::Call;
 use super::deliver;
 use super::memory;
@@ -89,6 +90,12 @@
     if !shared.takes(expires_at) {
         return error_response(request.id.as_deref(), RequestError::Stopping);
     }
+    let account = destination.account.as_ref();
+    let priority = account.and_then(|account| account.priority);
+    let priority = priority.unwrap_or(destination.route.priority);
+    let least_share = shared.settings.bounds.now().least_share;
+    let service = &destination.service.name;
+    let terms = admission::arrive(&mut shared.state(), arrived, service, priority, least_share);
     let call = Call {
         expires_at,
         deadline,
@@ -98,6 +105,7 @@
         route: destination.route,
         service: destination.service,
         account: destination.account,
+        terms,
         residency: destination.residency,
         proof_age: destination.proof_age,
         arrived,
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Choice, Lateness, NoTarget, PartId, Rank, Regions, Residency, Target, TargetRequirements,
-    Waiter, max_wait,
+    Choice, Lateness, Need, NoTarget, PartId, Rank, Regions, Reserve, Residency, Target,
+    TargetRequirements, Waiter, max_wait,
 };
 use azurestand_types::Moment;
 use derive_more::Display;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use super::admission::{self, AdmissionInputs, Rejection};
 use super::call::Call;
 use super::quarantine;
 use super::response::{RequestError, Shortage};
@@ -111,12 +112,10 @@
         metrics::time(Span::Wait, BootClock.now().since(self.joined));
         let mut state = self.shared.state();
         if let Some(queue) = state.queues.get_mut(self.service) {
-            queue.waiters.remove(self.rank, self.waiter);
-            queue.wakers.remove(&self.waiter);
+            queue.leave(self.rank, self.waiter);
+            queue.take_displaced(self.waiter);
             queue.wake_first();
-            let queued = queue.waiters.len();
-            let now = BootClock.now();
-            state.placement.record_waiting(now, self.service, queued);
+            admission::record_waiting(&mut state, BootClock.now(), self.service);
         }
     }
 }
@@ -158,9 +157,11 @@
             }
         }
         let queue = state.queues.entry(call.service.name.clone()).or_default();
-        let waiter = queue.waiters.push(rank, call.route.latency_target);
+        queue.admission.record_delayed(now, call.terms);
+        let waiter = queue.waiters.push(rank, need(call));
         let waker = Arc::new(Notify::new());
         queue.wakers.insert(waiter, waker.clone());
+        queue.displace(now);
         (waker, waiter, ahead)
     };
     let guard = QueueGuard {
@@ -171,9 +172,15 @@
         joined: now,
     };
     let wait_end = Instant::now() + queue_timeout(call);
+    let mut rejection = Rejection::Waited;
     while timeout_at(wait_end, waker.notified()).await.is_ok() {
         let mut state = shared.state();
         let now = BootClock.now();
+        let queue = state.queues.get_mut(&call.service.name);
+        if queue.is_some_and(|queue| queue.take_displaced(waiter)) {
+            rejection = Rejection::Displaced;
+            break;
+        }
         let trial = quarantine::admit(&state, call, constraints.crashed)?;
         let regions = permitted_regions(shared, &state, now, &call.residency)?;
         match choose(shared, &mut state, now, call, constraints, &regions, trial) {
@@ -191,15 +198,60 @@
             Err(NoTarget::NoneEligible) => break,
         }
     }
-    let limit = latest(&shared.state(), call, constraints);
+    let retry_after = soonest.unwrap_or(DEFAULT_RETRY_AFTER);
+    let shortage = shortage(&shared.state(), call, constraints, retry_after, rejection);
     Err(RequestError::Busy(Shortage {
-        retry_after: jittered(soonest.unwrap_or(DEFAULT_RETRY_AFTER)),
         soonest,
-        limit,
         ahead,
+        ..shortage
     }))
 }
 
+/// The inputs of a rejection for want of capacity, where the most urgent callers may return
+/// after `retry_after`.
+fn shortage(
+    state: &State,
+    call: &Call,
+    constraints: &Constraints,
+    retry_after: Duration,
+    rejection: Rejection,
+) -> Shortage {
+    let now = BootClock.now();
+    let reserve = admission::reserve(state, now, call);
+    let queue = state.queues.get(&call.service.name);
+    let control = queue.map(|queue| &queue.admission);
+    let control = control.filter(|control| control.is_active());
+    let retry_after = jittered(retry_after);
+    let rejection = match rejection {
+        Rejection::Waited if reserve.is_some() => Rejection::HeldBack,
+        other => other,
+    };
+    Shortage {
+        retry_after: control.map_or(retry_after, |control| {
+            control.return_time(call.terms, retry_after)
+        }),
+        soonest: None,
+        limit: latest(state, call, constraints, reserve),
+        ahead: 0,
+        admission: control.map(|_| AdmissionInputs {
+            terms: call.terms,
+            reserve,
+            report_age: state.placement.report_age(now, &call.service.name),
+            rejection,
+        }),
+    }
+}
+
+/// What a request needs, as far as that is known.
+fn need(call: &Call) -> Need {
+    let engine = call.service.engine.as_ref();
+    let slot_ms = engine.map_or(0.0, |engine| engine.slot_time(call.request.work, 0));
+    Need {
+        latency_target: call.route.latency_target,
+        slot_time: Duration::try_from_secs_f64(slot_ms / 1_000.0).unwrap_or(Duration::MAX),
+    }
+}
+
 /// Reserves capacity at a target for `call` if one is free at once and no more urgent request
 /// waits.
 pub(crate) fn try_place<P>(
@@ -270,7 +322,7 @@
 
 fn rank(call: &Call, constraints: &Constraints) -> Rank {
     Rank {
-        priority: call.priority(),
+        priority: call.terms.priority,
         untried: constraints.avoid.is_empty(),
         arrived_at: Reverse(call.arrived),
     }
@@ -298,23 +350,32 @@
 }
 
 /// The longest predicted time to the first byte with which the request may be sent now.
-fn latest(state: &State, call: &Call, constraints: &Constraints) -> Duration {
+fn latest(
+    state: &State,
+    call: &Call,
+    constraints: &Constraints,
+    reserve: Option<Reserve>,
+) -> Duration {
     let left = call.time_left();
     if constraints.allow_late {
         return left;
     }
     let queue = state.queues.get(&call.service.name);
-    let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.priority()));
+    let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.terms.priority));
     let engine = call.service.engine.as_ref();
+    let excess = engine.map_or(Duration::ZERO, |engine| {
+        engine.excess_time(call.request.work)
+    });
     let lateness = Lateness {
         latency_target: call.route.latency_target,
         waited: call.waited(),
-        excess: engine.map_or(Duration::ZERO, |engine| {
-            engine.excess_time(call.request.work)
-        }),
+        excess,
         shortest,
     };
-    lateness.limit().min(left)
+    let ceiling = reserve.map_or(Duration::MAX, |reserve| {
+        reserve.ceiling.saturating_add(excess)
+    });
+    lateness.limit().min(ceiling).min(left)
 }
 
 /// Adds jitter of ±30 % to `time`, so that refused callers don't retry simultaneously.
@@ -340,6 +401,8 @@
     let limit = shared.version_limit();
     let versions = model.and_then(|model| state.versions.get(model));
     let oldest = versions.map_or(0, |versions| versions.oldest(now, limit));
+    let may_queue = constraints.allow_late || !constraints.avoid.is_empty();
+    let reserve = admission::reserve(state, now, call).filter(|_| !may_queue);
     let requirements = TargetRequirements {
         service: &call.service,
         model,
@@ -348,14 +411,10 @@
         size: call.request.work,
         avoid: &constraints.avoid,
         regions,
-        limit: latest(state, call, constraints),
+        limit: latest(state, call, constraints, reserve),
+        spare_slots: reserve.map(|reserve| reserve.slots),
     };
-    let name = &call.service.name;
-    let queued = state
-        .queues
-        .get(name)
-        .map_or(0, |queue| queue.waiters.len());
-    state.placement.record_waiting(now, name, queued);
+    admission::record_waiting(state, now, &call.service.name);
     let choice = state.placement.choose(now, &requirements)?;
     let Choice {
         target,
@@ -365,6 +424,7 @@
     state
         .placement
         .record_send(now, &target, call.service.cold_rate);
+    admission::record_placed(state, now, call);
     if let Some(part) = trial {
         state.quarantine.record_trial(now, part);
     }
--- a/crates/azurestand_gateway/src/entry/response.rs
+++ b/crates/azurestand_gateway/src/entry/response.rs
@@ -9,6 +9,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
+use super::admission::AdmissionInputs;
+
 /// The error with which a response body ends early.
 pub(crate) type BodyError = Box<dyn std::error::Error + Send + Sync>;
 /// The body of any response of this entry.
@@ -26,6 +28,8 @@
     pub(crate) limit: Duration,
     /// The number of requests that were queued before it when it arrived.
     pub(crate) ahead: usize,
+    /// What admission by priority decided, where it is in force.
+    pub(crate) admission: Option<AdmissionInputs>,
 }
 
 /// Why the entry answers a request with an error of its own.
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -3,15 +3,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use azurestand_direct::{
-    Directory, Exclusions, Freshness, NamedVersions, Placement, Quarantine, RequestQueue, Rules,
-    SendShare, StopPlan, Target, VERSION_MARGIN, Waiter,
+    AdmissionControl, Directory, Exclusions, Freshness, LeastShare, NamedVersions, Placement,
+    Quarantine, RequestQueue, Rules, SendShare, StopPlan, Target, VERSION_MARGIN, Waiter,
 };
 use azurestand_route::RetryBudget;
 use azurestand_store::Position;
@@ -39,6 +39,11 @@
 pub(crate) struct ServiceQueue {
     pub(crate) waiters: RequestQueue,
     pub(crate) wakers: BTreeMap<Waiter, Arc<Notify>>,
+    pub(crate) admission: AdmissionControl,
+    /// Requests that were displaced and have not noticed yet.
+    pub(crate) displaced: BTreeSet<Waiter>,
+    /// The version of the rules and the least share by which admission is configured.
+    pub(crate) configured: Option<(Option<u64>, Option<LeastShare>)>,
 }
 
 impl ServiceQueue {
--- a/crates/azurestand_gateway/src/settings.rs
+++ b/crates/azurestand_gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use azurestand_direct::LeastShare;
+
 /// The time and retry limits that operators set for all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -18,6 +20,9 @@
     pub version: Duration,
     /// Retries per request, on average over all entries.
     pub retry_share: f64,
+    /// The part of the requests of each priority that competes with the most urgent ones where
+    /// engines have too little capacity; none if requests don't compete by priority.
+    pub least_share: Option<LeastShare>,
 }
 
 /// The current bounds; reloading the settings changes them in a running process.
