Order requests by account and then by route where priorities compete

Change: a level of urgency is the account's priority, then the route's; the targets get the level as the request's priority. Services whose routes share a priority go by the account's or the route's priority as before.

--- a/crates/azurestand_bench/src/load/caller.rs
+++ b/crates/azurestand_bench/src/load/caller.rs
@@ -1,5 +1,7 @@
 //! What callers ask, how long they wait and what an answer is worth to them.
 
+use azurestand_direct::Urgency;
+
 /// A kind of request.
 #[derive(Debug, Clone, Copy)]
 pub struct Class {
@@ -21,6 +23,16 @@
     pub priority: u8,
 }
 
+impl Class {
+    /// Its urgency; no account has a priority of its own.
+    pub(super) const fn urgency(&self) -> Urgency {
+        Urgency {
+            account: self.priority,
+            route: self.priority,
+        }
+    }
+}
+
 /// The model requests of one of the users' deployments, for fifteen engines.
 pub const BASE_CLASSES: [Class; 3] = [
     Class {
--- a/crates/azurestand_bench/src/load/entry.rs
+++ b/crates/azurestand_bench/src/load/entry.rs
@@ -144,7 +144,7 @@
         let until = ask.arrived + max_wait(aim).as_secs_f64() * 1_000.0;
         let terms = self.terms(now, ask);
         let rank = Rank {
-            priority: terms.priority,
+            priority: terms.level,
             untried: true,
             arrived_at: Reverse(moment(ask.arrived)),
         };
@@ -165,12 +165,12 @@
             latency_target: aim,
             waited: duration(now - ask.arrived),
             excess,
-            shortest: self.queue.shortest_target(terms.priority),
+            shortest: self.queue.shortest_target(terms.level),
         };
         let fleet = self.placement.fleet(&service.name);
         let reserve = engine.and_then(|engine| {
             let admission = &self.admission;
-            admission.reserve(moment(now), terms.priority, engine, fleet)
+            admission.reserve(moment(now), terms.level, engine, fleet)
         });
         let ceiling = reserve.map_or(Duration::MAX, |reserve| {
             reserve.ceiling.saturating_add(excess)
@@ -220,7 +220,9 @@
             return *known;
         }
         let draw = self.rng.f64();
-        let terms = self.admission.arrive(moment(now), ask.class.priority, draw);
+        let terms = self
+            .admission
+            .arrive(moment(now), ask.class.urgency(), draw);
         self.terms.insert(ask.caller, terms);
         terms
     }
@@ -269,8 +271,8 @@
 
     fn record_waiting(&mut self, now: f64) {
         let name = &self.service.name;
-        let unheld = self.admission.unheld(&self.queue);
         let now = moment(now);
+        let unheld = self.admission.unheld(now, &self.queue);
         self.placement.record_waiting(now, name, unheld);
         let held = self.queue.len() - unheld;
         self.placement.record_held_back(now, name, held);
--- a/crates/azurestand_bench/src/load/fleet.rs
+++ b/crates/azurestand_bench/src/load/fleet.rs
@@ -149,7 +149,7 @@
         let names: Vec<Arc<str>> = (0..site.entries).map(|n| format!("e{n}").into()).collect();
         let classes = site.classes.iter();
         let classes = classes.filter(|_| plan.admits);
-        let levels = classes.map(|class| (class.priority, duration(class.aim)));
+        let levels = classes.map(|class| (class.urgency(), duration(class.aim)));
         let levels: Levels = levels.collect();
         for number in 0..site.entries {
             let centre = fleet.centre_of(number).into();
--- a/crates/azurestand_direct/src/admission.rs
+++ b/crates/azurestand_direct/src/admission.rs
@@ -25,7 +25,7 @@
 use crate::engine::{CostModel, RequestSize};
 use crate::lateness::{FIRST_BYTE_SHARE, max_wait};
 use crate::queue::{QueuedRequest, RequestQueue};
-pub use levels::Levels;
+pub use levels::{Levels, Urgency};
 use tally::Tally;
 
 /// How long a request delays others at its engine: until its first token, and until reports
@@ -41,9 +41,9 @@
 const MIN_EXPECTED: f64 = 0.02;
 /// A request that takes this many times the mean slot time of those queued is displaced first.
 const HEAVY_FACTOR: f64 = 2.0;
-/// How much later a rejected caller returns for each more urgent priority, as a part of the
-/// time.
-const RETURN_STEP: f64 = 0.5;
+/// How much later a rejected caller of the least urgent level returns than one of the most
+/// urgent level, as a part of its time.
+const RETURN_DELAY: f64 = 1.0;
 
 quick_error! {
     /// Why a number is no least share.
@@ -109,10 +109,10 @@
 /// By what a request is ordered and limited.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Basis {
-    /// By its own priority.
-    #[display("own priority")]
+    /// By its own level.
+    #[display("own")]
     Own,
-    /// As one of the most urgent priority, since its own one got less than its least share.
+    /// As one of the most urgent level, since its own one got less than its least share.
     #[display("least share")]
     LeastShare,
 }
@@ -120,14 +120,31 @@
 /// The terms on which one request is queued and placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Terms {
-    /// The priority that the operators set.
+    /// Its own level: the number of more urgent ones. Where levels don't compete, the priority
+    /// of its account or route.
     pub own: u8,
-    /// The priority by which it is queued.
-    pub priority: u8,
-    /// Where that priority comes from.
+    /// The level by which it is queued.
+    pub level: u8,
+    /// Where that level comes from.
     pub basis: Basis,
 }
 
+/// The recent requests of some levels at one entry.
+#[derive(Debug, Clone, Copy, Default)]
+struct Arrivals {
+    /// Requests per second.
+    rate: f64,
+    arrived: f64,
+    /// Those that were not placed when they arrived.
+    delayed: f64,
+}
+
+impl Arrivals {
+    fn delayed_share(self) -> f64 {
+        self.delayed / f64::max(self.arrived, 1.0)
+    }
+}
+
 /// The admission of one service's requests at one entry.
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionControl {
@@ -137,8 +154,8 @@
 }
 
 impl AdmissionControl {
-    /// Sets the priorities that compete, and the share that each of them keeps; without one,
-    /// requests don't compete by priority.
+    /// Sets the levels that compete, and the share that each of them keeps; without one,
+    /// none compete.
     pub fn configure(&mut self, levels: Levels, least_share: Option<LeastShare>) {
         let levels = least_share.map_or_else(Levels::default, |_| levels);
         self.least_share = least_share.unwrap_or_default();
@@ -148,33 +165,37 @@
         }
     }
 
-    /// Whether requests of different priorities compete; otherwise nothing here applies.
+    /// Whether requests of different levels compete; otherwise nothing here applies.
     pub fn is_active(&self) -> bool {
         self.levels.compete()
     }
 
     /// Records a request that arrives, and returns its terms. `draw` is a random number from 0
     /// to 1.
-    pub fn arrive(&mut self, now: Moment, priority: u8, draw: f64) -> Terms {
+    pub fn arrive(&mut self, now: Moment, urgency: Urgency, draw: f64) -> Terms {
+        let level = if self.is_active() {
+            self.levels.level(urgency)
+        } else {
+            urgency.account
+        };
         let own = Terms {
-            own: priority,
-            priority,
+            own: level,
+            level,
             basis: Basis::Own,
         };
         if !self.is_active() {
             return own;
         }
-        let tally = self.tallies.entry(priority).or_default();
+        let tally = self.tallies.entry(level).or_default();
         tally.arrived.add(now);
-        let most_urgent = self.levels.most_urgent();
-        if priority <= most_urgent {
+        if level == 0 {
             return own;
         }
         let share = self.least_share.get();
         let missing = share * tally.arrived.at(now) - tally.placed.at(now);
         if missing >= 1.0 || (missing > 0.0 && draw < share) {
             return Terms {
-                priority: most_urgent,
+                level: 0,
                 basis: Basis::LeastShare,
                 ..own
             };
@@ -196,34 +217,26 @@
         }
     }
 
-    /// The share of recent requests of the most urgent priority that were not placed when they
+    /// The share of recent requests of the most urgent level that were not placed when they
     /// arrived.
     pub fn urgent_delayed(&self, now: Moment) -> f64 {
-        let urgent = self.tallies.get(&self.levels.most_urgent());
-        urgent.map_or(0.0, |tally| {
-            tally.delayed.at(now) / f64::max(tally.arrived.at(now), 1.0)
-        })
+        self.arrivals_above(now, 1).delayed_share()
     }
 
-    /// What a request of this priority leaves for more urgent ones; none if none are expected.
+    /// What a request of this level leaves for more urgent ones; none if none are expected, or
+    /// if these are placed anyway.
     pub fn reserve(
         &self,
         now: Moment,
-        priority: u8,
+        level: u8,
         engine: &CostModel,
         fleet: FleetSize,
     ) -> Option<Reserve> {
-        let shortest = self.levels.shortest_above(priority)?;
-        let urgent = self.tallies.range(..priority).map(|(_, tally)| tally);
-        let (mut rate, mut arrived, mut delayed) = (0.0, 0.0, 0.0);
-        for tally in urgent {
-            rate += tally.arrived.rate(now);
-            arrived += tally.arrived.at(now);
-            delayed += tally.delayed.at(now);
-        }
+        let shortest = self.levels.shortest_above(level)?;
+        let urgent = self.arrivals_above(now, level);
         let per_target = f64::from(fleet.entries) / f64::from(fleet.targets.max(1));
-        let expected = rate * per_target * DELAY_TIME.as_secs_f64();
-        let delayed_share = delayed / f64::max(arrived, 1.0);
+        let expected = urgent.rate * per_target * DELAY_TIME.as_secs_f64();
+        let delayed_share = urgent.delayed_share();
         if expected < MIN_EXPECTED || delayed_share < MIN_PRESSURE {
             return None;
         }
@@ -247,14 +260,25 @@
         })
     }
 
-    /// The number of queued requests that may queue at targets too: all, unless priorities
-    /// compete.
-    pub fn unheld(&self, queue: &RequestQueue) -> usize {
-        if self.is_active() {
-            queue.as_urgent(self.levels.most_urgent())
-        } else {
-            queue.len()
+    /// The recent requests of more urgent levels than this one.
+    fn arrivals_above(&self, now: Moment, level: u8) -> Arrivals {
+        let mut above = Arrivals::default();
+        for (_, tally) in self.tallies.range(..level) {
+            above.rate += tally.arrived.rate(now);
+            above.arrived += tally.arrived.at(now);
+            above.delayed += tally.delayed.at(now);
+        }
+        above
+    }
+
+    /// The number of queued requests that leave nothing for more urgent ones.
+    pub fn unheld(&self, now: Moment, queue: &RequestQueue) -> usize {
+        if !self.is_active() {
+            return queue.len();
         }
+        let is_unheld = |level| self.arrivals_above(now, level).delayed_share() < MIN_PRESSURE;
+        let levels = queue.priorities();
+        levels.filter(|level| is_unheld(*level)).count()
     }
 
     /// A queued request that is to be rejected now, since more are queued than are likely to be
@@ -278,12 +302,13 @@
         Some(if is_heavy { heaviest } else { last })
     }
 
-    /// When a rejected caller may return, where the most urgent one may after `time`.
+    /// When a rejected caller may return, where one of the most urgent level may after `time`.
     pub fn return_time(&self, terms: Terms, time: Duration) -> Duration {
         if !self.is_active() {
             return time;
         }
-        let steps = u32::try_from(self.levels.above(terms.own)).unwrap_or(u32::MAX);
-        time.mul_f64(1.0 + RETURN_STEP * f64::from(steps))
+        let last = u32::try_from(self.levels.len()).unwrap_or(u32::MAX) - 1;
+        let part = f64::from(terms.own) / f64::from(last);
+        time.mul_f64(1.0 + RETURN_DELAY * part.min(1.0))
     }
 }
--- a/crates/azurestand_direct/src/lib.rs
+++ b/crates/azurestand_direct/src/lib.rs
@@ -52,6 +52,7 @@
 
 pub use admission::{
     AdmissionControl, Basis, FleetSize, LeastShare, LeastShareError, Levels, Reserve, Terms,
+    Urgency,
 };
 pub use barred::{Bar, BarredTarget, Incarnation};
 pub use correction::Correction;
--- a/crates/azurestand_direct/src/queue.rs
+++ b/crates/azurestand_direct/src/queue.rs
@@ -24,7 +24,7 @@
 /// The order among queued requests; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// The priority that the operators set; 0 goes first.
+    /// The level of urgency, or the priority that the operators set; 0 goes first.
     pub priority: u8,
     /// Whether no target has had the request yet; those that a target failed go first, since
     /// their callers have waited and part of their answers may be there.
@@ -138,12 +138,9 @@
         self.order.len()
     }
 
-    /// The number of queued requests that are as urgent as one of this priority, or more so.
-    pub fn as_urgent(&self, priority: u8) -> usize {
-        let queued = self.order.keys();
-        queued
-            .take_while(|(rank, _)| rank.priority <= priority)
-            .count()
+    /// The priorities of the queued requests.
+    pub(crate) fn priorities(&self) -> impl Iterator<Item = u8> {
+        self.order.keys().map(|(rank, _)| rank.priority)
     }
 
     /// Whether no request is queued.
--- a/crates/azurestand_direct/src/rules.rs
+++ b/crates/azurestand_direct/src/rules.rs
@@ -227,9 +227,10 @@
         self.services.values()
     }
 
-    /// The priorities of the routes that lead to this service.
+    /// The levels of urgency of the requests for this service.
     pub fn levels(&self, service: &str) -> Levels {
-        Levels::of(self.routes.values().flatten(), service)
+        let routes = self.routes.values().flatten();
+        Levels::of(routes, self.accounts.values(), service)
     }
 
     /// The number of pieces of each version of the model's weights, if that is configured.
--- a/crates/azurestand_gateway/src/entry/admission.rs
+++ b/crates/azurestand_gateway/src/entry/admission.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{LeastShare, Rank, Reserve, Terms, Waiter};
+use azurestand_direct::{LeastShare, Rank, Reserve, Terms, Urgency, Waiter};
 use azurestand_types::Moment;
 use derive_more::Display;
 use serde_json::Value;
@@ -43,11 +43,12 @@
 
 impl AdmissionInputs {
     /// The inputs as logged.
-    pub(crate) fn fields(self) -> [(&'static str, Value); 6] {
+    pub(crate) fn fields(self) -> [(&'static str, Value); 7] {
         let reserve = self.reserve;
         [
             ("rejection", self.rejection.to_string().into()),
-            ("queued_priority", self.terms.priority.into()),
+            ("level", self.terms.level.into()),
+            ("own_level", self.terms.own.into()),
             ("basis", self.terms.basis.to_string().into()),
             ("kept_slots", reserve.map(|kept| kept.slots).into()),
             (
@@ -59,12 +60,12 @@
     }
 }
 
-/// Settles the terms of a request of this priority that arrives.
+/// Settles the terms of a request that arrives.
 pub(crate) fn arrive(
     state: &mut State,
     now: Moment,
     service: &Arc<str>,
-    priority: u8,
+    urgency: Urgency,
     least_share: Option<LeastShare>,
 ) -> Terms {
     let rules = state.rules.as_ref();
@@ -81,7 +82,7 @@
             .configure(levels.unwrap_or_default(), least_share);
         queue.configured = Some((version, least_share));
     }
-    queue.admission.arrive(now, priority, fastrand::f64())
+    queue.admission.arrive(now, urgency, fastrand::f64())
 }
 
 /// What `call` leaves for more urgent requests at its target.
@@ -92,8 +93,8 @@
         return None;
     }
     let fleet = state.placement.fleet(&call.service.name);
-    let priority = call.terms.priority;
-    queue.admission.reserve(now, priority, engine, fleet)
+    let level = call.terms.level;
+    queue.admission.reserve(now, level, engine, fleet)
 }
 
 /// Records that `call` was placed.
@@ -108,7 +109,7 @@
     let queue = state.queues.get(service);
     let (unheld, queued) = queue.map_or((0, 0), |queue| {
         let waiters = &queue.waiters;
-        (queue.admission.unheld(waiters), waiters.len())
+        (queue.admission.unheld(now, waiters), waiters.len())
     });
     let placement = &mut state.placement;
     placement.record_waiting(now, service, unheld);
--- a/crates/azurestand_gateway/src/entry/call.rs
+++ b/crates/azurestand_gateway/src/entry/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azurestand_direct::{
-    Account, Residency, Route, RouteKind, Service, Target, Terms, longest_gap,
+    Account, Residency, Route, RouteKind, Service, Target, Terms, Urgency, longest_gap,
 };
 use azurestand_types::Moment;
 use bytes::Bytes;
@@ -64,11 +64,16 @@
         }
     }
 
-    /// The priority that the operators set for the request; 0 is served first.
+    /// The priority that is stated to the target: the level of urgency where levels compete.
     pub(crate) fn stated_priority(&self) -> u8 {
         self.terms.own
     }
 
+    /// The priority of the account, or of the route where the account has none.
+    pub(crate) fn priority(&self) -> u8 {
+        Urgency::new(&self.route, self.account.as_deref()).account
+    }
+
     /// The shared parts of the prompt as logged.
     pub(crate) fn parts_text(&self) -> String {
         let parts: Vec<String> = self.request.parts.iter().map(ToString::to_string).collect();
--- a/crates/azurestand_gateway/src/entry/deliver/failure.rs
+++ b/crates/azurestand_gateway/src/entry/deliver/failure.rs
@@ -49,7 +49,7 @@
                 "account",
                 account.map(|account| account.name.as_ref()).into(),
             ),
-            ("priority", u64::from(self.call.stated_priority()).into()),
+            ("priority", u64::from(self.call.priority()).into()),
             ("ahead", shortage.map(|known| known.ahead).into()),
             ("limit_ms", shortage.map(|known| millis(known.limit)).into()),
             (
--- a/crates/azurestand_gateway/src/entry/filter.rs
+++ b/crates/azurestand_gateway/src/entry/filter.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azurestand_direct::{Account, InputLimits, Residency, Route, Service};
+use azurestand_direct::{Account, InputLimits, Residency, Route, Service, Urgency};
 use bytes::Bytes;
 use http::{Request, Response, header, request};
 use http_body_util::BodyExt;
@@ -90,12 +90,10 @@
     if !shared.takes(expires_at) {
         return error_response(request.id.as_deref(), RequestError::Stopping);
     }
-    let account = destination.account.as_ref();
-    let priority = account.and_then(|account| account.priority);
-    let priority = priority.unwrap_or(destination.route.priority);
+    let urgency = Urgency::new(&destination.route, destination.account.as_deref());
     let least_share = shared.settings.bounds.now().least_share;
     let service = &destination.service.name;
-    let terms = admission::arrive(&mut shared.state(), arrived, service, priority, least_share);
+    let terms = admission::arrive(&mut shared.state(), arrived, service, urgency, least_share);
     let call = Call {
         expires_at,
         deadline,
--- a/crates/azurestand_gateway/src/entry/place.rs
+++ b/crates/azurestand_gateway/src/entry/place.rs
@@ -322,7 +322,7 @@
 
 fn rank(call: &Call, constraints: &Constraints) -> Rank {
     Rank {
-        priority: call.terms.priority,
+        priority: call.terms.level,
         untried: constraints.avoid.is_empty(),
         arrived_at: Reverse(call.arrived),
     }
@@ -361,7 +361,7 @@
         return left;
     }
     let queue = state.queues.get(&call.service.name);
-    let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.terms.priority));
+    let shortest = queue.and_then(|queue| queue.waiters.shortest_target(call.terms.level));
     let engine = call.service.engine.as_ref();
     let excess = engine.map_or(Duration::ZERO, |engine| {
         engine.excess_time(call.request.work)
