Treat an answer without a final status of HTTP as a broken one

Cause: the HTTP library takes 100 to 999 for a status; answers of targets with 101, 600 or 999 reached callers as answers, in plain answers and streams, and the product's own agents passed them on too. 000, 099, 1000 and words were refused by the library before.

Change: clients of entries and agents accept 200 to 599 only; anything else counts as a connection that broke, so the target may have run the request.

--- a/crates/azurestand_gateway/src/client.rs
+++ b/crates/azurestand_gateway/src/client.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use azurestand_http::{ByteMeter, CancelFlag, MeteredStream, READ_BUFFER_BYTES};
+use azurestand_http::{ByteMeter, CancelFlag, MeteredStream, READ_BUFFER_BYTES, check_status};
 use azurestand_types::Moment;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -445,6 +445,9 @@
     connection.meter.reset();
     match sender.try_send_request(request).await {
         Ok(answer) => {
+            if let Err(error) = check_status(answer.status()) {
+                return Err((CallError::Broken(error.to_string()), None));
+            }
             connection.limit = idle_timeout(answer.headers());
             let meter = connection.meter.clone();
             let answer = answer.map(|body| ResponseBody::new(body, meter));
--- a/crates/azurestand_http/src/lib.rs
+++ b/crates/azurestand_http/src/lib.rs
@@ -2,17 +2,19 @@
 //!
 //! The HTTP library bounds the length of a head and leaves the rest to its caller. Here are
 //! bounds on bytes that complete no part of a response ([`MeteredStream`]) and on the memory of
-//! a body ([`collect`]), and a body that never ends in order once it has failed
+//! a body ([`collect`]), a check of a response's status ([`check_status`]), and a body that never ends in order once it has failed
 //! ([`ResponseBody`]). See
 //! [docs/incidents/request-bodies-use-up-memory.md](../../../docs/incidents/request-bodies-use-up-memory.md).
 
 mod body;
 mod connect;
 mod meter;
+mod status;
 
 pub use body::{BodyFailure, CollectError, ResponseBody, collect};
 pub use connect::{MeteredConnector, meter_connections, meter_response};
 pub use meter::{ByteMeter, CancelFlag, MeteredStream};
+pub use status::{InvalidStatus, check_status};
 
 /// The largest head of a response, and the most that is read at once, in bytes.
 pub const READ_BUFFER_BYTES: usize = 64 * 1024;
--- a/crates/azurestand_server/src/agent/target/run/tests.rs
+++ b/crates/azurestand_server/src/agent/target/run/tests.rs
@@ -61,3 +61,14 @@
     assert_eq!(end, RunEnd::Whole);
     assert!(bytes.ends_with(b"data: b\n\n"));
 }
+
+/// Guards against an engine in trouble whose answer has no status of HTTP reaching the caller.
+#[tokio::test]
+async fn an_answer_without_a_status_of_http_is_broken_off() {
+    for status in ["000", "099", "101", "199", "600", "999", "1000", "abc"] {
+        let answer = format!("HTTP/1.1 {status} OK\r\ncontent-length: 4\r\n\r\nleak");
+        let (bytes, end) = call(Box::leak(answer.into_boxed_str())).await;
+        assert_eq!(end, RunEnd::Broken, "{status}");
+        assert!(bytes.is_empty(), "{status}");
+    }
+}
--- a/crates/azurestand_server/src/client.rs
+++ b/crates/azurestand_server/src/client.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use azurestand_http::{
-    MIN_PART_BYTES, MeteredConnector, READ_BUFFER_BYTES, ResponseBody, collect, meter_connections,
-    meter_response,
+    MIN_PART_BYTES, MeteredConnector, READ_BUFFER_BYTES, ResponseBody, check_status, collect,
+    meter_connections, meter_response,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri};
@@ -70,15 +70,17 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<ResponseBody>, CallError> {
-        let answer = self.0.request(request).await;
-        answer.map(meter_response).map_err(|error| {
+        let answer = self.0.request(request).await.map_err(|error| {
             let reason = describe(&error);
             if error.is_connect() {
                 CallError::Refused(reason)
             } else {
                 CallError::Broken(reason)
             }
-        })
+        })?;
+        let status = check_status(answer.status());
+        status.map_err(|error| CallError::Broken(error.to_string()))?;
+        Ok(meter_response(answer))
     }
 
     /// A whole call with a short answer.
