--- a/crates/azurestand_direct/src/admission.rs
+++ b/crates/azurestand_direct/src/admission.rs
@@ -8,7 +8,7 @@
 //!   urgent requests that are expected ([`Reserve`]);
 //! - an entry queues no more requests than it is likely to place in time, and rejects those
 //!   that cost callers least at once ([`AdmissionControl::displaced`]);
-//! - each priority keeps a least share of its requests ([`LeastShare`]).
+//! - each level is served at least a part as often as all requests ([`LeastShare`]).
 //!
 //! [docs/design/admission.md](../../../docs/design/admission.md) gives the reasons.
 
@@ -49,14 +49,14 @@
     /// Why a number is no least share.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
     pub enum LeastShareError {
-        /// It is negative, above one half or not a number.
+        /// It is negative, above one or not a number.
         Invalid {
-            display("a least share is a part from 0 to 0.5 of the requests of a priority")
+            display("a least share is a part from 0 to 1 of how often all requests are served")
         }
     }
 }
 
-/// The part of the requests of each priority that competes with the most urgent ones.
+/// How often the requests of each level are served at least, as a part of how often all are.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LeastShare(f64);
 
@@ -68,9 +68,9 @@
 }
 
 impl Default for LeastShare {
-    /// A quarter.
+    /// Two fifths.
     fn default() -> Self {
-        Self(0.25)
+        Self(0.4)
     }
 }
 
@@ -78,7 +78,7 @@
     type Error = LeastShareError;
 
     fn try_from(share: f64) -> Result<Self, LeastShareError> {
-        if (0.0..=0.5).contains(&share) {
+        if (0.0..=1.0).contains(&share) {
             Ok(Self(share))
         } else {
             Err(LeastShareError::Invalid)
@@ -186,12 +186,12 @@
         if !self.is_active() {
             return own;
         }
-        let tally = self.tallies.entry(level).or_default();
-        tally.arrived.add(now);
+        self.tallies.entry(level).or_default().arrived.add(now);
         if level == 0 {
             return own;
         }
-        let share = self.least_share.get();
+        let share = self.least_share.get() * self.placed_share(now);
+        let tally = self.tallies.entry(level).or_default();
         let missing = share * tally.arrived.at(now) - tally.placed.at(now);
         if missing >= 1.0 || (missing > 0.0 && draw < share) {
             return Terms {
@@ -260,6 +260,14 @@
         })
     }
 
+    /// The part of all recent requests that was sent to a target.
+    fn placed_share(&self, now: Moment) -> f64 {
+        let tallies = self.tallies.values();
+        let placed: f64 = tallies.clone().map(|tally| tally.placed.at(now)).sum();
+        let arrived: f64 = tallies.map(|tally| tally.arrived.at(now)).sum();
+        (placed / f64::max(arrived, 1.0)).min(1.0)
+    }
+
     /// The recent requests of more urgent levels than this one.
     fn arrivals_above(&self, now: Moment, level: u8) -> Arrivals {
         let mut above = Arrivals::default();
--- a/crates/azurestand_gateway/src/entry/admission.rs
+++ b/crates/azurestand_gateway/src/entry/admission.rs
@@ -121,6 +121,7 @@
     pub(crate) fn displace(&mut self, now: Moment) {
         while let Some(request) = self.admission.displaced(now, &self.waiters) {
             self.displaced.insert(request.waiter);
+            self.displaced_total = self.displaced_total.saturating_add(1);
             self.leave(request.rank, request.waiter);
         }
     }
--- a/crates/azurestand_gateway/src/entry/shared.rs
+++ b/crates/azurestand_gateway/src/entry/shared.rs
@@ -42,6 +42,8 @@
     pub(crate) admission: AdmissionControl,
     /// Requests that were displaced and have not noticed yet.
     pub(crate) displaced: BTreeSet<Waiter>,
+    /// The number of requests displaced since the start.
+    pub(crate) displaced_total: u32,
     /// The version of the rules and the least share by which admission is configured.
     pub(crate) configured: Option<(Option<u64>, Option<LeastShare>)>,
 }
--- a/crates/azurestand_gateway/src/entry/status.rs
+++ b/crates/azurestand_gateway/src/entry/status.rs
@@ -109,6 +109,15 @@
     metrics::set(Level::QuarantinedParts, to_f64(quarantined));
     metrics::set(Level::Ready, f64::from(u8::from(is_ready)));
     metrics::set(Level::Line, to_f64(waiting));
+    let controls = state.queues.values().map(|queue| &queue.admission);
+    let delayed = controls.map(|control| control.urgent_delayed(now));
+    metrics::set(Level::UrgentDelayed, delayed.fold(0.0, f64::max));
+    let displaced: u32 = state
+        .queues
+        .values()
+        .map(|queue| queue.displaced_total)
+        .sum();
+    metrics::set(Level::Displaced, to_f64(displaced));
     metrics::set(Level::ProofAge, age);
     metrics::set(Level::Correction, state.placement.correction(now));
     metrics::set(Level::Targets, to_f64(state.directory.targets().count()));
--- a/crates/azurestand_gateway/src/metrics.rs
+++ b/crates/azurestand_gateway/src/metrics.rs
@@ -67,6 +67,8 @@
     LimitedTargets = "limited_targets", "Targets that name a rate limit.";
     LeavingTargets = "leaving_targets", "Listed targets that have said that they leave.";
     TurnedAwayTargets = "turned_away_targets", "Listed targets that want nothing for a time that they have named.";
+    UrgentDelayed = "urgent_delayed", "The part of recent requests of the most urgent level that found no target when they arrived, at the service with the most; 0 where levels don't compete.";
+    Displaced = "displaced", "Requests that were displaced from the queues since the start.";
     Missing = "missing", "Missing pieces of the version that is being fetched.";
 }
 
--- a/crates/azurestand_gateway/src/settings.rs
+++ b/crates/azurestand_gateway/src/settings.rs
@@ -20,8 +20,8 @@
     pub version: Duration,
     /// Retries per request, on average over all entries.
     pub retry_share: f64,
-    /// The part of the requests of each priority that competes with the most urgent ones where
-    /// engines have too little capacity; none if requests don't compete by priority.
+    /// How often requests of each level of urgency are served at least where engines have too
+    /// little capacity; none if requests don't compete by priority.
     pub least_share: Option<LeastShare>,
 }
 
