Revert the turns of missing pieces when the origin of weights is back

With few entries each has many of the missing pieces and waits for their turns although the link is free.

--- a/crates/azurestand_direct/src/pieces.rs
+++ b/crates/azurestand_direct/src/pieces.rs
@@ -26,9 +26,6 @@
 /// How much longer each further host in the order waits before it fetches a piece from
 /// another data centre or from the origin itself.
 const RANK_DELAY: Duration = Duration::from_millis(1_300);
-/// The same after a failure of the origin: it comes back at any moment, and hosts that are first
-/// in the order then need some time for their pieces.
-const RETRY_RANK_DELAY: Duration = Duration::from_millis(2_600);
 /// How long before a host may have to fetch a piece it asks others whether they have it.
 const ASK_LEAD: Duration = Duration::from_millis(600);
 /// The number of hosts in the order of a piece that are remembered. When all of them have
@@ -101,8 +98,6 @@
     origin_order: HostOrder,
     /// The order in which hosts of this data centre fetch it from another one.
     near_order: HostOrder,
-    /// The pieces before it that were missing when the origin last failed.
-    turn: u32,
     /// Hosts of this data centre that have it.
     near_holders: u32,
     /// Hosts of other data centres that have it.
@@ -110,11 +105,6 @@
 }
 
 impl Piece {
-    /// Whether it is neither here nor, as far as is known, at another host.
-    fn is_missing_everywhere(&self) -> bool {
-        !self.arrived && self.near_holders == 0 && self.far_holders == 0
-    }
-
     fn holders(&mut self, distance: Distance) -> &mut u32 {
         match distance {
             Distance::Near => &mut self.near_holders,
@@ -173,7 +163,6 @@
                 fetch_start: None,
                 origin_order: HostOrder::new(score(own), scored.iter()),
                 near_order: HostOrder::new(score(own), scored.iter().filter(is_near)),
-                turn: 0,
                 near_holders: 0,
                 far_holders: 0,
             }
@@ -203,18 +192,14 @@
     }
 
     /// The time from which this host may fetch the piece from the origin. After a failure of
-    /// the origin the waiting times of all ranks start again, and the pieces that are missing
-    /// take their turns again; otherwise all hosts would fetch the same pieces as soon as it
-    /// recovers, and all pieces would share its link.
+    /// the origin the waiting times of all ranks start again; otherwise all hosts would fetch
+    /// the same pieces as soon as it recovers.
     fn origin_start(&self, number: usize, piece: &Piece) -> Moment {
-        let rank = piece.origin_order.own_rank;
-        match self.origin_failure {
-            Some(failed) => {
-                let first = failed + NEAR_ONLY_TIME;
-                first + self.piece_time.saturating_mul(piece.turn) + RETRY_RANK_DELAY * rank
-            }
-            None => self.slot(number) + RANK_DELAY * rank,
-        }
+        let first = match self.origin_failure {
+            Some(failed) => failed + NEAR_ONLY_TIME,
+            None => self.slot(number),
+        };
+        first + RANK_DELAY * piece.origin_order.own_rank
     }
 
     /// The time from which this host may fetch the piece from another data centre. The first
@@ -266,15 +251,9 @@
         self.pieces.iter().filter(|piece| !piece.arrived).count()
     }
 
-    /// Records that the origin did not answer. The pieces that are missing now take turns when it
-    /// is back.
+    /// Records that the origin did not answer.
     pub fn record_origin_failure(&mut self, now: Moment) {
         self.origin_failure = Some(now);
-        let mut turn = 0;
-        for piece in &mut self.pieces {
-            piece.turn = turn;
-            turn += u32::from(piece.is_missing_everywhere());
-        }
     }
 
     /// Records which pieces another host has now; none if it doesn't answer. A host that
