--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each returns whether the rule held.
 
+mod digests;
 mod weights;
 
 use crate::base::Record;
@@ -7,6 +8,7 @@
 pub fn run(name: &str, program: &str, record: &Record, trouble: bool) -> Result<bool, String> {
     record.line(&format!("case {name}, trouble {trouble}"));
     match name {
+        "digests" => digests::run(program, record, trouble),
         "weights" => weights::run(program, record, trouble),
         other => Err(format!("there is no case {other}")),
     }
--- a/review/standin-2/cases/weights.rs
+++ b/review/standin-2/cases/weights.rs
@@ -21,7 +21,7 @@
 pub fn run(program: &str, record: &Record, trouble: bool) -> Result<bool, String> {
     let net = Net::new();
     let store = Store::start(net.listen(1, 7)?);
-    origin::start(net.listen(2, 6)?);
+    origin::start(net.listen(2, 6)?, record);
     store.put("op/config", &config(7, &net.address(2, 6).to_string()));
     let zone = "tov-zuunmod";
     let engines = [
@@ -72,7 +72,7 @@
 }
 
 /// Sends one request for a stream; returns whether its answer was whole.
-fn stream(entry: SocketAddr, number: u64, record: &Record) -> bool {
+pub fn stream(entry: SocketAddr, number: u64, record: &Record) -> bool {
     let id = format!("{:016x}", 0x9c41_d07b_0000_0000 + number);
     let Some(mut channel) = Channel::connect(entry, Duration::from_secs(1)) else {
         return false;
--- a/review/standin-2/origin.rs
+++ b/review/standin-2/origin.rs
@@ -1,8 +1,9 @@
 //! The origin of weights. A piece's bytes follow from its number and version.
 
 use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
 
-use crate::base::sha256;
+use crate::base::{Record, sha256};
 use crate::http::{Channel, serve};
 
 pub const PIECES: usize = 96;
@@ -24,17 +25,39 @@
     bytes
 }
 
-pub fn start(listener: TcpListener) {
-    serve(listener, handle);
+/// What the origin does wrong.
+#[derive(Default)]
+pub struct Faults {
+    /// How many of the next lists of digests have a corrupt one.
+    pub corrupt_lists: Mutex<usize>,
 }
 
-fn handle(mut channel: Channel) {
+pub fn start(listener: TcpListener, record: &Record) -> Arc<Faults> {
+    let faults = Arc::new(Faults::default());
+    let (served, record) = (faults.clone(), record.clone());
+    serve(listener, move |channel| handle(channel, &served, &record));
+    faults
+}
+
+/// The digests of a version, of which one has a changed digit if that is due.
+fn digests(version: u64, faults: &Faults, record: &Record) -> Vec<String> {
+    let mut digests: Vec<String> = (0..PIECES).map(|number| sha256(&piece(number, version))).collect();
+    let mut corrupt = faults.corrupt_lists.lock().unwrap();
+    if *corrupt > 0 {
+        *corrupt -= 1;
+        let last = digests[17].pop();
+        digests[17].push(if last == Some('0') { '1' } else { '0' });
+    }
+    record.line(&format!("origin: the digests of version {version} are asked for; that of piece 17 is given as {}", digests[17]));
+    digests
+}
+
+fn handle(mut channel: Channel, faults: &Faults, record: &Record) {
     while let Some(request) = channel.read_message() {
         let version = request.query("version").and_then(|text| text.parse().ok()).unwrap_or(2);
         let sent = if request.path().starts_with("/azurestand/manifest/") {
-            let digests: Vec<String> =
-                (0..PIECES).map(|number| format!("\"{}\"", sha256(&piece(number, version)))).collect();
-            let digests = digests.join(",");
+            let digests = digests(version, faults, record);
+            let digests = format!("\"{}\"", digests.join("\",\""));
             let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version},\"chunk_bytes\":{PIECE_BYTES},\"layers\":{LAYERS},\"digests\":[{digests}]}}");
             channel.answer("200 OK", &[("content-type", "application/json")], body.as_bytes())
         } else if request.path().starts_with("/azurestand/piece/") {
