--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns whether the rule held.
 
 mod digests;
+mod hung;
 mod unframed;
 mod weights;
 
@@ -10,6 +11,7 @@
     record.line(&format!("case {name}, trouble {trouble}"));
     match name {
         "digests" => digests::run(program, record, trouble),
+        "hung" => hung::run(program, record, trouble),
         "unframed" => unframed::run(program, record, trouble),
         "weights" => weights::run(program, record, trouble),
         other => Err(format!("there is no case {other}")),
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -21,8 +21,15 @@
     pub second_answer: Mutex<Option<(usize, u32)>>,
     /// Whether it has happened in this round.
     pub happened: AtomicBool,
+    /// How long each staging takes.
+    pub stage_time: Mutex<Duration>,
+    /// Asked with the number and the bytes of each piece before it is taken: how long this one
+    /// call hangs.
+    pub hang: Mutex<Option<Hang>>,
 }
 
+type Hang = Box<dyn Fn(usize, &[u8]) -> Option<Duration> + Send>;
+
 struct State {
     staged: BTreeMap<usize, Vec<u8>>,
     version: u64,
@@ -121,6 +128,14 @@
                 if self.breaks_off(number, &mut channel, before.as_deref()) {
                     return;
                 }
+                let time = *self.faults.stage_time.lock().unwrap();
+                sleep(time);
+                let hang = self.faults.hang.lock().unwrap().as_ref().and_then(|hang| hang(number, &request.body));
+                if let Some(time) = hang {
+                    self.record.line(&format!("{}: the staging of piece {number} hangs for {time:?}", self.id));
+                    sleep(time);
+                    self.record.line(&format!("{}: piece {number} is taken", self.id));
+                }
                 self.state.lock().unwrap().staged.insert(number, request.body);
                 let answer = response("200 OK", &[], b"");
                 if !channel.write(&answer) {
