--- a/review/standin-2/cases/digests.rs
+++ b/review/standin-2/cases/digests.rs
@@ -65,7 +65,9 @@
         }
     });
     sleep(Duration::from_secs(4));
-    record.line("final fault: all processes of the system are killed");
+    record.line("version 8 of the configuration is written");
+    store.put("op/config", &config(8, &source));
+    record.line("final fault, right after: all processes of the system are killed");
     let fault = Instant::now();
     for program in entries.iter().chain(&agents) {
         program.signal(Signal::Kill);
